--- a/internal/sim/fleet/faults2_test.go
+++ b/internal/sim/fleet/faults2_test.go
@@ -186,7 +186,7 @@
 		f.Traffic(2)
 		time.Sleep(8 * time.Second)
 		for _, n := range f.Edges {
-			f.Rec.Put(check.Event{Kind: check.EdgeDown, Node: n.Name})
+			f.Down(n)
 			f.Rec.Put(check.Event{Kind: check.Planned, Node: n.Name})
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 			if err := n.Proxy.Stop(ctx); err != nil {
@@ -344,7 +344,7 @@
 			}
 		}
 		f.Between([]string{n.IP}, append(others, "10.9.0.1"), true)
-		f.Rec.Put(check.Event{Kind: check.EdgeDown, Node: n.Name})
+		f.Down(n)
 		f.Platform.Mark("m-01", true)
 		f.Platform.Mark("s-01", true)
 		time.Sleep(12 * time.Second)
@@ -362,7 +362,7 @@
 		f.Platform.Mark("m-01", false)
 		f.Platform.Mark("s-01", false)
 		time.Sleep(3 * time.Second)
-		f.Rec.Put(check.Event{Kind: check.EdgeUp, Node: n.Name})
+		f.Up(n)
 		before := f.count(check.Answer, func(e check.Event) bool { return e.Node == n.Name && e.Outcome == check.Whole })
 		time.Sleep(5 * time.Second)
 		if f.count(check.Answer, func(e check.Event) bool { return e.Node == n.Name && e.Outcome == check.Whole }) < before+10 {
@@ -370,127 +370,3 @@
 		}
 	})
 }
-
-// fault causes one fault and ends it again. Faults of the same kind are not
-// caused twice at a time.
-func (f *Fleet) fault(what int) {
-	core := f.Cores[f.Rnd.IntN(len(f.Cores))]
-	edge := f.Edges[f.Rnd.IntN(len(f.Edges))]
-	replica := fmt.Sprintf("m-%02d", 1+f.Rnd.IntN(f.D.Models))
-	wait := func(ms int) { time.Sleep(time.Duration(500+f.Rnd.IntN(ms)) * time.Millisecond) }
-	switch what {
-	case 0:
-		f.KillCore(core, true)
-		wait(6000)
-		if core.Core == nil {
-			f.StartCore(core)
-		}
-	case 1:
-		f.Freeze(core)
-		wait(8000)
-		f.Thaw(core)
-	case 2:
-		f.Freeze(edge)
-		wait(8000)
-		f.Thaw(edge)
-	case 3:
-		f.KillProxy(edge)
-		f.KillAgent(edge)
-		wait(4000)
-		if edge.Proxy == nil && edge.Agent == nil {
-			f.StartEdge(edge)
-		}
-	case 4:
-		f.KillAgent(edge)
-		wait(4000)
-		if edge.Agent == nil && edge.Proxy != nil {
-			f.StartAgent(edge)
-		}
-	case 5:
-		f.CrashReplica(replica)
-		wait(5000)
-		f.StartReplica(replica)
-	case 6:
-		f.Platform.Mark(replica, true)
-		wait(9000)
-		f.Platform.Mark(replica, false)
-	case 7:
-		a := f.Cores[f.Rnd.IntN(len(f.Cores))].IP
-		f.Net.Cut(a, core.IP, a != core.IP)
-		wait(6000)
-		f.Net.Heal()
-	case 8:
-		for _, n := range f.Cores {
-			f.KillCore(n, true)
-		}
-		wait(4000)
-		for _, n := range f.Cores {
-			if n.Core == nil {
-				f.StartCore(n)
-			}
-		}
-		f.back()
-	case 9:
-		f.Disk(core, []int32{DiskSlow, DiskStalled, DiskFull}[f.Rnd.IntN(3)])
-		wait(5000)
-		f.Disk(core, DiskGood)
-	case 10:
-		f.Jump(core, time.Duration(f.Rnd.IntN(100)-50)*time.Hour)
-		wait(5000)
-		f.Jump(core, 0)
-	case 11:
-		f.Net.Loss(30)
-		wait(5000)
-		f.Net.Loss(0)
-	}
-}
-
-const faults = 12
-
-// Nemesis: whatever comes to mind, one after the other, under the traffic mix.
-func TestNemesis(t *testing.T) {
-	Seeds(t, 8, either, func(f *Fleet) {
-		f.Traffic(0.7)
-		time.Sleep(4 * time.Second)
-		var trail []string
-		for range 6 {
-			what := f.Rnd.IntN(faults)
-			trail = append(trail, fmt.Sprint(what))
-			f.fault(what)
-			f.patchNow(f.Rnd.IntN(len(f.Cores)))
-		}
-		f.T.Log("faults:", strings.Join(trail, " "))
-		time.Sleep(8 * time.Second)
-	})
-}
-
-// And in pairs.
-func TestNemesisInPairs(t *testing.T) {
-	Seeds(t, 8, either, func(f *Fleet) {
-		f.Traffic(0.7)
-		time.Sleep(4 * time.Second)
-		var trail []string
-		for range 4 {
-			pair := f.Rnd.Perm(faults)[:2]
-			// Why: two that stop and start the same processes get in each other's way, not in drumstall's.
-			if slices.Contains(pair, 8) && (slices.Contains(pair, 0) || slices.Contains(pair, 1)) || slices.Contains(pair, 3) && slices.Contains(pair, 4) ||
-				slices.Contains(pair, 0) && slices.Contains(pair, 1) || slices.Contains(pair, 2) && (slices.Contains(pair, 3) || slices.Contains(pair, 4)) {
-				continue
-			}
-			trail = append(trail, fmt.Sprint(pair))
-			done := make(chan struct{})
-			for _, what := range pair {
-				f.Group.Go(func(context.Context) {
-					f.fault(what)
-					done <- struct{}{}
-				})
-			}
-			f.patchNow(f.Rnd.IntN(len(f.Cores)))
-			<-done
-			f.patchNow(f.Rnd.IntN(len(f.Cores)))
-			<-done
-		}
-		f.T.Log("faults:", strings.Join(trail, " "))
-		time.Sleep(10 * time.Second)
-	})
-}
--- a/internal/sim/fleet/faults3_test.go
+++ b/internal/sim/fleet/faults3_test.go
@@ -387,7 +387,7 @@
 		all := append(IPs(f.Edges), IPs(f.Cores)...)
 		f.Between(all, all, true)
 		for _, n := range f.Edges {
-			f.Rec.Put(check.Event{Kind: check.EdgeDown, Node: n.Name})
+			f.Down(n)
 		}
 		time.Sleep(20 * time.Second) // all take each other for dead; the platform still answers them
 		f.Traffic(4)
@@ -405,7 +405,7 @@
 		f.Net.Heal()
 		time.Sleep(10 * time.Second)
 		for _, n := range f.Edges {
-			f.Rec.Put(check.Event{Kind: check.EdgeUp, Node: n.Name})
+			f.Up(n)
 		}
 	})
 }
--- a/internal/sim/fleet/faults_test.go
+++ b/internal/sim/fleet/faults_test.go
@@ -298,7 +298,7 @@
 		time.Sleep(15 * time.Second)
 		f.Between(IPs(f.Cores), IPs(f.Edges), true)
 		for _, n := range f.Edges {
-			f.Rec.Put(check.Event{Kind: check.EdgeDown, Node: n.Name})
+			f.Down(n)
 		}
 		before := f.Tally()
 		f.patchNow(0)
@@ -311,7 +311,7 @@
 		}
 		f.Net.Heal()
 		for _, n := range f.Edges {
-			f.Rec.Put(check.Event{Kind: check.EdgeUp, Node: n.Name})
+			f.Up(n)
 		}
 		time.Sleep(10 * time.Second)
 		f.Until(3*time.Second, "the change made meanwhile is in force", func() bool {
--- a/internal/sim/fleet/fleet.go
+++ b/internal/sim/fleet/fleet.go
@@ -107,6 +107,9 @@
 	zones    sync.Map // of zone by address; the fabric reads it from any thread
 	flow     context.CancelFunc
 	opHTTP   *http.Client
+	spots    atomic.Pointer[[]stand.Edge] // for the flows
+	downMu   sync.Mutex
+	downs    map[string]int // edge: faults that keep it from being held to what is in force
 }
 
 const platformAddr = "10.9.0.1:80"
@@ -114,7 +117,7 @@
 // New starts a fleet and waits until it serves.
 func New(t *testing.T, seed uint64, d stand.Deployment) *Fleet {
 	f := &Fleet{T: t, D: d, Replicas: map[string]*stand.Replica{}, Rnd: &Chance{r: rand.New(rand.NewPCG(seed, 3))}, settings: map[string]stand.ReplicaSettings{},
-		hosts: map[string]*simnet.Host{}, Group: run.NewGroup(context.Background()), Rec: stand.NewRecord(time.Now(), nil), zero: time.Now()}
+		hosts: map[string]*simnet.Host{}, downs: map[string]int{}, Group: run.NewGroup(context.Background()), Rec: stand.NewRecord(time.Now(), nil), zero: time.Now()}
 	f.Net = simnet.New(seed, func(from, to string) time.Duration {
 		if from == to {
 			return 50 * time.Microsecond
@@ -295,7 +298,25 @@
 		f.T.Fatalf("%s: %v", n.Name, err)
 	}
 	n.Proxy = p
-	f.Rec.Put(check.Event{Kind: check.EdgeUp, Node: n.Name})
+	f.Up(n)
+}
+
+// Down notes that an edge is stopped, killed, frozen or cut off; Up that it is
+// back. Of several faults at once the last to end counts.
+func (f *Fleet) Down(n *Node) { f.tellDown(n, 1, check.EdgeDown) }
+
+// Up is the other half of Down.
+func (f *Fleet) Up(n *Node) { f.tellDown(n, -1, check.EdgeUp) }
+
+func (f *Fleet) tellDown(n *Node, by int, kind string) {
+	f.downMu.Lock()
+	defer f.downMu.Unlock()
+	was := f.downs[n.Name]
+	f.downs[n.Name] = max(0, was+by)
+	// Why: a machine that is killed while it is cut off is down once, and back when both have ended.
+	if by > 0 && was == 0 || by < 0 && f.downs[n.Name] == 0 {
+		f.Rec.Put(check.Event{Kind: kind, Node: n.Name})
+	}
 }
 
 // StartEdge starts agent and proxy.
@@ -332,6 +353,13 @@
 func (f *Fleet) MoveCore(n *Node, ip string) {
 	f.zones.Store(ip, n.Zone)
 	n.IP = ip
+	f.settle()
+}
+
+// settle tells the flows where the edges are.
+func (f *Fleet) settle() {
+	at := f.Spots()
+	f.spots.Store(&at)
 }
 
 // KillAgent ends an agent at once.
@@ -347,7 +375,7 @@
 // KillProxy ends a proxy at once.
 func (f *Fleet) KillProxy(n *Node) {
 	if n.Proxy != nil {
-		f.Rec.Put(check.Event{Kind: check.EdgeDown, Node: n.Name})
+		f.Down(n)
 		f.Net.Kill(n.hosts[2])
 		n.Proxy.Thaw()
 		n.Proxy.Kill()
@@ -365,7 +393,7 @@
 		n.Agent.Freeze()
 	}
 	if n.Proxy != nil {
-		f.Rec.Put(check.Event{Kind: check.EdgeDown, Node: n.Name})
+		f.Down(n)
 		n.Proxy.Freeze()
 	}
 }
@@ -381,7 +409,7 @@
 	}
 	if n.Proxy != nil {
 		n.Proxy.Thaw()
-		f.Rec.Put(check.Event{Kind: check.EdgeUp, Node: n.Name})
+		f.Up(n)
 	}
 }
 
@@ -444,11 +472,12 @@
 	} else {
 		f.flow = cancel
 	}
+	f.settle()
 	flows := append([]stand.Flow(nil), f.D.Flows...)
 	for i := range flows {
 		flows[i].PerSecond *= scale
 	}
-	f.Visitors.Run(f.Group, ctx, f.Rnd.Uint64(), f.Spots(), flows)
+	f.Visitors.Run(f.Group, ctx, f.Rnd.Uint64(), func() []stand.Edge { return *f.spots.Load() }, flows)
 }
 
 // Quiet ends the flows and lets what is under way finish.
--- a/internal/sim/fleet/scale_test.go
+++ b/internal/sim/fleet/scale_test.go
@@ -42,10 +42,10 @@
 		(after.coreCalls - before.coreCalls) / span, (after.coreBytes - before.coreBytes) / span}
 }
 
-func manyRoutes(n int) []byte {
+func manyRoutes(n int, d stand.Deployment) []byte {
 	routes := map[string]any{}
 	for i := range n {
-		routes[fmt.Sprintf("extra-%04d", i)] = map[string]any{"kind": "service", "selector": "service=plates", "class": "roadside", "deadlineMs": 1000 + i}
+		routes[fmt.Sprintf("extra-%04d", i)] = map[string]any{"kind": "service", "selector": "service=" + d.Service, "class": d.Flows[0].Class, "deadlineMs": 1000 + i}
 	}
 	b, _ := json.Marshal(map[string]any{"replace": map[string]any{"routes": routes}})
 	return b
@@ -64,7 +64,7 @@
 			f := New(t, 1, stand.Cascadia().Sized(c.cores, c.edges, c.models, 2, 20, 6))
 			if c.routes > 0 {
 				began := time.Now()
-				serial, ok := f.Patch(0, manyRoutes(c.routes), "")
+				serial, ok := f.Patch(0, manyRoutes(c.routes, f.D), "")
 				if !ok {
 					t.Fatal("a configuration with many routes was not taken")
 				}
