--- /dev/null
+++ b/internal/place/order/hold_test.go
@@ -0,0 +1,141 @@
+package order
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"drumstall.example/internal/backend"
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/kernel/ring"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/news"
+	"drumstall.example/internal/place/report"
+	"drumstall.example/internal/platform"
+	"drumstall.example/internal/sim/simnet"
+	"drumstall.example/internal/stand"
+	"drumstall.example/internal/state"
+	"drumstall.example/internal/state/acceptor"
+	"drumstall.example/internal/state/owner"
+)
+
+type wall struct{ zero time.Time }
+
+func (c wall) Since() time.Duration { return time.Since(c.zero) }
+func (c wall) Wall() time.Time      { return time.Now() }
+
+// noted is a network that notes when each order begins to leave.
+type noted struct {
+	wire.Net
+	mu   sync.Mutex
+	left []time.Time
+}
+
+type notedConn struct {
+	net.Conn
+	n *noted
+}
+
+func (n *noted) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := n.Net.Dial(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return notedConn{c, n}, nil
+}
+
+func (c notedConn) Write(b []byte) (int, error) {
+	if bytes.HasPrefix(b, []byte("POST /orders")) {
+		c.n.mu.Lock()
+		c.n.left = append(c.n.left, time.Now())
+		c.n.mu.Unlock()
+	}
+	return c.Conn.Write(b)
+}
+
+// A hold runs out while a beat of the ward is under way: it has asked the replica
+// and the store's keeper, both far off, and the order it meant to give must not leave any more.
+func TestNoOrderLeavesAfterTheHold(t *testing.T) {
+	orders := 0
+	for try := range 40 {
+		// Why: a bubble that fails ends the test it runs in.
+		t.Run(fmt.Sprint("try=", try), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fabric := simnet.New(uint64(try), func(string, string) time.Duration { return 60 * time.Millisecond })
+				g, held := run.NewGroup(t.Context()), run.NewGroup(t.Context())
+				clk, log := wall{time.Now().Add(-time.Hour)}, ring.New(io.Discard, 100).Logger()
+				rec := stand.NewRecord(time.Now(), nil)
+				replica, err := stand.StartReplica(stand.ReplicaSettings{ID: "r", Addr: "10.0.0.2:9000", Model: true, CapacityMib: 100_000, Slots: 4, LoadMibPerS: 10_000}, fabric.Host("10.0.0.2"), rec)
+				if err != nil {
+					t.Fatal(err)
+				}
+				out := &noted{Net: fabric.Host("10.0.0.1")}
+				acc, err := acceptor.Open(g, "d", vfs.NewMem(), clk, log)
+				if err != nil {
+					t.Fatal(err)
+				}
+				self := state.Core{Name: "a", Disk: acc.Disk(), Addr: "10.0.0.1:7000"}
+				if _, err := acc.SetStanding(t.Context(), func(acceptor.Standing) (acceptor.Standing, bool) {
+					return acceptor.Standing{Phase: acceptor.Voter, Set: state.CoreSet{Serial: 1, Cores: []state.Core{self}}}, true
+				}); err != nil {
+					t.Fatal(err)
+				}
+				own := owner.New(owner.Deps{Self: func() state.Core { return self }, Group: held, Clock: clk, Log: log, Caller: wire.NewCaller(out), Acceptor: acc,
+					Addr: func(state.Core) (string, bool) { return "", false }, Rank: func(int) []state.Core { return []state.Core{self} }, Behind: func(state.Core) {}})
+				cfg := conf.Empty()
+				cfg.Models = map[string]conf.Model{}
+				for i := range 12 {
+					cfg.Models[fmt.Sprint("m", i)] = conf.Model{SizeMib: 1000, LoadFor: 100 * time.Millisecond, ServeFor: time.Second}
+				}
+				conn := backend.NewConn(out)
+				w := NewWard(g, Deps{Clock: clk, Log: log, Self: "a", Boot: "b", Conn: conn, Owner: own, News: news.NewTable(), Reports: report.NewTable(),
+					Conf: func() conf.Effective { return cfg }, Requests: func(string) float64 { return 0 }, Others: func() []News { return nil },
+					Agents: func() map[string]bool { return nil }, Platform: func() time.Duration { return 0 }, Afloat: func(context.Context, string) {},
+					Grant: func(context.Context, string, float64) (time.Duration, bool) {
+						time.Sleep(200 * time.Millisecond) // the keeper is far off
+						return 0, true
+					}}, platform.Listed{ID: "r", Addr: "10.0.0.2:9000", Model: true})
+				for taken := 0; taken < maxTasks; {
+					time.Sleep(50 * time.Millisecond)
+					for i := range 12 {
+						if a, err := w.Consider(t.Context(), Consider{Replica: "r", Item: fmt.Sprint("m", i), Alone: true}); err == nil && a.Taken {
+							taken++
+						}
+					}
+				}
+				time.Sleep(time.Duration(100+37*try) * time.Millisecond)
+				// From here on nothing renews the hold, and the ward goes on with what it has been given to do.
+				held.Freeze()
+				_, left, _ := own.MayOrder(Key("r"))
+				over := time.Now().Add(left)
+				time.Sleep(8 * time.Second)
+				out.mu.Lock()
+				for _, at := range out.left {
+					orders++
+					if at.After(over) {
+						t.Errorf("try %d: an order left %v after the hold ran out", try, at.Sub(over))
+					}
+				}
+				out.mu.Unlock()
+				held.Stop()
+				replica.Crash()
+				g.Stop()
+				conn.Close()
+				_ = acc.Close()
+				time.Sleep(3 * time.Second)
+			})
+		})
+	}
+	if orders < 40 {
+		t.Errorf("only %d orders were seen, too few to prove anything", orders)
+	}
+}
