--- a/internal/sim/fleet/fleet.go
+++ b/internal/sim/fleet/fleet.go
@@ -496,19 +496,19 @@
 
 // Put sends a whole configuration to a core and records an acknowledgement.
 func (f *Fleet) Put(at int, body []byte, ifMatch string) (uint64, bool) {
-	return f.submit(http.MethodPut, at, body, ifMatch)
+	return f.submit(http.MethodPut, at, "application/json", body, ifMatch)
 }
 
 // Patch sends a partial one.
 func (f *Fleet) Patch(at int, body []byte, ifMatch string) (uint64, bool) {
-	return f.submit(http.MethodPatch, at, body, ifMatch)
+	return f.submit(http.MethodPatch, at, "application/json", body, ifMatch)
 }
 
-func (f *Fleet) submit(method string, at int, body []byte, ifMatch string) (uint64, bool) {
+func (f *Fleet) submit(method string, at int, kind string, body []byte, ifMatch string) (uint64, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, method, "http://"+f.Cores[at].IP+":7001/v1/config", bytes.NewReader(body))
-	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Content-Type", kind)
 	if ifMatch != "" {
 		req.Header.Set("If-Match", ifMatch)
 	}
--- a/internal/sim/fleet/handover_test.go
+++ b/internal/sim/fleet/handover_test.go
@@ -196,4 +196,3 @@
 		t.Errorf("only %d orders to unload, too few to prove anything", unloads)
 	}
 }
-
