A formation goes on when a founder loses its disk between agreeing and voting

Cause: those who had agreed refused every other set, and the lost disk's set can never become firm. Ruled out: forgetting the agreement after a while (a founder may already vote under it). Now the same machines, a minority with new disks, may agree anew under a higher serial; a majority of the old set that stands agreed and not voting proves that nothing was acknowledged under it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -213,6 +213,9 @@
 // Held lists the slots this core holds now, with their epochs.
 func (c *Core) Held() map[int]uint64 { return c.own.Held() }
 
+// Phase is how far this core has come towards voting.
+func (c *Core) Phase() acceptor.Phase { return c.acc.Standing().Phase }
+
 // Sick says whether the disk has failed, so that the process may end.
 func (c *Core) Sick() bool { return c.acc.Sick() }
 
--- a/internal/sim/fleet/fleet.go
+++ b/internal/sim/fleet/fleet.go
@@ -116,6 +116,12 @@
 
 // New starts a fleet and waits until it serves.
 func New(t *testing.T, seed uint64, d stand.Deployment) *Fleet {
+	return NewAmid(t, seed, d, func(*Fleet) {})
+}
+
+// NewAmid starts a fleet to which something happens while it forms, and waits
+// until it serves.
+func NewAmid(t *testing.T, seed uint64, d stand.Deployment, amid func(f *Fleet)) *Fleet {
 	f := &Fleet{T: t, D: d, Replicas: map[string]*stand.Replica{}, Rnd: &Chance{r: rand.New(rand.NewPCG(seed, 3))}, settings: map[string]stand.ReplicaSettings{},
 		hosts: map[string]*simnet.Host{}, downs: map[string]int{}, Group: run.NewGroup(context.Background()), Rec: stand.NewRecord(time.Now(), nil), zero: time.Now()}
 	f.Net = simnet.New(seed, func(from, to string) time.Duration {
@@ -175,6 +181,7 @@
 	}
 	f.Visitors = stand.NewVisitors("v", f.Net.Host("10.8.0.1"), f.Rec)
 	f.opHTTP = &http.Client{Transport: &http.Transport{DialContext: f.Net.Host("10.8.0.2").Dial, DisableKeepAlives: true}}
+	amid(f)
 	f.Until(20*time.Second, "first configuration", func() bool {
 		_, ok := f.Put(0, d.Config, "")
 		return ok
--- a/internal/state/coreset/coreset.go
+++ b/internal/state/coreset/coreset.go
@@ -43,8 +43,9 @@
 
 // Adoption hands over a newer set.
 type Adoption struct {
-	Set state.CoreSet `cbor:"1,keyasint"`
-	Old state.CoreSet `cbor:"2,keyasint"`
+	Set   state.CoreSet  `cbor:"1,keyasint"`
+	Old   state.CoreSet  `cbor:"2,keyasint"`
+	Phase acceptor.Phase `cbor:"3,keyasint,omitempty"` // of whoever answers for itself
 }
 
 // Joining asks for a place in the set.
@@ -70,7 +71,7 @@
 	wire.Handle(mux, "/state/join", k.join)
 	wire.Handle(mux, "/state/set", func(context.Context, None) (Adoption, error) {
 		st := d.Acceptor.Standing()
-		return Adoption{Set: st.Set, Old: st.Old}, nil
+		return Adoption{Set: st.Set, Old: st.Old, Phase: st.Phase}, nil
 	})
 	k.desk = run.NewDesk(d.Group, 32, 500*time.Millisecond, k.onBeat)
 	return k
@@ -118,7 +119,7 @@
 	if err != nil || !a.Set.Has(k.d.Self()) {
 		return false
 	}
-	if a.Set.Serial == 1 {
+	if st := k.d.Acceptor.Standing(); st.Phase == acceptor.Pending && alike(st.Set, a.Set) {
 		_, err = k.form(ctx, Formation{Set: a.Set, Firm: true})
 	} else {
 		_, err = k.adopt(ctx, a)
@@ -144,9 +145,9 @@
 	if !cores[0].Is(k.d.Self()) {
 		return
 	}
-	set := state.CoreSet{Serial: 1, Cores: cores}
-	if st.Phase == acceptor.Pending {
-		set = st.Set
+	set, ok := k.offer(ctx, cores)
+	if !ok {
+		return
 	}
 	// Why: all founders agree on disk before any votes, so two sets can never both be formed.
 	for _, firm := range []bool{false, true} {
@@ -170,20 +171,86 @@
 	}
 }
 
+// offer is the set to be formed from these cores: the one that all have agreed
+// to, or else one under a higher serial than any of them has.
+func (k *Keeper) offer(ctx context.Context, cores []state.Core) (state.CoreSet, bool) {
+	set := state.CoreSet{Cores: cores}
+	agreed := false
+	for _, c := range cores {
+		st := k.d.Acceptor.Standing()
+		theirs := Adoption{Set: st.Set, Phase: st.Phase}
+		if !c.Is(k.d.Self()) {
+			addr, ok := k.d.Addr(c)
+			if !ok {
+				return set, false
+			}
+			var err error
+			if theirs, err = wire.Call[None, Adoption](ctx, k.d.Caller, addr, "/state/set", None{}); err != nil {
+				return set, false
+			}
+		}
+		// Why: what the others tell of each other may be old; one that votes by now ends all founding.
+		if theirs.Phase != acceptor.Empty && theirs.Phase != acceptor.Pending {
+			return set, false
+		}
+		if n := theirs.Set.Serial; n > set.Serial {
+			set.Serial, agreed = n, alike(theirs.Set, state.CoreSet{Serial: n, Cores: cores})
+		}
+	}
+	if !agreed {
+		set.Serial++
+	}
+	return set, true
+}
+
+// alike says whether two sets are the same.
+func alike(a, b state.CoreSet) bool {
+	if a.Serial != b.Serial || len(a.Cores) != len(b.Cores) {
+		return false
+	}
+	for _, c := range a.Cores {
+		if !b.Has(c) {
+			return false
+		}
+	}
+	return true
+}
+
+// refounds says whether next may take the place of a formation that was agreed
+// to and never became firm: the same machines, of which a minority came back with other disks.
+// Why: a majority of the old set stands here or there as agreed and not voting, so nobody can have been
+// acknowledged anything under it; and under the lower serial nobody ever will be.
+func refounds(old, next state.CoreSet) bool {
+	lost := 0
+	for _, c := range old.Cores {
+		if next.Has(c) {
+			continue
+		}
+		anew := false
+		for _, n := range next.Cores {
+			anew = anew || n.Name == c.Name
+		}
+		if !anew {
+			return false
+		}
+		lost++
+	}
+	return next.Serial > old.Serial && len(next.Cores) == len(old.Cores) && lost < old.Quorum()
+}
+
 func (k *Keeper) form(ctx context.Context, f Formation) (None, error) {
 	why := ""
 	_, err := k.d.Acceptor.SetStanding(ctx, func(st acceptor.Standing) (acceptor.Standing, bool) {
-		same := len(st.Set.Cores) == len(f.Set.Cores)
-		for _, c := range st.Set.Cores {
-			same = same && f.Set.Has(c)
-		}
+		same := alike(st.Set, f.Set)
 		switch {
-		case !f.Set.Has(k.d.Self()) || f.Set.Serial != 1:
+		case !f.Set.Has(k.d.Self()) || f.Set.Serial < 1:
 			why = "not a member"
 		case st.Phase == acceptor.Empty && !f.Firm:
 			return acceptor.Standing{Phase: acceptor.Pending, Set: f.Set}, true
 		case st.Phase == acceptor.Pending && same && f.Firm:
 			return acceptor.Standing{Phase: acceptor.Voter, Set: f.Set}, true
+		case st.Phase == acceptor.Pending && !f.Firm && refounds(st.Set, f.Set):
+			return acceptor.Standing{Phase: acceptor.Pending, Set: f.Set}, true
 		case same:
 		default:
 			why = "agreed to another set"
