--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -444,6 +444,7 @@
 	})
 	wire.Handle(c.mux, "/place/explain", c.explainHere)
 	wire.Handle(c.mux, "/place/unmet", func(ctx context.Context, _ none) (map[string]string, error) { return c.planner.Unmet(ctx), nil })
+	wire.Handle(c.mux, "/place/afloat", func(ctx context.Context, _ none) (map[string]int, error) { return c.planner.Afloat(ctx), nil })
 	wire.Handle(c.mux, "/place/share", func(ctx context.Context, s plan.Shared) (none, error) {
 		return none{}, c.planner.Shared(ctx, s)
 	})
@@ -575,12 +576,12 @@
 	return out
 }
 
-// unmet gathers from all cores the claims that are not met.
-func (c *Core) unmet(ctx context.Context) map[string]string {
-	out := c.planner.Unmet(ctx)
+// gather joins what this core and all others say to a question.
+func gather[V any](ctx context.Context, c *Core, path string, mine func(context.Context) map[string]V) map[string]V {
+	out := mine(ctx)
 	for _, n := range c.others() {
 		one, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
-		if u, err := wire.Call[none, map[string]string](one, c.caller, n.Addr, "/place/unmet", none{}); err == nil {
+		if u, err := wire.Call[none, map[string]V](one, c.caller, n.Addr, path, none{}); err == nil {
 			maps.Copy(out, u)
 		}
 		cancel()
@@ -737,7 +738,7 @@
 	return map[string]any{
 		"core": c.s.Name, "phase": string(st.Phase), "coreSet": st.Set, "slots": held, "members": members,
 		"conf": serial, "laggards": laggards, "edges": edges, "replicas": views,
-		"claimsUnmet": c.unmet(ctx), "inflight": inflight, "platformHeardMs": c.watch.HeardFor().Milliseconds(),
+		"claimsUnmet": gather(ctx, c, "/place/unmet", c.planner.Unmet), "afloatS": gather(ctx, c, "/place/afloat", c.planner.Afloat), "inflight": inflight, "platformHeardMs": c.watch.HeardFor().Milliseconds(),
 		"counts": map[string]int64{"garbledCalls": c.mux.Garbled(), "garbledAnswers": c.caller.Garbled(), "garbledGrams": c.post.Garbled(),
 			"news": int64(known), "newsDropped": dropped, "handedOver": c.own.Owed(),
 			"callsMade": calls, "bytesCalled": bytes, "gramsSent": c.post.Sent()},
--- a/internal/place/pace/pace.go
+++ b/internal/place/pace/pace.go
@@ -29,10 +29,13 @@
 	last  time.Duration
 }
 
+// float is since when a start may still come, and when that was last told.
+type float struct{ since, told time.Duration }
+
 // Keeper grants load starts; one desk owns it.
 type Keeper struct {
-	from    time.Duration            // no grants before
-	afloat  map[string]time.Duration // starts that may still come, whenever: when last told of
+	from    time.Duration    // no grants before
+	afloat  map[string]float // starts that may still come, whenever
 	grants  deque.Deque[time.Duration]
 	recent  deque.Deque[time.Duration] // grants of a use span
 	waiters map[string]waiter
@@ -41,7 +44,7 @@
 // NewKeeper is a keeper that took over at an instant. Unless it is the first
 // ever, it waits out whatever the one before it may have granted.
 func NewKeeper(now time.Duration, first bool) *Keeper {
-	k := &Keeper{waiters: map[string]waiter{}, afloat: map[string]time.Duration{}}
+	k := &Keeper{waiters: map[string]waiter{}, afloat: map[string]float{}}
 	if !first {
 		k.from = now + Window + GrantLife
 	}
@@ -56,9 +59,24 @@
 // stands still reads it when it wakes. Why: it takes a place of the pace until it is
 // known to have come or not, or those that wake together would exceed it.
 func (k *Keeper) Afloat(now time.Duration, who string) {
-	if _, known := k.afloat[who]; known || len(k.afloat) < maxWaiters {
-		k.afloat[who] = now
+	f, known := k.afloat[who]
+	if !known {
+		f.since = now
+	}
+	if f.told = now; known || len(k.afloat) < maxWaiters {
+		k.afloat[who] = f
+	}
+}
+
+// Floats tells which starts may still come, and for how long that has been so.
+func (k *Keeper) Floats(now time.Duration) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for who, f := range k.afloat {
+		if now-f.told <= floatLife {
+			out[who] = now - f.since
+		}
 	}
+	return out
 }
 
 // Grant allows a load start now, or says how long it will probably take.
@@ -67,8 +85,8 @@
 	for k.grants.Len() > 0 && now-k.grants.Front() > Window+GrantLife {
 		k.grants.PopFront()
 	}
-	for name, told := range k.afloat {
-		if now-told > floatLife {
+	for name, f := range k.afloat {
+		if now-f.told > floatLife {
 			delete(k.afloat, name)
 		}
 	}
--- a/internal/place/pace/pace_test.go
+++ b/internal/place/pace/pace_test.go
@@ -107,6 +107,9 @@
 			granted++
 		}
 	}
+	if fs := k.Floats(now); len(fs) != 2 || fs["m-1 x"] != time.Minute {
+		t.Errorf("told to be afloat: %v", fs)
+	}
 	if granted != 1 {
 		t.Errorf("%d granted of 3 places with two afloat", granted)
 	}
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -655,6 +655,21 @@
 	return g, err
 }
 
+// Afloat tells which loads were ordered and may still start, and for how many
+// seconds that has been so; each takes a place of the store's pace.
+func (p *Planner) Afloat(ctx context.Context) map[string]int {
+	out := map[string]int{}
+	_ = p.paceDesk.Ask(ctx, func() {
+		if p.pacer.keeper == nil || !p.d.Owner.Holds(PaceKey) {
+			return
+		}
+		for who, since := range p.pacer.keeper.Floats(p.d.Clock.Since()) {
+			out[who] = int(since.Seconds())
+		}
+	})
+	return out
+}
+
 // useNow is how much of the store's pace is used; below 0 if another keeps it.
 func (p *Planner) useNow() float64 {
 	epoch, _, _ := p.d.Owner.MayOrder(PaceKey)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -469,6 +469,8 @@
 			// Why: a replica that has become slower must not be taken for silent for ever.
 			a.Replica.Live.First(time.Since(shotAt))
 			p.routes.Silent(a.Replica)
+		case problem.Said:
+			p.routes.Full(a.Replica)
 		case silent, problem.Refused:
 			p.routes.Refused(a.Replica)
 		}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,10 @@
 	// replica before it sends nothing any more.
 	deaf = 2500 * time.Millisecond
 	warm = 20_000
+	// crowded is how long after a replica was full it is taken for granted that many want their places.
+	crowded = 5 * time.Second
+	// fewToo of its places is what a replica may be sent too many at once.
+	fewToo = 4
 	// patient times what a first piece may well take is longer than chance makes it.
 	patient = 3
 	// leastPatience is what a machine may well stand still for by itself.
@@ -48,6 +53,7 @@
 	first    atomic.Int64 // how long a first piece takes, on average of late
 	strays   atomic.Int64 // how far that is off, on average of late
 	refused  atomic.Int64 // when a conn was refused last, on our clock
+	over     atomic.Int64 // when it last would not run what it was sent, on our clock
 	silent   atomic.Int64 // when it last kept us waiting for longer than it does, on our clock
 	mu       sync.Mutex
 	items    map[string]int
@@ -113,6 +119,7 @@
 	lives  map[string]*Live
 	heard  map[string]report
 	told   map[string]told
+	full   map[bool]time.Duration // when a replica was last seen full: of models, of services
 	conf   conf.Effective
 	confAt state.Stamp
 	serial uint64
@@ -130,6 +137,26 @@
 	other int   // those of others then
 	was   int   // those of others at the look before
 	known bool
+	luck  float64 // drawn for this report
+}
+
+// part is how many of a replica's free places one edge may take until the next
+// report; fullFor is how long ago any replica of the kind was seen full.
+func part(free, slots, edges int, fullFor time.Duration, luck float64) int {
+	if free >= edges {
+		return free / edges
+	}
+	// Why: a few too many are worth it, for a place that waits for a lot to fall on it is a place unused.
+	if edges-free <= slots/fewToo {
+		return 1
+	}
+	// Why: while no replica is full most edges have nothing to send, and one request need not wait for a lot to
+	// fall on it. Otherwise there are more edges than places, and if each took one, the replica would have to refuse most;
+	// so each takes one as often as makes the free places in all.
+	if fullFor > crowded || luck < float64(free)/float64(edges) {
+		return 1
+	}
+	return 0
 }
 
 type told struct {
@@ -141,6 +168,7 @@
 // would know of leaving replicas; edges is how many share the replicas.
 func NewKeeper(g *run.Group, t *news.Table, clock tick.Clock, conn *backend.Conn, zone func() string, heardFor func() time.Duration, edges func() int) *Keeper {
 	k := &Keeper{news: t, clock: clock, conn: conn, group: g, lives: map[string]*Live{}, heard: map[string]report{}, told: map[string]told{},
+		full: map[bool]time.Duration{true: -1 << 61, false: -1 << 61},
 		conf: conf.Empty(), zone: zone, heardF: heardFor, edges: edges, warmed: [2]map[uint64]string{{}, {}}}
 	k.snap.Store(&Snapshot{Conf: k.conf})
 	k.desk = run.NewDesk(g, 256, beat, k.rebuild)
@@ -183,6 +211,7 @@
 			live = &Live{items: map[string]int{}}
 			live.refused.Store(-1 << 62)
 			live.silent.Store(-1 << 62)
+			live.over.Store(-1 << 62)
 			// Why: its report is not waited for until the next beat; a replica just learned of is of no use without it.
 			live.look.Store(true)
 			k.lives[id] = live
@@ -198,7 +227,7 @@
 			r.Room = int(h.mine)
 			// Others' places must be seen free twice: what has just ended there is replaced by them at once.
 			if free := h.v.Slots - max(h.other, h.was) - int(h.mine); free > 0 {
-				r.Room += max(1, free/edges)
+				r.Room += part(free, h.v.Slots, edges, now-k.full[h.v.Model], h.luck)
 			}
 			r.Listed.Leaving = r.Listed.Leaving || h.v.Leaving
 			for item, l := range h.v.Items {
@@ -293,6 +322,10 @@
 	_ = k.desk.Tell(func() {
 		for _, a := range got {
 			a.r.other, a.r.was = max(0, a.r.v.Inflight-int(a.r.mine)), k.heard[a.id].other
+			a.r.luck = rand.Float64()
+			if a.r.v.Inflight >= a.r.v.Slots {
+				k.full[a.r.v.Model] = a.r.at
+			}
 			k.heard[a.id] = a.r
 		}
 		k.rebuild()
@@ -347,7 +380,8 @@
 		places += r.Slots
 		serve += r.ServeFor
 		mine := int(r.Live.Inflight.Load())
-		if mine >= r.Room {
+		// Why: one that has just refused is fuller than its report says, and would refuse the next one too.
+		if mine >= r.Room || time.Duration(r.Live.over.Load()) >= r.Heard {
 			r.Live.look.Store(true)
 			continue
 		}
@@ -451,6 +485,13 @@
 	return t.Route.Selector.Matches(labels.Set(r.Listed.Labels))
 }
 
+// Full notes that a replica would not run what it was sent; it gets nothing until
+// it has been asked how it is.
+func (k *Keeper) Full(r *Replica) {
+	r.Live.over.Store(int64(k.clock.Since()))
+	r.Live.look.Store(true)
+}
+
 // Refused notes that a replica took no conn; it is left out for a moment.
 func (k *Keeper) Refused(r *Replica) { r.Live.refused.Store(int64(k.clock.Since())) }
 
--- a/internal/shot/shot.go
+++ b/internal/shot/shot.go
@@ -36,6 +36,7 @@
 type Problem struct {
 	Outcome Outcome
 	Refused bool // no conn was to be had
+	Said    bool // the replica itself said that it would not run it
 	Why     string
 }
 
@@ -194,7 +195,9 @@
 		return nil, &Problem{Outcome: o, Why: why}
 	}
 	if res.Header.Get(backend.HeaderOutcome) == backend.NotRun && res.StatusCode >= 400 {
-		return fail(NotRun, "replica answered not-run, status "+strconv.Itoa(res.StatusCode))
+		_, err := fail(NotRun, "replica answered not-run, status "+strconv.Itoa(res.StatusCode))
+		err.Said = true
+		return nil, err
 	}
 	if res.StatusCode != http.StatusOK {
 		return fail(Ran, "replica answered status "+strconv.Itoa(res.StatusCode))
--- a/internal/sim/fleet/late_test.go
+++ b/internal/sim/fleet/late_test.go
@@ -51,3 +51,30 @@
 		}
 	})
 }
+
+// More edges than a replica has places, each with a few callers for the same
+// model: what the replicas must refuse is a small part of what they are sent.
+func TestEdgesThatOutnumberThePlaces(t *testing.T) {
+	Seeds(t, 3, func(uint64) stand.Deployment {
+		d := stand.Cascadia()
+		d.Replica.Slots = 4
+		return d.Sized(3, 24, 3, 2, 4, 1)
+	}, func(f *Fleet) {
+		time.Sleep(12 * time.Second)
+		spots, fl := f.Spots(), f.D.Flows[1]
+		for range 20 {
+			for i := range 2 * len(spots) {
+				f.Group.Go(func(ctx context.Context) {
+					f.Visitors.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd", Route: fl.Route, Item: conf.Item{Model: "model-03"}, Prompt: "p", Pieces: 30})
+				})
+			}
+			time.Sleep(time.Second)
+		}
+		time.Sleep(20 * time.Second)
+		arrived, ran, n := f.count(check.Arrived, nil), f.count(check.RunStart, nil), f.Tally()["crowd"]
+		f.T.Logf("%v; %d arrived, %d ran, %d retries", n, arrived, ran, f.count(check.Arrived, func(e check.Event) bool { return e.Shot > 1 }))
+		if arrived-ran > arrived/10 || n[check.Whole] < 100 {
+			f.T.Errorf("%d of %d that arrived were not run; %v", arrived-ran, arrived, n)
+		}
+	})
+}
