A prompt's warmth is known by its parts, not by its first 256 bytes

Cause: the first 256 bytes of a body are the same for all requests on a route, so the key told nothing. Ruled out: the remembered part counting more (zones then warm one replica each).

--- a/cmd/dsfleet/main.go
+++ b/cmd/dsfleet/main.go
@@ -195,7 +195,7 @@
 		f.listed[id] = gen.Listed{ID: id, Addr: addr, Zone: d.Zone(i), Kind: role, Labels: labels}
 		if err := f.add(id, "dsstand", "--role", role, "--id", id, "--addr", addr, "--record", record(id), "--zero", zero, "--service", s.Service,
 			"--capacity", strconv.Itoa(s.CapacityMib), "--adapters", strconv.Itoa(s.AdapterPlaces), "--slots", strconv.Itoa(s.Slots),
-			"--pieces", strconv.Itoa(s.Pieces), "--piece", s.PieceFor.String(), "--cold", s.ColdFor.String(), "--holds", strings.Join(holds, ","), "--rate", strconv.Itoa(max(s.LoadMibPerS, 1))); err != nil {
+			"--pieces", strconv.Itoa(s.Pieces), "--piece", s.PieceFor.String(), "--cold", s.ColdFor.String(), "--prefixes", strconv.Itoa(s.Prefixes), "--holds", strings.Join(holds, ","), "--rate", strconv.Itoa(max(s.LoadMibPerS, 1))); err != nil {
 			return err
 		}
 	}
--- a/cmd/dsstand/main.go
+++ b/cmd/dsstand/main.go
@@ -27,7 +27,8 @@
 	{Name: "slots", Default: "12", Check: setup.Between(1, 10000), Doc: "requests it runs side by side"},
 	{Name: "pieces", Default: "8", Check: setup.Between(1, 100000), Doc: "pieces of an answer"},
 	{Name: "piece", Default: "40ms", Check: setup.Within(0, time.Minute), Doc: "time for one piece"},
-	{Name: "cold", Default: "150ms", Check: setup.Within(0, time.Minute), Doc: "more time for a prefix that is not warm"},
+	{Name: "cold", Default: "100ms", Check: setup.Within(0, time.Minute), Doc: "more time for each KiB of a prompt that is not warm"},
+	{Name: "prefixes", Default: "2000", Check: setup.Between(0, 1<<20), Doc: "blocks of 128 bytes of prompts it keeps warm"},
 	{Name: "holds", Check: holds, Doc: "models it brings along, as NAME:MIB, separated by commas"},
 	{Name: "rate", Default: "2500", Check: setup.Between(1, 1<<20), Doc: "MiB a second read from the weight store"},
 }
@@ -62,7 +63,7 @@
 		}
 		r, err := stand.StartReplica(stand.ReplicaSettings{ID: s["id"], Addr: s["addr"], Model: s["role"] == "model", Service: s["service"],
 			CapacityMib: s.Int("capacity"), AdapterPlaces: s.Int("adapters"), Slots: s.Int("slots"), Pieces: s.Int("pieces"),
-			PieceFor: s.Span("piece"), ColdFor: s.Span("cold"), LoadMibPerS: s.Int("rate")}, wire.Host(), rec)
+			PieceFor: s.Span("piece"), ColdFor: s.Span("cold"), Prefixes: s.Int("prefixes"), LoadMibPerS: s.Int("rate")}, wire.Host(), rec)
 		if err != nil {
 			return nil, nil, err
 		}
--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -25,6 +25,7 @@
 	Item       string        `json:"item,omitempty"`
 	Controller string        `json:"controller,omitempty"`
 	Epoch      uint64        `json:"epoch,omitempty"`
+	Warm       int           `json:"warm,omitempty"` // blocks of a prompt that were warm, of Used
 	Used       int           `json:"used,omitempty"`
 	Capacity   int           `json:"capacity,omitempty"`
 	Status     int           `json:"status,omitempty"`
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"log/slog"
 	"maps"
@@ -46,7 +45,6 @@
 	mendBeat  = 400 * time.Millisecond
 	bodyLimit = 15 * time.Second
 	stall     = 30 * time.Second
-	prefix    = 256 // bytes of a body that make its prefix
 	maxShots  = 3
 	// unknownEdges is how many edges a proxy supposes before it has been told for a while.
 	unknownEdges = 16
@@ -348,10 +346,9 @@
 	if int64(len(raw)) > target.Route.MaxBody {
 		return nil, nil, drop("too_large", fmt.Sprintf("a body on this route has at most %d bytes", target.Route.MaxBody), shot.NotRun, 0)
 	}
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(target.Item.String()))
-	_, _ = h.Write(raw[:min(len(raw), prefix)])
-	target.Prefix = h.Sum64()
+	if target.Route.Kind == "model" {
+		target.Prompt = route.ReadPrompt(target.Item.String(), raw)
+	}
 	deadline := began.Add(target.Route.Deadline)
 	if q.DeadlineMs != nil {
 		if own := time.Duration(*q.DeadlineMs) * time.Millisecond; own > 0 && own < target.Route.Deadline {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -35,7 +35,6 @@
 	// deaf is how long this proxy may hear nothing that could tell of a leaving
 	// replica before it sends nothing any more.
 	deaf = 2500 * time.Millisecond
-	warm = 20_000
 	// crowded is how long after a replica was full it is taken for granted that many want their places.
 	crowded = 5 * time.Second
 	// fewToo of its places is what a replica may be sent too many at once.
@@ -126,8 +125,7 @@
 	zone   func() string
 	heardF func() time.Duration
 	edges  func() int
-	mu     sync.Mutex
-	warmed [2]map[uint64]string
+	warmth *memory
 }
 
 type report struct {
@@ -169,7 +167,7 @@
 func NewKeeper(g *run.Group, t *news.Table, clock tick.Clock, conn *backend.Conn, zone func() string, heardFor func() time.Duration, edges func() int) *Keeper {
 	k := &Keeper{news: t, clock: clock, conn: conn, group: g, lives: map[string]*Live{}, heard: map[string]report{}, told: map[string]told{},
 		full: map[bool]time.Duration{true: -1 << 61, false: -1 << 61},
-		conf: conf.Empty(), zone: zone, heardF: heardFor, edges: edges, warmed: [2]map[uint64]string{{}, {}}}
+		conf: conf.Empty(), zone: zone, heardF: heardFor, edges: edges, warmth: newMemory()}
 	k.snap.Store(&Snapshot{Conf: k.conf})
 	k.desk = run.NewDesk(g, 256, beat, k.rebuild)
 	// Why: a configuration and a withdrawn item are in force at once, not at the next beat; news that comes
@@ -336,7 +334,7 @@
 type Target struct {
 	Route  conf.Route
 	Item   conf.Item
-	Prefix uint64
+	Prompt Prompt
 }
 
 // Lane groups requests that need the same.
@@ -367,11 +365,14 @@
 	}
 	s := k.Now()
 	now := k.clock.Since()
-	warmID := k.remembered(t)
+	var warm map[string]float64
+	if t.Route.Kind == "model" {
+		warm = k.warmth.warm(t.Prompt)
+	}
 	var facts, quiet []judge.Replica // those that answer, and those last heard of by their silence
 	zone := k.zone()
 	places := 0
-	prefix := binary.LittleEndian.AppendUint64(nil, t.Prefix)
+	home := binary.LittleEndian.AppendUint64(nil, t.Prompt.home())
 	for id, r := range s.Replicas {
 		if !k.serves(t, id, r, now) {
 			continue
@@ -386,10 +387,7 @@
 			continue
 		}
 		f := judge.Replica{Name: id, Inflight: r.Elsewher + mine, Slots: r.Slots, ServeFor: r.ServeFor,
-			SameZone: r.Listed.Zone == zone, Warm: 0.999 * float64(share.Draw(prefix, id)>>11) / (1 << 53)}
-		if id == warmID {
-			f.Warm = 1
-		}
+			SameZone: r.Listed.Zone == zone, Warm: warm[id], Home: float64(share.Draw(home, id)>>11) / (1 << 53)}
 		// Why: silence is no proof. It only ranks a replica behind all that answer, until a report that was asked for
 		// later comes.
 		if time.Duration(r.Live.silent.Load()) >= r.Heard {
@@ -412,30 +410,12 @@
 	return s.Replicas[facts[i].Name], held, serve
 }
 
-func (k *Keeper) remembered(t Target) string {
-	if t.Route.Kind != "model" {
-		return ""
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if id, found := k.warmed[0][t.Prefix]; found {
-		return id
-	}
-	return k.warmed[1][t.Prefix]
-}
-
 // Took remembers where a prefix is warm now, counts the request there, and
 // gives back how to uncount it.
 func (k *Keeper) Took(t Target, r *Replica) (done func()) {
 	item := t.Item.String()
 	if t.Route.Kind == "model" {
-		k.mu.Lock()
-		// Why: two generations bound the memory and forget the oldest half at once.
-		if len(k.warmed[0]) >= warm {
-			k.warmed[1], k.warmed[0] = k.warmed[0], map[uint64]string{}
-		}
-		k.warmed[0][t.Prefix] = r.Listed.ID
-		k.mu.Unlock()
+		k.warmth.sent(t.Prompt, r.Listed.ID)
 	}
 	r.Live.Inflight.Add(1)
 	r.Live.mu.Lock()
--- /dev/null
+++ b/internal/route/warmth.go
@@ -0,0 +1,116 @@
+package route
+
+import (
+	"hash/fnv"
+	"sync"
+)
+
+const (
+	// remembered is how many prefixes one generation of the memory holds.
+	remembered = 50_000
+	// step is the shortest part of a prompt that is told apart, and where more than that is shared, parts
+	// grow by half.
+	step = 256
+	// maxParts bounds what one request adds to the memory.
+	maxParts = 24
+	// holders is how many replicas are remembered for one prefix.
+	holders = 3
+)
+
+// Prompt is what decides where a request's cache is warm: digests of its first
+// parts, the shortest first, and the size of each.
+type Prompt struct {
+	digests []uint64
+	sizes   []int
+	size    int
+}
+
+// ReadPrompt digests a body for an item.
+func ReadPrompt(item string, body []byte) Prompt {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(item))
+	p := Prompt{size: len(body)}
+	for at, end := 0, step; at < len(body) && len(p.sizes) < maxParts; {
+		// Why: the last part ends where the body does; it is the request's own, and tells one that is sent again.
+		end = min(end, len(body))
+		_, _ = h.Write(body[at:end])
+		p.digests, p.sizes = append(p.digests, h.Sum64()), append(p.sizes, end)
+		at, end = end, end+max(step, end/2/step*step)
+	}
+	return p
+}
+
+// home is the digest that decides where a prompt goes that is warm nowhere. Why:
+// the end of a prompt is the caller's own and its beginning is everybody's; those that share the greater
+// part should meet, and those that share only the beginning should not.
+func (p Prompt) home() uint64 {
+	if len(p.sizes) == 0 {
+		return 0
+	}
+	i := 0
+	for i+1 < len(p.sizes) && 4*p.sizes[i+1] <= 3*p.size {
+		i++
+	}
+	return p.digests[i]
+}
+
+// spots are the replicas where a prefix is warm, the latest first.
+type spots [holders]string
+
+func (s spots) with(id string) spots {
+	out := spots{id}
+	n := 1
+	for _, old := range s {
+		if old != id && old != "" && n < holders {
+			out[n] = old
+			n++
+		}
+	}
+	return out
+}
+
+// memory knows which prefixes this proxy has sent where.
+type memory struct {
+	mu  sync.Mutex
+	gen [2]map[uint64]spots
+}
+
+func newMemory() *memory { return &memory{gen: [2]map[uint64]spots{{}, {}}} }
+
+// warm is, for each replica where any of the prompt is warm, how much of it.
+func (m *memory) warm(p Prompt) map[string]float64 {
+	out := map[string]float64{}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, d := range p.digests {
+		s, found := m.gen[0][d]
+		if !found {
+			if s, found = m.gen[1][d]; !found {
+				break
+			}
+		}
+		for _, id := range s {
+			if id != "" {
+				out[id] = float64(p.sizes[i]) / float64(p.size)
+			}
+		}
+	}
+	return out
+}
+
+// sent remembers that a prompt is warm on a replica from now on.
+func (m *memory) sent(p Prompt, id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, d := range p.digests {
+		// Why: two generations bound the memory and forget the oldest half at once.
+		if len(m.gen[0]) >= remembered {
+			m.gen[1], m.gen[0] = m.gen[0], map[uint64]spots{}
+		}
+		s, found := m.gen[0][d]
+		if !found {
+			s = m.gen[1][d]
+		}
+		m.gen[0][d] = s.with(id)
+	}
+}
--- a/internal/stand/deploy.go
+++ b/internal/stand/deploy.go
@@ -39,7 +39,7 @@
 	d := Deployment{Name: "cascadia", Zones: 3, Edges: 6, Cores: 3, Models: 9, Services: 3, Service: "plates", Kinds: 50, Adapters: 30,
 		Link: 4 * time.Millisecond, Near: 500 * time.Microsecond, PaceLoads: 4, Allowance: 12,
 		Replica: ReplicaSettings{Model: true, Service: "models", CapacityMib: 16000, AdapterPlaces: 6, Slots: 12, Pieces: 8,
-			PieceFor: 40 * time.Millisecond, ColdFor: 150 * time.Millisecond, LoadMibPerS: 2500},
+			PieceFor: 40 * time.Millisecond, ColdFor: 100 * time.Millisecond, Prefixes: 2000, LoadMibPerS: 2500},
 		Small: ReplicaSettings{Service: "plates", Slots: 40, Pieces: 1, PieceFor: 8 * time.Millisecond}}
 	items := d.catalogue()
 	d.Flows = []Flow{
@@ -62,7 +62,7 @@
 	d := Deployment{Name: "fotofamilia", Zones: 4, Edges: 9, Cores: 4, Models: 12, Services: 4, Service: "albums", Kinds: 36, Adapters: 40,
 		Link: 15 * time.Millisecond, Near: time.Millisecond, PaceLoads: 3, Allowance: 18,
 		Replica: ReplicaSettings{Model: true, Service: "models", CapacityMib: 12000, AdapterPlaces: 6, Slots: 10, Pieces: 6,
-			PieceFor: 50 * time.Millisecond, ColdFor: 200 * time.Millisecond, LoadMibPerS: 1800},
+			PieceFor: 50 * time.Millisecond, ColdFor: 130 * time.Millisecond, Prefixes: 1500, LoadMibPerS: 1800},
 		Small: ReplicaSettings{Service: "albums", Slots: 40, Pieces: 1, PieceFor: 10 * time.Millisecond}}
 	items := d.catalogue()
 	d.Flows = []Flow{
--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -36,7 +36,8 @@
 	Slots         int
 	Pieces        int
 	PieceFor      time.Duration // time per piece of a warm model request, or for a service request
-	ColdFor       time.Duration // more before the first piece when the prefix is cold
+	ColdFor       time.Duration // more before the first piece for each KiB of a prompt that is cold
+	Prefixes      int           // blocks of prompts it keeps warm
 	LoadMibPerS   int
 	// Unkind replicas check no epoch and let go of what is in use when told to. Why: no rule may rest on a
 	// replica's own caution.
@@ -57,7 +58,7 @@
 	epoch       uint64
 	leaving     bool
 	leftTold    bool // it has told somebody that it is leaving
-	warm        map[uint64]bool
+	warm        *prefixes
 	served      time.Duration
 	dark        bool
 	refuse, cut atomic.Int64
@@ -85,7 +86,7 @@
 	var id [6]byte
 	_, _ = rand.Read(id[:])
 	r := &Replica{s: s, rec: rec, group: run.NewGroup(context.Background()), incarnation: hex.EncodeToString(id[:]),
-		places: make(chan struct{}, max(s.Slots, 1)), items: map[conf.Item]*loaded{}, warm: map[uint64]bool{}, served: s.PieceFor * time.Duration(max(s.Pieces, 1))}
+		places: make(chan struct{}, max(s.Slots, 1)), items: map[conf.Item]*loaded{}, warm: newPrefixes(s.Prefixes), served: s.PieceFor * time.Duration(max(s.Pieces, 1))}
 	ln, err := n.Listen(s.Addr)
 	if err != nil {
 		return nil, err
@@ -325,9 +326,6 @@
 	if pct := int(r.cut.Load()); pct > 0 && mrand.IntN(100) < pct {
 		panic(http.ErrAbortHandler)
 	}
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(it.String() + a.Prompt[:min(len(a.Prompt), 200)]))
-	prefix := h.Sum64()
 	r.mu.Lock()
 	var used []*loaded
 	if r.s.Model {
@@ -353,11 +351,6 @@
 	for _, l := range used {
 		l.inflight++
 	}
-	warm := r.warm[prefix]
-	if len(r.warm) > 4096 {
-		r.warm = map[uint64]bool{}
-	}
-	r.warm[prefix] = true
 	r.mu.Unlock()
 	began := time.Now()
 	defer func() {
@@ -378,7 +371,14 @@
 	case <-r.group.Context().Done():
 		panic(http.ErrAbortHandler)
 	}
-	r.rec.Put(check.Event{Kind: check.RunStart, Replica: r.s.ID, Ticket: ticket, Service: r.s.Service, Shot: shotN, Repeatable: a.Repeatable, Item: it.String()})
+	// Why: a prompt is read in when its turn comes; what another has just read in is warm by then.
+	r.mu.Lock()
+	warm, all := 0, 0
+	if r.s.Model {
+		warm, all = r.warm.take(it.String(), a.Prompt)
+	}
+	r.mu.Unlock()
+	r.rec.Put(check.Event{Kind: check.RunStart, Replica: r.s.ID, Ticket: ticket, Service: r.s.Service, Shot: shotN, Repeatable: a.Repeatable, Item: it.String(), Warm: warm, Used: all})
 	pieces := r.s.Pieces
 	if a.Pieces > 0 {
 		pieces = a.Pieces
@@ -402,7 +402,7 @@
 	if slow := time.Duration(r.slow.Load()); slow > 0 && !pause(slow) {
 		panic(http.ErrAbortHandler)
 	}
-	if !warm && !pause(r.s.ColdFor) {
+	if warm < all && !pause(r.s.ColdFor*time.Duration(all-warm)*block/1024) {
 		panic(http.ErrAbortHandler)
 	}
 	for n := range pieces {
--- a/internal/stand/visitor.go
+++ b/internal/stand/visitor.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -220,11 +221,27 @@
 	if len(f.Items) > 0 {
 		q.Item = f.Items[zipf(rnd, len(f.Items))]
 	}
-	p := rnd.IntN(max(f.Prefixes, 1))
-	q.Prompt = fmt.Sprintf("%0200d and a question of its own: %d", p, rnd.IntN(1<<30))
+	q.Prompt = "a question of its own"
+	if len(f.Items) > 0 {
+		q.Prompt = Prompt(f.Route, rnd.IntN(max(f.Prefixes, 1)), rnd.IntN(1<<30))
+	}
 	return edges[rnd.IntN(len(edges))], q
 }
 
+// Prompt is what all requests on a route begin with, then one of several papers
+// of 0.5 to 4 KiB, then a question of the request's own.
+func Prompt(route string, paper, question int) string {
+	var b strings.Builder
+	for n := 0; b.Len() < 600; n++ {
+		fmt.Fprintf(&b, "rule %d of %s; ", n, route)
+	}
+	for end := b.Len() + 512*(1+paper%8); b.Len() < end; {
+		fmt.Fprintf(&b, "paper %d says so at %d; ", paper, b.Len())
+	}
+	fmt.Fprintf(&b, "and now question %d", question)
+	return b.String()
+}
+
 // zipf draws 0..n-1, small numbers far more often.
 func zipf(rnd *rand.Rand, n int) int {
 	total := 0.0
