--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -17,6 +17,7 @@
 	Replica    string        `json:"replica,omitempty"`
 	Node       string        `json:"node,omitempty"`
 	Ticket     string        `json:"ticket,omitempty"`
+	Of         string        `json:"of,omitempty"` // the ticket under which the same caller asked before
 	Service    string        `json:"service,omitempty"`
 	Class      string        `json:"class,omitempty"`
 	Shot       int           `json:"shot,omitempty"`
@@ -36,7 +37,8 @@
 	Inflight   int           `json:"inflight,omitempty"` // requests that use what is ordered to go
 	TookMs     int64         `json:"tookMs,omitempty"`
 	FirstMs    int64         `json:"firstMs,omitempty"`
-	Retry      bool          `json:"retry,omitempty"` // Retry-After was given
+	Retry      bool          `json:"retry,omitempty"`  // Retry-After was given
+	AgainS     int           `json:"againS,omitempty"` // and said so many seconds
 }
 
 // Kinds of events.
--- a/internal/place/order/ward.go
+++ b/internal/place/order/ward.go
@@ -89,9 +89,10 @@
 	Replica string  `cbor:"1,keyasint"`
 	Item    string  `cbor:"2,keyasint"`
 	Penalty float64 `cbor:"3,keyasint"`
-	Alone   bool    `cbor:"4,keyasint"` // no replica holds it, and it may go in without the test
-	Claim   bool    `cbor:"5,keyasint"` // a claim wants it: no test, but only idle victims
-	Dry     bool    `cbor:"6,keyasint"` // only say what would go; take nothing on
+	Alone   bool    `cbor:"4,keyasint"`           // no replica holds it, and it may go in without the test
+	Claim   bool    `cbor:"5,keyasint"`           // a claim wants it: no test, but only idle victims
+	Dry     bool    `cbor:"6,keyasint"`           // only say what would go; take nothing on
+	CostMs  int     `cbor:"7,keyasint,omitempty"` // of one request, from which the penalty is made
 }
 
 // Considered is the answer.
@@ -103,8 +104,9 @@
 	Need    int            `cbor:"5,keyasint" json:"need"`
 	Victims []string       `cbor:"6,keyasint" json:"victims"`
 	Idle    []judge.Ranked `cbor:"7,keyasint" json:"idle"`
-	Silent  bool           `cbor:"8,keyasint" json:"silent"`         // set by who asked: there was no answer
-	Soon    bool           `cbor:"9,keyasint,omitempty" json:"soon"` // what stands in the way will pass by itself
+	Silent  bool           `cbor:"8,keyasint" json:"silent"`            // set by who asked: there was no answer
+	Soon    bool           `cbor:"9,keyasint,omitempty" json:"soon"`    // what stands in the way will pass by itself
+	Starts  int            `cbor:"10,keyasint,omitempty" json:"starts"` // loads it takes, a model's and an adapter's
 }
 
 // Deps is what a ward needs from the core.
@@ -146,9 +148,13 @@
 	begun   time.Duration
 	stamp   state.Stamp
 	worth   float64
+	cost    time.Duration // of one request without it
 	wait    time.Duration // until the store has room, as last told
 }
 
+// waits says that a task holds nothing up yet and may let another go first.
+func (t *task) waits() bool { return t.phase == withdraw || t.phase == grant }
+
 type line struct {
 	Line
 	ordered  time.Duration // when a load of it was last ordered
@@ -281,7 +287,10 @@
 		needPlaces = places + 1 - w.vitals.AdapterPlaces
 	}
 	alone := q.Alone || q.Claim
-	out := Considered{Need: needMib}
+	out := Considered{Need: needMib, Starts: 1}
+	if base == nil && item.Adapter != "" {
+		out.Starts = 2
+	}
 	var victims []conf.Item
 	wanted := q.Penalty
 	if needMib > 0 {
@@ -339,7 +348,7 @@
 		out.Taken = true
 		return out
 	}
-	t := &task{item: item, victims: victims, since: w.d.Clock.Since(), begun: w.d.Clock.Since(), worth: q.Penalty}
+	t := &task{item: item, victims: victims, since: w.d.Clock.Since(), begun: w.d.Clock.Since(), worth: q.Penalty, cost: time.Duration(q.CostMs) * time.Millisecond}
 	// Why: room is kept from this moment, so two loads can never count on the same place.
 	if base == nil {
 		w.reserve(conf.Item{Model: item.Model}, model.SizeMib)
@@ -692,12 +701,47 @@
 	return err
 }
 
+// overtakes is how much dearer a task must be to go before one that has waited
+// longer. Why: two that are worth the same must not take turns at the store's door.
+const overtakes = 1.25
+
+// dearestFirst moves the task that is worth most now to the front, unless the one
+// there has begun to move things. Why: the store's keeper lets the dearest start, but a replica's controller asks for
+// one at a time; behind a cheap one the dearest would not even be heard of.
+func (w *Ward) dearestFirst(now time.Duration) {
+	for i := range w.tasks.Len() {
+		t := w.tasks.At(i)
+		// Why: what is worth how much changes while it waits: others have begun to ask, or those that asked have gone.
+		if n := w.d.Requests(t.item.String()); n > 0 && t.cost > 0 {
+			t.worth = penalty.Of(n, t.cost)
+		}
+	}
+	for i := w.tasks.Len() - 1; i > 0; i-- {
+		if t := w.tasks.At(i); t.waits() && now-t.begun > paceLimit {
+			w.drop(i, "the store had no room")
+		}
+	}
+	if w.tasks.Len() < 2 || !w.tasks.Front().waits() {
+		return
+	}
+	best := 0
+	for i := 1; i < w.tasks.Len(); i++ {
+		if t := w.tasks.At(i); t.waits() && t.worth > w.tasks.At(best).worth {
+			best = i
+		}
+	}
+	if w.tasks.At(best).worth > overtakes*w.tasks.Front().worth {
+		w.tasks.PushFront(w.tasks.Remove(best))
+	}
+}
+
 func (w *Ward) advance() {
 	if w.tasks.Len() == 0 {
 		return
 	}
-	t := w.tasks.Front()
 	now := w.d.Clock.Since()
+	w.dearestFirst(now)
+	t := w.tasks.Front()
 	if w.leaving() && t.phase < gone {
 		w.fail(t, "replica is leaving")
 		return
@@ -866,9 +910,12 @@
 	}
 }
 
-func (w *Ward) fail(t *task, why string) {
+// fail gives up the task in front.
+func (w *Ward) fail(_ *task, why string) { w.drop(0, why) }
+
+func (w *Ward) drop(i int, why string) {
+	t := w.tasks.Remove(i)
 	w.d.Log.Info("load given up", "replica", w.listed.ID, "item", t.item.String(), "why", why)
-	w.tasks.PopFront()
 	w.undo(t)
 	w.keep()
 }
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -395,7 +396,28 @@
 			ServeFor: time.Duration(v.ServeMs) * time.Millisecond, Leaving: v.Listed.Leaving, FreeMib: v.FreeMib, NeedMib: need,
 			Fits: m.SizeMib <= v.CapacityMib && (it.Adapter == "" || v.AdapterPlaces > 0), AdFree: v.AdapterFree, Copies: zones[v.Listed.Zone]})
 	}
-	return judge.Load(cfg.Weights, facts)
+	ranked := judge.Load(cfg.Weights, facts)
+	if it.Adapter != "" {
+		// Why: an adapter goes in with one start of the store where its model is, and with two elsewhere; the store is
+		// what everybody waits for.
+		has := map[string]bool{}
+		for _, v := range views {
+			has[v.Listed.ID] = v.Items[it.Model] == backend.Loaded
+		}
+		slices.SortStableFunc(ranked, func(a, b judge.Ranked) int { return starts(a, has) - starts(b, has) })
+	}
+	return ranked
+}
+
+// starts is how many loads an adapter takes on a replica; a vetoed one comes last.
+func starts(r judge.Ranked, has map[string]bool) int {
+	switch {
+	case r.Vetoed:
+		return 3
+	case has[r.Name]:
+		return 1
+	}
+	return 2
 }
 
 // claims prepares decisions about copies that claims want and that are missing.
@@ -450,7 +472,7 @@
 		one, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
 		defer cancel()
 		var err error
-		a, err = p.d.Ask(one, by[to].Controller, order.Consider{Replica: to, Item: d.Item, Penalty: d.Penalty, Alone: d.Pass, Claim: d.claim, Dry: dry})
+		a, err = p.d.Ask(one, by[to].Controller, order.Consider{Replica: to, Item: d.Item, Penalty: d.Penalty, Alone: d.Pass, Claim: d.claim, Dry: dry, CostMs: int(d.CheapestMs)})
 		if err != nil {
 			a = order.Considered{Why: err.Error(), Silent: true}
 			// Why: one that gave no answer may have taken it; its news will tell before the next decision.
@@ -475,11 +497,12 @@
 		x := <-ch
 		answers[x.i] = x.a
 	}
-	// Why: of those that agree, the one whose victims are worth least; the judges' order decides between equals.
+	// Why: of those that agree, the one that takes the store's time the least, then the one whose victims are worth
+	// least; the judges' order decides between equals.
 	for len(names) > 0 && d.Taken == "" && !undecided {
 		best := -1
 		for i, a := range answers {
-			if a.Taken && (best < 0 || a.Sum < answers[best].Sum) {
+			if a.Taken && (best < 0 || a.Starts < answers[best].Starts || a.Starts == answers[best].Starts && a.Sum < answers[best].Sum) {
 				best = i
 			}
 		}
--- a/internal/stand/visitor.go
+++ b/internal/stand/visitor.go
@@ -36,6 +36,8 @@
 	name   string
 	ticket atomic.Int64
 	out    atomic.Int64
+	// Heed makes the callers of flows come back once, when a Retry-After told them to.
+	Heed bool
 }
 
 // maxOut bounds the requests under way from one group of visitors.
@@ -61,12 +63,13 @@
 	Prompt     string
 	Repeatable bool
 	Pieces     int
+	of         string // the caller's ticket before
 }
 
 // Ask sends one request and reports how it ended.
 func (v *Visitors) Ask(ctx context.Context, e Edge, q Request) check.Event {
 	ticket := fmt.Sprintf("%s-%d", v.name, v.ticket.Add(1))
-	v.rec.Put(check.Event{Kind: check.Sent, Ticket: ticket, Node: e.Name, Class: q.Class, Repeatable: q.Repeatable, Item: q.Item.String()})
+	v.rec.Put(check.Event{Kind: check.Sent, Ticket: ticket, Node: e.Name, Class: q.Class, Repeatable: q.Repeatable, Item: q.Item.String(), Of: q.of})
 	began := time.Now()
 	a := v.ask(ctx, e, q, ticket, began)
 	a.Kind, a.Ticket, a.Class, a.Node, a.TookMs = check.Answer, ticket, q.Class, e.Name, time.Since(began).Milliseconds()
@@ -99,6 +102,7 @@
 	}
 	defer res.Body.Close()
 	a := check.Event{Status: res.StatusCode, Replica: res.Header.Get("Drumstall-Replica"), Retry: res.Header.Get("Retry-After") != ""}
+	a.AgainS, _ = strconv.Atoi(res.Header.Get("Retry-After"))
 	a.Serial, _ = strconv.ParseUint(res.Header.Get("Drumstall-Conf"), 10, 64)
 	if res.StatusCode != http.StatusOK {
 		b, _ := io.ReadAll(io.LimitReader(res.Body, 4096))
@@ -206,7 +210,7 @@
 				}
 				if !g.Go(func(gctx context.Context) {
 					defer v.out.Add(-1)
-					v.Ask(gctx, e, q)
+					v.call(gctx, edges, e, q)
 				}) {
 					v.out.Add(-1)
 				}
@@ -215,6 +219,17 @@
 	}
 }
 
+// call asks once, and once more when told when to come back.
+func (v *Visitors) call(ctx context.Context, edges func() []Edge, e Edge, q Request) {
+	a := v.Ask(ctx, e, q)
+	if !v.Heed || a.Outcome != check.TurnedNo || a.AgainS == 0 || !run.Wait(ctx, time.Duration(a.AgainS)*time.Second) {
+		return
+	}
+	q.of = a.Ticket
+	to := edges()
+	v.Ask(ctx, to[int(v.ticket.Load())%len(to)], q)
+}
+
 // Draw makes one request of the flow.
 func (f Flow) draw(rnd *rand.Rand, edges []Edge) (Edge, Request) {
 	q := Request{Class: f.Class, Route: f.Route, Repeatable: f.Repeatable, Pieces: f.Pieces}
