--- a/internal/place/order/expect_test.go
+++ b/internal/place/order/expect_test.go
@@ -53,3 +53,43 @@
 		t.Errorf("it is expected at %v, want %v", later, c.now+7*time.Second)
 	}
 }
+
+// The dearest load goes first, unless what is in front has begun, or it needs the
+// room that another's victims will leave over; and what it is worth follows who asks.
+func TestTheDearestLoadOfAReplicaGoesFirst(t *testing.T) {
+	c := &clock{time.Minute}
+	asked := map[string]float64{"m": 10, "n": 1, "o": 40}
+	w := &Ward{d: Deps{Clock: c, Conf: conf.Empty, Requests: func(it string) float64 { return asked[it] }}, book: map[conf.Item]*line{}}
+	w.vitals.CapacityMib = 100
+	put := func(item, state string, mib int) {
+		w.book[conf.Item{Model: item}] = &line{Line: Line{State: state, SizeMib: mib}}
+	}
+	put("old", Leaving, 80)
+	put("n", Reserved, 30)
+	put("m", Reserved, 20)
+	put("o", Reserved, 40)
+	// n's victim leaves room over for o; m fits as it is.
+	w.tasks.PushBack(&task{item: conf.Item{Model: "n"}, cost: time.Second, begun: c.now, victims: []conf.Item{{Model: "old"}}})
+	w.tasks.PushBack(&task{item: conf.Item{Model: "o"}, cost: time.Second, begun: c.now})
+	w.tasks.PushBack(&task{item: conf.Item{Model: "m"}, cost: time.Second, begun: c.now})
+	first := func(want string) {
+		t.Helper()
+		w.dearestFirst(c.now)
+		if got := w.tasks.Front().item.Model; got != want {
+			t.Errorf("%s goes first, want %s", got, want)
+		}
+	}
+	first("m")
+	asked["m"], asked["n"] = 1, 30 // others have begun to ask
+	first("n")
+	w.tasks.Front().phase = gone // it moves things
+	asked["m"] = 90
+	first("n")
+	delete(w.book, conf.Item{Model: "old"})
+	w.tasks.Front().phase = grant
+	first("m")
+	asked["m"] = 20 // o is worth more and there is room now
+	first("o")
+	asked["m"] = 45 // not by enough to change
+	first("o")
+}
--- a/internal/place/order/hold_test.go
+++ b/internal/place/order/hold_test.go
@@ -79,7 +79,7 @@
 					t.Fatal(err)
 				}
 				out := &noted{Net: fabric.Host("10.0.0.1")}
-				acc, err := acceptor.Open(g, "d", vfs.NewMem(), clk, log)
+				acc, err := acceptor.Open(g, "d", acceptor.Whose{Node: "a"}, vfs.NewMem(), clk, log)
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/place/order/ward.go
+++ b/internal/place/order/ward.go
@@ -726,7 +726,7 @@
 	}
 	best := 0
 	for i := 1; i < w.tasks.Len(); i++ {
-		if t := w.tasks.At(i); t.waits() && t.worth > w.tasks.At(best).worth {
+		if t := w.tasks.At(i); t.waits() && t.worth > w.tasks.At(best).worth && w.fits(t) {
 			best = i
 		}
 	}
@@ -735,6 +735,30 @@
 	}
 }
 
+// fits says whether a task finds room with what is there now but for its own
+// victims. Why: one may have been taken on for room that another's victims leave over, and must wait for that one.
+func (w *Ward) fits(t *task) bool {
+	mib, places := w.there()
+	for item, l := range w.book {
+		for _, v := range t.victims {
+			switch {
+			case !v.Covers(item):
+			case item.Adapter == "":
+				mib -= l.SizeMib
+			default:
+				places--
+			}
+		}
+	}
+	if l := w.book[conf.Item{Model: t.item.Model}]; l != nil && l.State == Reserved {
+		mib += l.SizeMib
+	}
+	if t.item.Adapter != "" {
+		places++
+	}
+	return mib <= w.vitals.CapacityMib && (t.item.Adapter == "" || places <= w.vitals.AdapterPlaces)
+}
+
 func (w *Ward) advance() {
 	if w.tasks.Len() == 0 {
 		return
