A data folder of another node, fleet or format, or a damaged one, is refused

With the reason and what to do, and nothing in it changed. Before, a folder whose index was lost was taken for an empty one, a node started on another node's folder voted under that one's disk, and nothing told a newer format.

--- a/cmd/dscore/main.go
+++ b/cmd/dscore/main.go
@@ -15,6 +15,7 @@
 )
 
 var rows = []setup.Row{
+	{Name: "fleet", Default: "drumstall", Check: setup.Word, Doc: "name of the fleet, to which the data folder belongs from then on"},
 	{Name: "name", Check: setup.Word, Doc: "name of this machine; it keeps its place in the core set under this name"},
 	{Name: "zone", Check: setup.Word, Doc: "zone of this machine"},
 	{Name: "addr", Check: setup.Address, Doc: "IP:PORT for partners, TCP and UDP"},
@@ -28,7 +29,7 @@
 
 func main() {
 	os.Exit(setup.Program("dscore", "control state, operator API and placement of drumstall", rows, func(s setup.Set) (func(context.Context) error, func() bool, error) {
-		c, err := core.Start(core.Settings{Name: s["name"], Zone: s["zone"], Addr: s["addr"], Operator: s["operator"], Seeds: s.List("seeds"),
+		c, err := core.Start(core.Settings{Fleet: s["fleet"], Name: s["name"], Zone: s["zone"], Addr: s["addr"], Operator: s["operator"], Seeds: s.List("seeds"),
 			Folder: s["folder"], Cores: s.Int("cores"), Replaces: s["replaces"], Platform: s["platform"]},
 			core.Env{Net: wire.Host(), Clock: tick.Machine(), FS: vfs.Default, Log: ring.New(os.Stderr, 2000)})
 		if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,6 +41,7 @@
 
 // Settings of a core.
 type Settings struct {
+	Fleet    string
 	Name     string
 	Zone     string
 	Addr     string // partners, TCP and UDP
@@ -143,7 +144,7 @@
 		_, _ = ln.Close(), pc.Close()
 		return nil, errors.Wrap(err, "core: operators' address")
 	}
-	if c.acc, err = acceptor.Open(c.base, s.Folder, env.FS, env.Clock, c.log); err != nil {
+	if c.acc, err = acceptor.Open(c.base, s.Folder, acceptor.Whose{Fleet: s.Fleet, Node: s.Name}, env.FS, env.Clock, c.log); err != nil {
 		_, _, _ = ln.Close(), pc.Close(), opln.Close()
 		c.base.Stop()
 		return nil, err
--- a/internal/state/acceptor/acceptor.go
+++ b/internal/state/acceptor/acceptor.go
@@ -113,8 +113,11 @@
 }
 
 // Open reads the data folder, or starts an empty one with an identity of its own.
-func Open(g *run.Group, folder string, fs vfs.FS, clock tick.Clock, log *slog.Logger) (*Acceptor, error) {
+func Open(g *run.Group, folder string, whose Whose, fs vfs.FS, clock tick.Clock, log *slog.Logger) (*Acceptor, error) {
 	a := &Acceptor{clock: clock, log: log, fs: fs, folder: folder}
+	if err := looksRight(fs, folder); err != nil {
+		return nil, err
+	}
 	db, err := pebble.Open(folder, &pebble.Options{
 		FS: fs, Logger: pebbleLog{a}, MemTableSize: 4 << 20,
 		FormatMajorVersion: pebble.FormatNewest,
@@ -123,6 +126,10 @@
 		return nil, errors.Wrapf(ErrFolder, "%s: %v", folder, err)
 	}
 	a.db = db
+	if err := a.claim(whose); err != nil {
+		_ = db.Close()
+		return nil, err
+	}
 	if err := a.load(); err != nil {
 		_ = db.Close()
 		return nil, errors.Wrapf(ErrFolder, "%s: %v", folder, err)
