--- /dev/null
+++ b/cmd/dscore/main_test.go
@@ -0,0 +1,9 @@
+package main
+
+import (
+	"testing"
+
+	"drumstall.example/internal/kernel/setup/settest"
+)
+
+func TestExampleSettings(t *testing.T) { settest.Examples(t, "dscore", rows) }
--- /dev/null
+++ b/internal/kernel/setup/settest/settest.go
@@ -0,0 +1,25 @@
+// Package settest holds example settings files to a program's own table.
+package settest
+
+import (
+	"bytes"
+	"path/filepath"
+	"testing"
+
+	"drumstall.example/internal/kernel/setup"
+)
+
+// Examples reads each deployment's example file of a program as the program would.
+func Examples(t *testing.T, program string, rows []setup.Row) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join("..", "..", "examples", "*", program+".conf"))
+	if err != nil || len(files) != 2 {
+		t.Fatalf("%v, %v", files, err)
+	}
+	for _, f := range files {
+		var out, errw bytes.Buffer
+		if s, code, done := setup.Read(program, "", rows, []string{"--config", f}, &out, &errw); done || code != 0 || s["name"] == "" {
+			t.Errorf("%s: code %d, %s", f, code, errw.String())
+		}
+	}
+}
--- a/internal/kernel/setup/setup.go
+++ b/internal/kernel/setup/setup.go
@@ -159,17 +159,31 @@
 	for _, r := range rows {
 		vals[r.Name] = fs.String(r.Name, r.Default, r.Doc)
 	}
-	err := ff.Parse(fs, args, ff.WithConfigFileFlag("config"), ff.WithConfigFileParser(ff.PlainParser))
+	var faults []string
+	// Why: all faults at once, those of the file too; the parser would stop at the first.
+	all := func(r io.Reader, set func(name, value string) error) error {
+		return ff.PlainParser(r, func(name, value string) error {
+			if err := set(name, value); err != nil {
+				faults = append(faults, fmt.Sprintf("settings file: %v", err))
+			}
+			return nil
+		})
+	}
+	args, unknown := known(fs, args)
+	faults = append(faults, unknown...)
+	err := ff.Parse(fs, args, ff.WithConfigFileFlag("config"), ff.WithConfigFileParser(all))
 	switch {
 	case errors.Is(err, flag.ErrHelp):
 		Usage(out, program, what, rows)
 		return nil, 0, true
 	case err != nil:
-		fmt.Fprintf(errw, "%s: %v\n", program, err)
-		return nil, 2, true
+		faults = append(faults, err.Error())
 	case fs.NArg() > 0:
-		fmt.Fprintf(errw, "%s: unexpected argument %q\n", program, fs.Arg(0))
-		return nil, 2, true
+		faults = append(faults, fmt.Sprintf("unexpected argument %q", fs.Arg(0)))
+	}
+	for _, f := range faults {
+		fmt.Fprintf(errw, "%s: %s\n", program, f)
+		code, done = 2, true
 	}
 	s = Set{}
 	for _, r := range rows {
@@ -186,6 +200,30 @@
 	return s, code, done
 }
 
+// known parts flags from those that no setting has; of an unknown one its value
+// goes too.
+func known(fs *flag.FlagSet, args []string) (good, faults []string) {
+	for i := 0; i < len(args); i++ {
+		a := args[i]
+		name, _, whole := strings.Cut(strings.TrimLeft(a, "-"), "=")
+		switch {
+		case !strings.HasPrefix(a, "-"), name == "help", name == "h":
+			return append(good, args[i:]...), faults
+		case fs.Lookup(name) == nil:
+			faults = append(faults, fmt.Sprintf("no setting %s", a))
+			if !whole && i+1 < len(args) && !strings.HasPrefix(args[i+1], "-") {
+				i++
+			}
+		case whole || i+1 == len(args):
+			good = append(good, a)
+		default:
+			good = append(good, a, args[i+1])
+			i++
+		}
+	}
+	return good, faults
+}
+
 // Program is what a daemon's main does: read, start, wait for a signal, stop.
 func Program(program, what string, rows []Row, start func(Set) (stop func(context.Context) error, sick func() bool, err error)) int {
 	s, code, done := Read(program, what, rows, os.Args[1:], os.Stdout, os.Stderr)
--- a/internal/kernel/setup/setup_test.go
+++ b/internal/kernel/setup/setup_test.go
@@ -22,11 +22,19 @@
 	if err := os.WriteFile(file, []byte("name from-file\nn 5\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	wrong := filepath.Join(t.TempDir(), "g")
+	if err := os.WriteFile(wrong, []byte("name x\nnome y\nn 99\nzeeds 1\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	for _, c := range []struct {
 		args string
 		code int
 		says string
 	}{
+		// Every fault is named, wherever it stands.
+		{"--config " + wrong, 2, "nome"}, {"--config " + wrong, 2, "zeeds"}, {"--config " + wrong, 2, `setting n = "99"`},
+		{"--config " + wrong + " --addr q", 2, `setting addr = "q"`}, {"--what 3 --ever --name x --n 0", 2, "no setting --what"}, {"--what 3 --ever --name x --n 0", 2, "no setting --ever"},
+		{"--what 3 --ever --name x --n 0", 2, `setting n = "0"`}, {"--name", 2, "name"},
 		{"--name x", 0, ""}, {"--config " + file, 0, ""}, {"--config " + file + " --n 20", 2, `setting n = "20" must be a whole number from 1 to 9`},
 		{"", 2, `setting name = ""`}, {"--name x --addr host:80", 2, "must be IP:PORT"}, {"--name x --seeds 1.1.1.1:1,2.2.2.2:2,3.3.3.3:3,4.4.4.4:4", 2, "at most three"},
 		{"--name x --for 2h", 2, "must be a duration from 0s to 1m0s"}, {"--name x --what", 2, "what"}, {"--name x more", 2, "unexpected argument"},
