--- a/internal/state/acceptor/folder.go
+++ b/internal/state/acceptor/folder.go
@@ -23,6 +23,9 @@
 
 var keyWhose = []byte("m/whose")
 
+// Why no word of a backup anywhere below: an older copy of a voter's folder has forgotten what it promised and kept since,
+// and a majority with it in may miss what was acknowledged.
+
 // looksRight refuses a folder in which something lies that is not ours, or of
 // which the part is missing that tells pebble what the rest is. Why: pebble would start a new, empty store beside it.
 func looksRight(fs vfs.FS, folder string) error {
@@ -32,11 +35,11 @@
 	}
 	desc, err := pebble.Peek(folder, fs)
 	if err != nil {
-		return errors.Wrapf(ErrFolder, "%s is damaged: %v; bring it back from a backup, or move it away and start this core with an empty one, as a new member", folder, err)
+		return errors.Wrapf(ErrFolder, "%s is damaged: %v; move it away and start this core with an empty one, as a new member", folder, err)
 	}
 	if !desc.Exists {
 		return errors.Wrapf(ErrFolder, "%s is not empty and holds no data of ours, or its index is lost (%s lies there); "+
-			"bring it back from a backup, or name an empty folder, with which this core comes as a new member", folder, names[0])
+			"name an empty folder, with which this core comes as a new member", folder, names[0])
 	}
 	return nil
 }
@@ -51,7 +54,7 @@
 	}
 	switch {
 	case err != nil:
-		return refuse("is damaged: "+err.Error(), "bring it back from a backup, or start this core with an empty folder, as a new member")
+		return refuse("is damaged: "+err.Error(), "move it away and start this core with an empty one, as a new member")
 	case !found:
 		if err := a.db.Set(keyWhose, wire.Pack(whose), pebble.Sync); err != nil {
 			return refuse("cannot be written: "+err.Error(), "look at the disk")
