--- a/internal/sim/fleet/crowd_test.go
+++ b/internal/sim/fleet/crowd_test.go
@@ -165,3 +165,48 @@
 		}
 	})
 }
+
+// Every class asks for far more of one model than there is, all at once: places go
+// by weight, nobody is starved, and urgent ones do not notice.
+func TestClassesShareACrowdByWeight(t *testing.T) {
+	Seeds(t, 2, either, func(f *Fleet) {
+		f.Until(5*time.Second, "only the crowd's model is pinned", func() bool {
+			_, ok := f.Patch(0, []byte(`{"replace":{"claims":{"always":{"group":"fleet","models":["model-03"],"minCopies":2}}},"remove":{"claims":["ready"]}}`), "")
+			return ok
+		})
+		time.Sleep(15 * time.Second)
+		f.Traffic(0.5)
+		time.Sleep(5 * time.Second)
+		from := time.Since(f.zero)
+		spots := f.Spots()
+		for range 20 {
+			for _, fl := range f.D.Flows[1:] {
+				for i := range 30 {
+					f.Group.Go(func(ctx context.Context) {
+						f.Visitors.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd " + fl.Class, Route: fl.Route, Item: conf.Item{Model: "model-03"}, Prompt: "p", Pieces: 40})
+					})
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		// Runs that began while all classes had requests waiting.
+		class, runs := map[string]string{}, map[string]int{}
+		for _, e := range f.Rec.Events() {
+			switch {
+			case e.Kind == check.Sent:
+				class[e.Ticket] = e.Class
+			case e.Kind == check.RunStart && e.At > from+3*time.Second && e.At < from+20*time.Second:
+				runs[class[e.Ticket]]++
+			}
+		}
+		p50, p99, n, failed := f.urgent(from, from+20*time.Second)
+		a, b, c := runs["crowd "+f.D.Flows[1].Class], runs["crowd "+f.D.Flows[2].Class], runs["crowd "+f.D.Flows[3].Class]
+		f.T.Logf("%s %d, %s %d, %s %d runs; urgent p50 %d p99 %d ms, %d answered, %d not", f.D.Flows[1].Class, a, f.D.Flows[2].Class, b, f.D.Flows[3].Class, c, p50, p99, n, failed)
+		if c == 0 || b <= c || a <= b {
+			f.T.Errorf("places did not go by weight: %v", runs)
+		}
+		if failed > 0 || n < 50 {
+			f.T.Errorf("%d urgent requests were answered, %d were not", n, failed)
+		}
+	})
+}
