--- a/internal/sim/fleet/callers_test.go
+++ b/internal/sim/fleet/callers_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -50,6 +52,57 @@
 	return served, len(qs)
 }
 
+// tooLate is about the answers that say "it will be loaded too late": how soon
+// they were given, how many of them wrongly, since the item was there before the deadline, and by how much later than
+// told it was there.
+func (f *Fleet) tooLate(eff conf.Effective) string {
+	sent, done := map[string]check.Event{}, map[string][]time.Duration{}
+	limits := map[string]time.Duration{}
+	for _, r := range eff.Routes {
+		limits[r.Class] = r.Deadline
+	}
+	for _, e := range f.Rec.Events() {
+		switch e.Kind {
+		case check.Sent:
+			sent[e.Ticket] = e
+		case check.LoadDone:
+			done[e.Item] = append(done[e.Item], e.At)
+		}
+	}
+	var took []int64
+	var off []time.Duration
+	atOnce, wrong, never := 0, 0, 0
+	for _, e := range f.Rec.Events() {
+		if e.Kind != check.Answer || !strings.Contains(e.Why, "loaded too late") {
+			continue
+		}
+		q := sent[e.Ticket]
+		if took = append(took, e.TookMs); e.TookMs < 100 {
+			atOnce++
+		}
+		i := slices.IndexFunc(done[q.Item], func(at time.Duration) bool { return at > q.At })
+		if i < 0 {
+			never++
+			continue
+		}
+		if at := done[q.Item][i]; at < q.At+limits[e.Class] {
+			wrong++
+		} else {
+			off = append(off, at-e.At-time.Duration(e.AgainS)*time.Second)
+		}
+	}
+	if len(took) == 0 || len(off) == 0 {
+		return "none"
+	}
+	slices.Sort(took)
+	slices.Sort(off)
+	part := func(p int) string {
+		return fmt.Sprintf("%.1f", off[len(off)*p/100].Seconds())
+	}
+	return fmt.Sprintf("%d told too late, half after %d ms, %d within 100 ms, %d wrongly, %d never loaded; there later than told by %s / %s / %s s (p10, p50, p90)",
+		len(took), took[len(took)/2], atOnce, wrong, never, part(10), part(50), part(90))
+}
+
 // What callers get in the first minutes of a day, who come back when told to,
 // and what one who knew the day could have served. The rows go to docs/measurements/callers.md.
 func TestWhatCallersGet(t *testing.T) {
@@ -83,6 +136,7 @@
 				var b strings.Builder
 				check.PrintAccounts(&b, accounts)
 				known, all := f.foreseen(eff)
+				t.Log(f.tooLate(eff))
 				f.End()
 				got, back, returned := 0, 0, 0
 				for class, a := range accounts {
