A slow disk no longer makes a simulation stand still for good

Writers now wait at a door of our own, and syncing is shared as before. TestASlowDiskGivesEveryVote hung before (25 s limit) and ends in 0.2 s.

--- a/internal/state/acceptor/acceptor.go
+++ b/internal/state/acceptor/acceptor.go
@@ -85,6 +85,7 @@
 	standing atomic.Pointer[Standing]
 	setDesk  *run.Desk
 	slots    [state.Slots]*table
+	door     chan struct{} // held by who hands a batch to pebble
 }
 
 type pebbleLog struct{ a *Acceptor }
@@ -114,7 +115,7 @@
 
 // Open reads the data folder, or starts an empty one with an identity of its own.
 func Open(g *run.Group, folder string, whose Whose, fs vfs.FS, clock tick.Clock, log *slog.Logger) (*Acceptor, error) {
-	a := &Acceptor{clock: clock, log: log, fs: fs, folder: folder}
+	a := &Acceptor{clock: clock, log: log, fs: fs, folder: folder, door: make(chan struct{}, 1)}
 	if err := looksRight(fs, folder); err != nil {
 		return nil, err
 	}
@@ -252,13 +253,28 @@
 	if err := fill(b); err != nil {
 		return errors.Wrap(state.ErrSick, err.Error())
 	}
-	if err := b.Commit(pebble.Sync); err != nil {
+	if err := a.synced(b); err != nil {
 		a.sick.Store(true)
 		return errors.Wrap(state.ErrSick, err.Error())
 	}
 	return nil
 }
 
+// synced hands a batch to pebble and waits until it is on the disk. Why: pebble
+// takes batches in one at a time under a mutex, also while a slow disk gives it a new file; whoever waits for that
+// waits at our door, where a simulation sees it wait. Syncing is shared by all that are in.
+func (a *Acceptor) synced(b *pebble.Batch) error {
+	err := func() error {
+		a.door <- struct{}{}
+		defer func() { <-a.door }()
+		return a.db.ApplyNoSyncWait(b, pebble.Sync)
+	}()
+	if err != nil {
+		return err
+	}
+	return b.SyncWait()
+}
+
 func (a *Acceptor) records(slot int) ([]state.Record, error) {
 	it, err := a.db.NewIter(bounds(slot))
 	if err != nil {
