A runbook that gives up says what it waited for, not that its last look was cut short

Cause: the limit ran out amid a look at the cores, and 'no core answers' took the place of the reason (TestRunbookRollTakeOverDayEnd, by chance; always with a limit of a minute).

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -411,8 +411,8 @@
 type comeback struct {
 	at     time.Duration
 	edges  map[string]int // that have not served since: requests sent to them
-	models int             // requests for models sent since
-	model  bool            // one of them was served
+	models int            // requests for models sent since
+	model  bool           // one of them was served
 }
 
 func (c *comeback) missing() []string {
--- a/internal/runbook/runbook.go
+++ b/internal/runbook/runbook.go
@@ -173,6 +173,10 @@
 		} else {
 			what = "no core answers"
 		}
+		// Why: a look that the limit cut short says nothing of what was waited for.
+		if ctx.Err() != nil && said != "" {
+			return errors.Errorf("gave up: %s", said)
+		}
 		if st.Do != nil && !did && err == nil {
 			if err := st.Do(ctx); err != nil {
 				return err
--- a/internal/sim/fleet/runbook_test.go
+++ b/internal/sim/fleet/runbook_test.go
@@ -227,7 +227,7 @@
 		if out, err := f.book(runbook.DayEnd(f.control(), f.D.Config), time.Minute); err != nil {
 			f.T.Errorf("%v\n%s", err, out)
 		}
-		if out, err := f.book(runbook.DayEnd(f.control(), append(f.D.Config, ' ')), time.Minute); err == nil || !strings.Contains(err.Error(), "other bytes") {
+		if out, err := f.book(runbook.DayEnd(f.control(), append(f.D.Config, ' ')), 3*time.Second); err == nil || !strings.Contains(err.Error(), "other bytes") {
 			f.T.Errorf("other bytes passed: %v\n%s", err, out)
 		}
 	})
