A service has no home: urgent requests go to their own zone again

Found by taking 'silence is held against a replica' away and seeing nothing. The scenario now demands that the replica it freezes was used. Also: who counted on a given-up load's victims goes with it.

--- a/internal/place/order/expect_test.go
+++ b/internal/place/order/expect_test.go
@@ -1,10 +1,15 @@
 package order
 
 import (
+	"io"
 	"testing"
 	"time"
 
+	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/kernel/ring"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/state/owner"
 )
 
 type clock struct{ now time.Duration }
@@ -93,3 +98,27 @@
 	asked["m"] = 45 // not by enough to change
 	first("o")
 }
+
+// A load is given up whose victims would have left room for another: that one goes
+// with it, and those that have their own room stay.
+func TestWhoCountedOnAnothersVictimsGoesWithIt(t *testing.T) {
+	g := run.NewGroup(t.Context())
+	g.Stop()
+	c := &clock{time.Minute}
+	w := &Ward{d: Deps{Clock: c, Group: g, Log: ring.New(io.Discard, 9).Logger(), Conf: conf.Empty, Owner: owner.New(owner.Deps{Group: g, Clock: c})}, book: map[conf.Item]*line{}, known: true}
+	w.vitals.CapacityMib = 100
+	put := func(item, state string, mib int) {
+		w.book[conf.Item{Model: item}] = &line{Line: Line{State: state, SizeMib: mib}}
+	}
+	put("old", Leaving, 70)
+	put("m", Reserved, 30)
+	put("n", Reserved, 30)
+	put("o", Reserved, 30)
+	w.tasks.PushBack(&task{item: conf.Item{Model: "m"}, victims: []conf.Item{{Model: "old"}}})
+	w.tasks.PushBack(&task{item: conf.Item{Model: "n"}})
+	w.tasks.PushBack(&task{item: conf.Item{Model: "o"}})
+	w.drop(0, "the store had no room")
+	if w.tasks.Len() != 1 || w.tasks.Front().item.Model != "n" || w.book[conf.Item{Model: "o"}] != nil || w.book[conf.Item{Model: "old"}].State != backend.Loaded {
+		t.Errorf("%d loads are left, the first for %v", w.tasks.Len(), w.tasks.Front().item)
+	}
+}
--- a/internal/place/order/task.go
+++ b/internal/place/order/task.go
@@ -96,8 +96,26 @@
 func (w *Ward) fail(_ *task, why string) { w.drop(0, why) }
 
 func (w *Ward) drop(i int, why string) {
+	w.let(i, why)
+	// Why: its victims stay after all, and whoever counted on the room they would have left over has none; it would
+	// hold up the others until it noticed.
+	for j := w.tasks.Len() - 1; j >= 0 && w.overbooked(); j-- {
+		if w.tasks.At(j).waits() {
+			w.let(j, "the room it counted on is not given up")
+		}
+	}
+	w.keep()
+}
+
+// let takes a task out and puts back what it had claimed.
+func (w *Ward) let(i int, why string) {
 	t := w.tasks.Remove(i)
 	w.d.Log.Info("load given up", "replica", w.listed.ID, "item", t.item.String(), "why", why)
 	w.undo(t)
-	w.keep()
+}
+
+// overbooked says that all tasks together need more room than there will be.
+func (w *Ward) overbooked() bool {
+	mib, places := w.planned()
+	return w.known && (mib > w.vitals.CapacityMib || places > max(w.vitals.AdapterPlaces, 0))
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -366,13 +366,15 @@
 	s := k.Now()
 	now := k.clock.Since()
 	var warm map[string]float64
+	var home []byte
+	// Why: a service keeps nothing warm; a home there would send everybody to one replica, whatever its zone.
 	if t.Route.Kind == "model" {
 		warm = k.warmth.warm(t.Prompt)
+		home = binary.LittleEndian.AppendUint64(nil, t.Prompt.home())
 	}
 	var facts, quiet []judge.Replica // those that answer, and those last heard of by their silence
 	zone := k.zone()
 	places := 0
-	home := binary.LittleEndian.AppendUint64(nil, t.Prompt.home())
 	for id, r := range s.Replicas {
 		if !k.serves(t, id, r, now) {
 			continue
@@ -387,7 +389,10 @@
 			continue
 		}
 		f := judge.Replica{Name: id, Inflight: r.Elsewher + mine, Slots: r.Slots, ServeFor: r.ServeFor,
-			SameZone: r.Listed.Zone == zone, Warm: warm[id], Home: float64(share.Draw(home, id)>>11) / (1 << 53)}
+			SameZone: r.Listed.Zone == zone, Warm: warm[id]}
+		if home != nil {
+			f.Home = float64(share.Draw(home, id)>>11) / (1 << 53)
+		}
 		// Why: silence is no proof. It only ranks a replica behind all that answer, until a report that was asked for
 		// later comes.
 		if time.Duration(r.Live.silent.Load()) >= r.Heard {
--- a/internal/sim/fleet/stress_test.go
+++ b/internal/sim/fleet/stress_test.go
@@ -95,6 +95,10 @@
 				c.do(f)
 				time.Sleep(15 * time.Second)
 				q50, q99, _, qf := f.urgent(mid-20*time.Second, mid)
+				// Why: a fault of a replica that nobody uses proves nothing; callers of its zone must have used it.
+				if n := f.count(check.RunStart, func(e check.Event) bool { return e.Replica == "s-01" && e.At < mid }); n < 20 {
+					t.Errorf("%s: s-01 was used %d times before it", c.name, n)
+				}
 				s50, s99, n, sf := f.urgent(mid, mid+15*time.Second)
 				t.Logf("| %s | %s | %d / %d | %d / %d | %.2f / %.2f | %d of %d |", f.D.Name, c.name, q50, q99, s50, s99, float64(s50)/float64(q50), float64(s99)/float64(q99), sf, n+sf)
 				if qf > 0 || c.most > 0 && sf > 0 {
