--- a/internal/place/order/task.go
+++ b/internal/place/order/task.go
@@ -83,11 +83,18 @@
 			}
 		}
 	}
-	if l := w.book[conf.Item{Model: t.item.Model}]; l != nil && l.State == Reserved {
-		mib += l.SizeMib
-	}
-	if t.item.Adapter != "" {
-		places++
+	for i := range w.tasks.Len() {
+		// Why: one that only waits for the store has its room made already, and that is nobody else's.
+		u := w.tasks.At(i)
+		if u != t && u.phase != grant {
+			continue
+		}
+		if l := w.book[conf.Item{Model: u.item.Model}]; l != nil && l.State == Reserved {
+			mib += l.SizeMib
+		}
+		if u.item.Adapter != "" {
+			places++
+		}
 	}
 	return mib <= w.vitals.CapacityMib && (t.item.Adapter == "" || places <= w.vitals.AdapterPlaces)
 }
