A prompt's memory is asked only to rank; one piece each for retries and for who answers

Every look at who holds an item searched the memory of prompts under its mutex, also where nobody or one replica was left to rank; the item's name was built for each replica. Retry and Keep were the same but for a count; a parameter of fail and a bound on places did nothing. Behaviour is as it was.

--- a/internal/place/order/carry.go
+++ b/internal/place/order/carry.go
@@ -36,12 +36,12 @@
 	w.dearestFirst(now)
 	t := w.tasks.Front()
 	if w.leaving() && t.phase < gone {
-		w.fail(t, "replica is leaving")
+		w.fail("replica is leaving")
 		return
 	}
 	if !w.fresh() {
 		if now-t.begun > paceLimit {
-			w.fail(t, "no report")
+			w.fail("no report")
 		}
 		return
 	}
@@ -63,7 +63,7 @@
 			return
 		}
 		if now-t.since > idleLimit {
-			w.fail(t, "victims stay in use")
+			w.fail("victims stay in use")
 			return
 		}
 		for _, v := range t.victims {
@@ -85,7 +85,7 @@
 			// Why: only a load may show later than it was ordered. What is reported gone is gone, and the load that
 			// waits for its room need not wait out a doubt.
 			if err := w.order(verb, v, l.SizeMib, orderLimit); err != nil {
-				w.fail(t, "unload: "+err.Error())
+				w.fail("unload: " + err.Error())
 				return
 			}
 		}
@@ -100,7 +100,7 @@
 		if left == 0 {
 			next(grant)
 		} else if now-t.since > goneLimit {
-			w.fail(t, "victims do not go")
+			w.fail("victims do not go")
 		}
 	case grant:
 		w.load(t, now, next)
@@ -115,9 +115,9 @@
 		case t.item.Adapter != "" && base != nil && base.State == backend.Loaded && l != nil && l.State == Reserved:
 			next(grant)
 		case now-t.since > 5*m.LoadFor+30*time.Second:
-			w.fail(t, "load takes too long")
+			w.fail("load takes too long")
 		case l == nil || l.State == Reserved && now-t.since > doubt && base == nil:
-			w.fail(t, "load did not start")
+			w.fail("load did not start")
 		}
 	}
 }
@@ -125,7 +125,7 @@
 // load asks for the store's leave and orders the model, then the adapter.
 func (w *Ward) load(t *task, now time.Duration, next func(phase)) {
 	if now-t.since > paceLimit {
-		w.fail(t, "the store had no room")
+		w.fail("the store had no room")
 		return
 	}
 	verb, what := backend.Load, conf.Item{Model: t.item.Model}
@@ -138,7 +138,7 @@
 	}
 	l := w.book[what]
 	if l == nil {
-		w.fail(t, "its room was given up")
+		w.fail("its room was given up")
 		return
 	}
 	if now-w.vitalsAt > justNow {
@@ -148,7 +148,7 @@
 	// Why: tasks that come later have their victims still there; what counts now is what is there now.
 	if verb == backend.Load && mib+l.SizeMib > w.vitals.CapacityMib || verb == backend.LoadAdapter && places+1 > w.vitals.AdapterPlaces {
 		if now-t.since > goneLimit {
-			w.fail(t, "it does not fit any more")
+			w.fail("it does not fit any more")
 		}
 		return
 	}
@@ -168,7 +168,7 @@
 		l.State = backend.Loading
 		next(loaded)
 	default:
-		w.fail(t, "load: "+err.Error())
+		w.fail("load: " + err.Error())
 	}
 }
 
--- a/internal/place/order/task.go
+++ b/internal/place/order/task.go
@@ -100,7 +100,7 @@
 }
 
 // fail gives up the task in front.
-func (w *Ward) fail(_ *task, why string) { w.drop(0, why) }
+func (w *Ward) fail(why string) { w.drop(0, why) }
 
 func (w *Ward) drop(i int, why string) {
 	w.let(i, why)
@@ -124,5 +124,5 @@
 // overbooked says that all tasks together need more room than there will be.
 func (w *Ward) overbooked() bool {
 	mib, places := w.planned()
-	return w.known && (mib > w.vitals.CapacityMib || places > max(w.vitals.AdapterPlaces, 0))
+	return w.known && (mib > w.vitals.CapacityMib || places > w.vitals.AdapterPlaces)
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -365,18 +365,12 @@
 	}
 	s := k.Now()
 	now := k.clock.Since()
-	var warm map[string]float64
-	var home []byte
-	// Why: a service keeps nothing warm; a home there would send everybody to one replica, whatever its zone.
-	if t.Route.Kind == "model" {
-		warm = k.warmth.warm(t.Prompt)
-		home = binary.LittleEndian.AppendUint64(nil, t.Prompt.home())
-	}
+	item := t.Item.String()
 	var facts, quiet []judge.Replica // those that answer, and those last heard of by their silence
 	zone := k.zone()
 	places := 0
 	for id, r := range s.Replicas {
-		if !k.serves(t, id, r, now) {
+		if !k.serves(t, item, id, r, now) {
 			continue
 		}
 		held++
@@ -389,13 +383,10 @@
 			continue
 		}
 		f := judge.Replica{Name: id, Inflight: r.Elsewher + mine, Slots: r.Slots, ServeFor: r.ServeFor,
-			SameZone: r.Listed.Zone == zone, Warm: warm[id]}
-		if home != nil {
-			f.Home = float64(share.Draw(home, id)>>11) / (1 << 53)
-		}
+			SameZone: r.Listed.Zone == zone}
 		// Why: silence is no proof. It only ranks a replica behind all that answer, until a report that was asked for
 		// later comes.
-		if time.Duration(r.Live.silent.Load()) >= r.Heard {
+		if !r.answers() {
 			quiet = append(quiet, f)
 			continue
 		}
@@ -404,6 +395,15 @@
 	if len(facts) == 0 {
 		facts = quiet
 	}
+	// Why: most calls ask only who holds it, or have one replica to go to; the memory of prompts is not asked for those. A
+	// service keeps nothing warm; a home there would send everybody to one replica, whatever its zone.
+	if len(facts) > 1 && t.Route.Kind == "model" {
+		warm, home := k.warmth.warm(t.Prompt), binary.LittleEndian.AppendUint64(nil, t.Prompt.home())
+		for i := range facts {
+			id := facts[i].Name
+			facts[i].Warm, facts[i].Home = warm[id], float64(share.Draw(home, id)>>11)/(1<<53)
+		}
+	}
 	if held == 0 {
 		return nil, 0, 0
 	}
@@ -448,24 +448,27 @@
 
 // Others says whether another replica that answers holds what a request needs.
 func (k *Keeper) Others(t Target, not string) bool {
-	s, now := k.Now(), k.clock.Since()
+	s, now, item := k.Now(), k.clock.Since(), t.Item.String()
 	for id, r := range s.Replicas {
-		if id != not && k.serves(t, id, r, now) && time.Duration(r.Live.silent.Load()) < r.Heard && int(r.Live.Inflight.Load()) < r.Room {
+		if id != not && k.serves(t, item, id, r, now) && r.answers() && int(r.Live.Inflight.Load()) < r.Room {
 			return true
 		}
 	}
 	return false
 }
 
-// serves says whether a replica holds what a request needs and may be sent to.
-func (k *Keeper) serves(t Target, id string, r *Replica, now time.Duration) bool {
+// answers says that a report asked for later than its last silence has come.
+func (r *Replica) answers() bool { return time.Duration(r.Live.silent.Load()) < r.Heard }
+
+// serves says whether a replica holds the item that a request needs and may be sent to.
+func (k *Keeper) serves(t Target, item, id string, r *Replica, now time.Duration) bool {
 	switch {
 	case r.Listed.Model != (t.Route.Kind == "model"), r.Listed.Leaving, now-r.Heard > dark, platform.Marked(k.news, id):
 		return false
 	case now-time.Duration(r.Live.refused.Load()) < time.Second:
 		return false
 	case r.Listed.Model:
-		return r.Ready[t.Item.String()] && (t.Item.Adapter == "" || r.Ready[t.Item.Model])
+		return r.Ready[item] && (t.Item.Adapter == "" || r.Ready[t.Item.Model])
 	}
 	return t.Route.Selector.Matches(labels.Set(r.Listed.Labels))
 }
--- a/internal/shot/shot.go
+++ b/internal/shot/shot.go
@@ -255,28 +255,22 @@
 	})
 }
 
-// Retry takes one retry, if there is one.
-func (b *Budget) Retry(service string) bool {
+func (b *Budget) take(service string, kept int) bool {
 	return b.change(service, func(p purse) (purse, bool) {
 		if p.tokens < 1 {
 			return p, false
 		}
 		p.tokens--
+		p.kept += kept
 		return p, true
 	})
 }
 
+// Retry takes one retry, if there is one.
+func (b *Budget) Retry(service string) bool { return b.take(service, 0) }
+
 // Keep sets one retry aside, if there is one, until it is spent or given back.
-func (b *Budget) Keep(service string) bool {
-	return b.change(service, func(p purse) (purse, bool) {
-		if p.tokens < 1 {
-			return p, false
-		}
-		p.tokens--
-		p.kept++
-		return p, true
-	})
-}
+func (b *Budget) Keep(service string) bool { return b.take(service, 1) }
 
 // Spend uses a retry that was set aside.
 func (b *Budget) Spend(service string) {
--- a/internal/sim/fleet/nemesis_test.go
+++ b/internal/sim/fleet/nemesis_test.go
@@ -169,14 +169,12 @@
 	}
 }
 
-func (x *nemesis) disk(how int32) func() {
-	return func() {
-		x.core(func(n *Node) {
-			x.f.Disk(n, how)
-			x.wait(5000)
-			x.f.Disk(n, DiskGood)
-		})
-	}
+func (x *nemesis) disk(how int32) {
+	x.core(func(n *Node) {
+		x.f.Disk(n, how)
+		x.wait(5000)
+		x.f.Disk(n, DiskGood)
+	})
 }
 
 // crowd asks for items, all at one moment, at all edges.
@@ -244,9 +242,9 @@
 		})
 	}},
 	{"all cores lose power", false, func(x *nemesis) { x.all(x.f.Cores, func() { x.coresGone(4000) }) }},
-	{"a disk is slow", false, func(x *nemesis) { x.disk(DiskSlow)() }},
-	{"a disk stalls", false, func(x *nemesis) { x.disk(DiskStalled)() }},
-	{"a disk is full", false, func(x *nemesis) { x.disk(DiskFull)() }},
+	{"a disk is slow", false, func(x *nemesis) { x.disk(DiskSlow) }},
+	{"a disk stalls", false, func(x *nemesis) { x.disk(DiskStalled) }},
+	{"a disk is full", false, func(x *nemesis) { x.disk(DiskFull) }},
 	{"a clock jumps", false, func(x *nemesis) {
 		x.core(func(n *Node) {
 			x.f.Jump(n, time.Duration(x.f.Rnd.IntN(100)-50)*time.Hour)
