--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,20 +13,24 @@
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/core"
 	"drumstall.example/internal/feed"
+	"drumstall.example/internal/inventory"
+	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member"
 	"drumstall.example/internal/member/touch"
 	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/report"
-	"drumstall.example/internal/platform"
 )
 
 const (
-	reportBeat  = 500 * time.Millisecond
 	confirmBeat = 300 * time.Millisecond
 	limit       = time.Second
 	maxPartners = 16
+	// maxHold bounds how long a proxy may have its answer held back.
+	maxHold = 500 * time.Millisecond
+	// lingerGap is how long a stopping agent must not have been asked by its proxy before it goes.
+	lingerGap = time.Second
 )
 
 // Settings of an agent.
@@ -37,6 +41,9 @@
 	Feed     string // loopback, for the proxy
 	Seeds    []string
 	Platform string
+	Bounds   bounds.Bounds
+	Cadence  bounds.Cadence
+	Lister   inventory.Lister // nil asks Platform over the design's own face
 }
 
 // Agent is a running dsagent.
@@ -50,7 +57,7 @@
 	news      *news.Table
 	spread    *news.Spreader
 	members   *member.Table
-	watch     *platform.Watch
+	watch     *inventory.Watch
 	caller    *wire.Caller
 	mux       *wire.Mux
 	feedMux   *wire.Mux
@@ -59,6 +66,8 @@
 	confirmed atomic.Bool
 	touch     *touch.Keeper
 	latest    atomic.Pointer[dated]
+	asked     atomic.Int64 // when the proxy asked last, on our clock
+	urgent    *run.Nudge
 }
 
 type dated struct {
@@ -73,6 +82,11 @@
 	a := &Agent{s: s, env: env, log: env.Log.Logger().With("node", s.Name), boot: core.NewBoot(), base: run.NewGroup(context.Background()),
 		news: news.NewTable(), caller: wire.NewCaller(env.Net), mux: wire.NewMux(), feedMux: wire.NewMux()}
 	a.group = a.base.Child()
+	a.s.Bounds, a.s.Cadence = s.Bounds.OrDefault(), s.Cadence.OrDefault()
+	s = a.s
+	if s.Lister == nil {
+		s.Lister = inventory.NewLister(env.Net, s.Platform, a.log)
+	}
 	a.touch = touch.New(env.Clock, func() time.Duration { return a.watch.HeardFor() })
 	ln, err := env.Net.Listen(s.Addr)
 	if err != nil {
@@ -92,9 +106,11 @@
 	self := member.Node{Name: s.Name, Role: member.RoleAgent, Zone: s.Zone, Addr: s.Addr, Boot: a.boot, Inc: uint64(max(env.Clock.Wall().UnixMilli(), 1)), Build: env.BuildName()}
 	a.members = member.New(a.group, env.Clock, a.log, a.post, a.caller, a.mux, self, s.Seeds, a.touch)
 	a.spread = news.NewSpreader(a.group, a.news, a.log, a.post, a.caller, a.mux, func() string { return s.Addr }, a.members.Partners, a.touch)
-	a.watch = platform.NewWatch(a.group, env.Net, s.Platform, env.Clock, a.log, a.news, func() bool { return true })
+	a.watch = inventory.NewWatch(a.group, s.Lister, env.Clock, a.log, a.news, s.Cadence.List, a.asksPlatform)
 	wire.Handle(a.feedMux, feed.Path, a.exchange)
-	a.group.Every(reportBeat, a.report)
+	wire.Handle(a.feedMux, feed.UrgentPath, a.takeUrgent)
+	reports := run.NewDesk(a.group, 8, s.Cadence.Report, func() { a.report(a.group.Context()) })
+	a.urgent = run.NewNudge(reports, func() { a.report(a.group.Context()) })
 	a.group.Every(confirmBeat, a.confirm)
 	a.base.Go(a.post.Run)
 	for _, srv := range []*wire.Server{wire.NewServer(ln, a.mux), wire.NewServer(fl, a.feedMux)} {
@@ -104,8 +120,19 @@
 	return a, nil
 }
 
+// asksPlatform says whether this agent asks for the list itself.
+func (a *Agent) asksPlatform() bool {
+	return a.s.Cadence.ListSpare == 0 || a.touch.For() > a.s.Cadence.ListSpare
+}
+
+// Reseed names other seeds.
+func (a *Agent) Reseed(seeds []string) { a.members.Reseed(seeds) }
+
 // Stop leaves on purpose.
 func (a *Agent) Stop(ctx context.Context) error {
+	// Why: a proxy that is stopped with us still needs to hear what is in force while it finishes.
+	for a.env.Clock.Since()-time.Duration(a.asked.Load()) < lingerGap && run.Wait(ctx, lingerGap/10) {
+	}
 	a.members.Leave(ctx)
 	for _, s := range a.servers {
 		_ = s.Drain(ctx)
@@ -161,8 +188,21 @@
 	}
 }
 
+// takeUrgent passes a report on at once.
+func (a *Agent) takeUrgent(_ context.Context, r report.Report) (feed.Taken, error) {
+	a.keepReport(r)
+	a.urgent.Now()
+	return feed.Taken{}, nil
+}
+
+func (a *Agent) keepReport(r report.Report) {
+	r.Agent, r.Zone = a.s.Name, a.s.Zone
+	a.latest.Store(&dated{r, a.env.Clock.Since()})
+}
+
 // exchange answers the proxy.
-func (a *Agent) exchange(_ context.Context, up feed.Up) (feed.Down, error) {
+func (a *Agent) exchange(ctx context.Context, up feed.Up) (feed.Down, error) {
+	a.asked.Store(int64(a.env.Clock.Since()))
 	for _, e := range up.Entries {
 		a.news.Put(e)
 	}
@@ -173,9 +213,10 @@
 	if up.Confirmed && !up.Conf.Newer(a.news.StampOf(conf.Key)) {
 		a.confirmed.Store(true)
 	}
-	r := up.Report
-	r.Agent, r.Zone = a.s.Name, a.s.Zone
-	a.latest.Store(&dated{r, a.env.Clock.Since()})
+	a.keepReport(up.Report)
+	if up.AgentBoot == a.boot {
+		a.awaitNews(ctx, up)
+	}
 	d := feed.Down{AgentBoot: a.boot, Confirmed: a.confirmed.Load(), Conf: a.news.StampOf(conf.Key), HeardMs: min(a.touch.For().Milliseconds()+1, 1<<40),
 		Edges: len(a.members.Live(member.RoleAgent)), Agent: a.s.Name, Zone: a.s.Zone}
 	partners := a.members.Partners()
@@ -188,6 +229,18 @@
 	return d, nil
 }
 
+// awaitNews holds an answer back until there is something to tell.
+func (a *Agent) awaitNews(ctx context.Context, up feed.Up) {
+	hold := min(time.Duration(up.HoldMs)*time.Millisecond, maxHold)
+	if hold <= 0 {
+		return
+	}
+	fresh, _, changed := a.news.After(up.Cursor)
+	if len(fresh) == 0 {
+		run.WaitOn(ctx, changed, hold)
+	}
+}
+
 // report passes the proxy's report to every core.
 func (a *Agent) report(ctx context.Context) {
 	l := a.latest.Load()
--- /dev/null
+++ b/internal/attempt/attempt.go
@@ -0,0 +1,234 @@
+// Package attempt sends one request to one replica, once, and says for sure
+// whether it ran, did not run, or may have run.
+package attempt
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/kernel/wire"
+)
+
+// Outcome of an attempt.
+type Outcome string
+
+// The three outcomes.
+const (
+	Ran     Outcome = "ran"
+	NotRun  Outcome = "not-run"
+	Unknown Outcome = "unknown"
+)
+
+// maxWhole bounds an answer that is read whole before it is passed on.
+const maxWhole = 4 << 20
+
+// Failure is an attempt that brought no answer to pass on.
+type Failure struct {
+	Outcome Outcome
+	Refused bool // no connection was to be had
+	Said    bool // the replica itself said that it would not run it
+	Missing bool // and that was because it does not hold what was asked for
+	Why     string
+	Load    Load
+}
+
+func (f *Failure) Error() string { return "attempt: " + string(f.Outcome) + ": " + f.Why }
+
+// Load is what a replica says of itself with an answer.
+type Load struct {
+	Known   bool
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Protocol is how requests to replicas and the heads of their answers are written.
+type Protocol interface {
+	// Encode writes a request; its body must not be one that net/http can rewind.
+	Encode(ctx context.Context, q Request) (*http.Request, error)
+	// Decode reads the head of an answer.
+	Decode(q Request, res *http.Response) Decision
+}
+
+// Decision is what the head of an answer says.
+type Decision struct {
+	Outcome Outcome
+	Relay   bool // the answer is to be passed on
+	Said    bool // the replica itself said that it would not run the request
+	Missing bool // and that was because it does not hold what was asked for
+	Failed  bool // the answer is a failure of the replica's own
+	Why     string
+	Load    Load
+	Header  http.Header // to be passed on
+}
+
+// Sender sends requests to replicas.
+type Sender struct {
+	http     *http.Client
+	protocol Protocol
+	stall    time.Duration
+}
+
+// NewSender dials through n. A stream that brings nothing for stall is given up.
+func NewSender(n wire.Net, protocol Protocol, stall time.Duration) *Sender {
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := n.Dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &connection{Conn: c}, nil
+	}
+	return &Sender{stall: stall, protocol: protocol, http: &http.Client{
+		Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second,
+			DisableCompression: true, MaxResponseHeaderBytes: 64 << 10, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Close lets go of idle connections.
+func (s *Sender) Close() { s.http.CloseIdleConnections() }
+
+// Request is what a replica is sent.
+type Request struct {
+	ID          string // of the replica
+	Addr        string
+	Item        conf.Item
+	Ticket      string // the caller's own number for the request
+	ContentType string
+	Method      string
+	Path        string // with the query, as the caller wrote it
+	Host        string
+	Header      http.Header
+	Body        []byte
+	Number      int           // 1 for the first attempt
+	Rank        int           // 0 is the most urgent
+	Left        time.Duration // that the caller will wait
+	LastEvent   string        // the event after which a stream goes on
+	Whole       bool          // the answer is read to its end before it is passed on
+	Stall       time.Duration // longest silence within the answer; 0 is the sender's own
+	FirstBy     time.Time     // the first byte of the answer must have come by then
+	Again       bool          // another attempt may be made after a failure
+	Sendable    func() bool   // asked right before the first byte leaves
+}
+
+// Reply is an answer that has begun.
+type Reply struct {
+	Status      int
+	Header      http.Header
+	ContentType string
+	Length      int64 // of the body; -1 is not known
+	Load        Load
+	body        io.Reader
+	raw         io.ReadCloser
+	cancel      context.CancelFunc
+	stall       time.Duration
+	silence     *time.Timer
+	once        sync.Once
+}
+
+// Read reads pieces as they come; a stream that stalls or breaks off is an error.
+func (r *Reply) Read(p []byte) (int, error) {
+	r.silence.Reset(r.stall)
+	n, err := r.body.Read(p)
+	r.silence.Stop()
+	return n, err
+}
+
+// Close ends the attempt.
+func (r *Reply) Close() error {
+	r.once.Do(func() {
+		r.silence.Stop()
+		r.cancel()
+		_ = r.raw.Close()
+	})
+	return nil
+}
+
+// Send sends the request once and waits for the first piece of the answer.
+func (s *Sender) Send(ctx context.Context, q Request) (*Reply, *Failure) {
+	ctx, cancel := context.WithCancel(ctx)
+	p := &pass{check: q.Sendable}
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if c, ok := i.Conn.(*connection); ok {
+			c.pass.Store(p)
+		}
+	}}
+	req, err := s.protocol.Encode(httptrace.WithClientTrace(ctx, trace), q)
+	if err != nil {
+		cancel()
+		return nil, &Failure{Outcome: NotRun, Why: err.Error()}
+	}
+	late := time.AfterFunc(time.Until(q.FirstBy), cancel)
+	res, err := s.http.Do(req)
+	if err != nil {
+		late.Stop()
+		cancel()
+		if p.withdraw() {
+			return nil, &Failure{Outcome: NotRun, Refused: !errors.Is(err, errWithdrawn) && !errors.Is(err, context.Canceled), Why: err.Error()}
+		}
+		return nil, &Failure{Outcome: Unknown, Why: err.Error()}
+	}
+	d := s.protocol.Decode(q, res)
+	fail := func(f Failure) (*Reply, *Failure) {
+		late.Stop()
+		cancel()
+		_ = res.Body.Close()
+		f.Load = d.Load
+		return nil, &f
+	}
+	if !d.Relay {
+		return fail(Failure{Outcome: d.Outcome, Said: d.Said, Missing: d.Missing, Why: d.Why})
+	}
+	if d.Failed && q.Again {
+		return fail(Failure{Outcome: Unknown, Why: d.Why})
+	}
+	// Why: an answer that ends with its connection looks the same whether whole or cut.
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		return fail(Failure{Outcome: Ran, Why: "replica's answer has no end that can be told"})
+	}
+	r := &Reply{Status: res.StatusCode, Header: d.Header, ContentType: res.Header.Get("Content-Type"), Length: res.ContentLength, Load: d.Load,
+		raw: res.Body, cancel: cancel, stall: s.stall}
+	if q.Stall > 0 {
+		r.stall = q.Stall
+	}
+	if err := r.begin(res.Body, q.Whole); err != nil {
+		return fail(Failure{Outcome: Unknown, Why: "broke off before the first piece: " + err.Error()})
+	}
+	if !late.Stop() && ctx.Err() != nil {
+		return fail(Failure{Outcome: Unknown, Why: "the first piece came too late"})
+	}
+	r.silence = time.AfterFunc(r.stall, cancel)
+	r.silence.Stop()
+	return r, nil
+}
+
+// begin waits for the first piece, or for the whole answer.
+func (r *Reply) begin(body io.Reader, whole bool) error {
+	if whole {
+		b, err := io.ReadAll(io.LimitReader(body, maxWhole+1))
+		if err != nil {
+			return err
+		}
+		if len(b) > maxWhole {
+			return errors.New("it is too large to be read whole")
+		}
+		r.body, r.Length = bytes.NewReader(b), int64(len(b))
+		return nil
+	}
+	first := bufio.NewReaderSize(body, 4<<10)
+	r.body = first
+	if _, err := first.Peek(1); err != nil && err != io.EOF {
+		return err
+	}
+	return nil
+}
--- a/internal/shot/shot_test.go
+++ b/internal/attempt/attempt_test.go
@@ -1,4 +1,4 @@
-package shot
+package attempt
 
 import (
 	"bufio"
@@ -58,14 +58,14 @@
 
 const good = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok"
 
-func bench(t *testing.T, answer func(c net.Conn, n int64), f func(b *backEnd, shoot func(sendable bool, within time.Duration) (*Reply, *Problem))) {
+func bench(t *testing.T, answer func(c net.Conn, n int64), f func(b *backEnd, shoot func(sendable bool, within time.Duration) (*Reply, *Failure))) {
 	synctest.Test(t, func(t *testing.T) {
 		g := run.NewGroup(t.Context())
 		fab := simnet.New(1, func(string, string) time.Duration { return time.Millisecond })
 		b := newBackEnd(t, g, fab, answer)
-		s := NewShooter(fab.Host("10.0.0.2"), time.Second)
-		f(b, func(sendable bool, within time.Duration) (*Reply, *Problem) {
-			return s.Shoot(t.Context(), Request{Addr: "10.0.0.1:90", Body: []byte("{}"), Shot: 1, FirstBy: time.Now().Add(within), Sendable: func() bool { return sendable }})
+		s := NewSender(fab.Host("10.0.0.2"), Native{}, time.Second)
+		f(b, func(sendable bool, within time.Duration) (*Reply, *Failure) {
+			return s.Send(t.Context(), Request{Addr: "10.0.0.1:90", Body: []byte("{}"), Number: 1, FirstBy: time.Now().Add(within), Sendable: func() bool { return sendable }})
 		})
 		s.Close()
 		_ = b.ln.Close()
@@ -73,7 +73,7 @@
 	})
 }
 
-func want(t *testing.T, p *Problem, o Outcome) {
+func want(t *testing.T, p *Failure, o Outcome) {
 	t.Helper()
 	if p == nil || p.Outcome != o {
 		t.Errorf("got %v, want outcome %s", p, o)
@@ -88,7 +88,7 @@
 			return
 		}
 		_ = c.Close() // read, and perhaps run, but not answered
-	}, func(b *backEnd, shoot func(bool, time.Duration) (*Reply, *Problem)) {
+	}, func(b *backEnd, shoot func(bool, time.Duration) (*Reply, *Failure)) {
 		r, p := shoot(true, time.Second)
 		if p != nil {
 			t.Fatal(p)
@@ -104,7 +104,7 @@
 }
 
 func TestNoByteLeavesForALeavingReplica(t *testing.T) {
-	bench(t, func(c net.Conn, n int64) { _, _ = io.WriteString(c, good) }, func(b *backEnd, shoot func(bool, time.Duration) (*Reply, *Problem)) {
+	bench(t, func(c net.Conn, n int64) { _, _ = io.WriteString(c, good) }, func(b *backEnd, shoot func(bool, time.Duration) (*Reply, *Failure)) {
 		_, p := shoot(false, time.Second)
 		want(t, p, NotRun)
 		time.Sleep(time.Second)
@@ -115,7 +115,7 @@
 }
 
 func TestNobodyThere(t *testing.T) {
-	bench(t, nil, func(b *backEnd, shoot func(bool, time.Duration) (*Reply, *Problem)) {
+	bench(t, nil, func(b *backEnd, shoot func(bool, time.Duration) (*Reply, *Failure)) {
 		_ = b.ln.Close()
 		_, p := shoot(true, time.Second)
 		want(t, p, NotRun)
@@ -126,7 +126,7 @@
 }
 
 func TestTooLateIsUnknownAtOnce(t *testing.T) {
-	bench(t, func(c net.Conn, n int64) { time.Sleep(5 * time.Second) }, func(b *backEnd, shoot func(bool, time.Duration) (*Reply, *Problem)) {
+	bench(t, func(c net.Conn, n int64) { time.Sleep(5 * time.Second) }, func(b *backEnd, shoot func(bool, time.Duration) (*Reply, *Failure)) {
 		began := time.Now()
 		_, p := shoot(true, 300*time.Millisecond)
 		want(t, p, Unknown)
@@ -149,7 +149,7 @@
 		"says not-run but answers": {"HTTP/1.1 200 OK\r\nDrumstall-Outcome: not-run\r\n\r\nhalf", Ran},
 		"is no HTTP":               {"nonsense\r\n\r\n", Unknown},
 	} {
-		bench(t, func(conn net.Conn, n int64) { _, _ = io.WriteString(conn, c.raw); _ = conn.Close() }, func(b *backEnd, shoot func(bool, time.Duration) (*Reply, *Problem)) {
+		bench(t, func(conn net.Conn, n int64) { _, _ = io.WriteString(conn, c.raw); _ = conn.Close() }, func(b *backEnd, shoot func(bool, time.Duration) (*Reply, *Failure)) {
 			_, p := shoot(true, time.Second)
 			if p == nil || p.Outcome != c.outcome {
 				t.Errorf("an answer that %s: got %v, want %s", name, p, c.outcome)
@@ -166,7 +166,7 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\npiece\r\n")
 		time.Sleep(time.Duration(n-1) * 10 * time.Second) // the second one stalls
 		_ = c.Close()
-	}, func(b *backEnd, shoot func(bool, time.Duration) (*Reply, *Problem)) {
+	}, func(b *backEnd, shoot func(bool, time.Duration) (*Reply, *Failure)) {
 		for _, what := range []string{"cut", "stalled"} {
 			r, p := shoot(true, time.Second)
 			if p != nil {
@@ -184,7 +184,7 @@
 // Whatever comes, retries in any span stay within a fifth of its first shots
 // and the share.
 func TestBudget(t *testing.T) {
-	b := NewBudget()
+	b := NewBudget(0.2)
 	const share = 3.0
 	var log strings.Builder
 	kept, spent := 0, 0
@@ -218,7 +218,7 @@
 		for _, c := range s[i:min(len(s), i+400)] {
 			if c == 'f' {
 				firsts++
-			} else if retries++; float64(retries) > Fifth*float64(firsts)+share+1e-9 {
+			} else if retries++; float64(retries) > 0.2*float64(firsts)+share+1e-9 {
 				t.Fatalf("at %d: %d retries after %d first shots", i, retries, firsts)
 			}
 		}
--- /dev/null
+++ b/internal/attempt/native.go
@@ -0,0 +1,60 @@
+package attempt
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"drumstall.example/internal/backend"
+)
+
+// Native speaks the design's own face of replicas.
+type Native struct{}
+
+// Encode writes a request for the design's own replicas.
+func (Native) Encode(ctx context.Context, q Request) (*http.Request, error) {
+	u := url.URL{Scheme: "http", Host: q.Addr, Path: backend.RunPath}
+	v := url.Values{}
+	if q.Item.Model != "" {
+		v.Set("model", q.Item.Model)
+	}
+	if q.Item.Adapter != "" {
+		v.Set("adapter", q.Item.Adapter)
+	}
+	u.RawQuery = v.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), Body(q.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(q.Body))
+	req.Header.Set("Content-Type", q.ContentType)
+	req.Header.Set(backend.HeaderShot, strconv.Itoa(q.Number))
+	if q.Ticket != "" {
+		req.Header.Set(backend.HeaderTicket, q.Ticket)
+	}
+	return req, nil
+}
+
+// Decode reads the head of an answer.
+func (Native) Decode(_ Request, res *http.Response) Decision {
+	why := "replica answered status " + strconv.Itoa(res.StatusCode)
+	switch {
+	case res.Header.Get(backend.HeaderOutcome) == backend.NotRun && res.StatusCode >= http.StatusBadRequest:
+		return Decision{Outcome: NotRun, Said: true, Why: why + ", not run"}
+	case res.StatusCode != http.StatusOK:
+		return Decision{Outcome: Ran, Why: why}
+	}
+	return Decision{Outcome: Ran, Relay: true}
+}
+
+// Body gives a request body that net/http cannot rewind. Why: a body without
+// GetBody, a POST and no idempotency header keep net/http from replaying by itself.
+func Body(b []byte) io.Reader {
+	if len(b) == 0 {
+		return nil
+	}
+	return struct{ io.Reader }{bytes.NewReader(b)}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -23,6 +23,7 @@
 	ErrWrong   = errors.New("backend: replica's report makes no sense")
 	ErrRefused = errors.New("backend: replica refused the order")
 	ErrUnsure  = errors.New("backend: order may or may not have arrived")
+	ErrBusy    = errors.New("backend: replica carries out another order")
 )
 
 // States of an item on a replica.
@@ -66,6 +67,7 @@
 	Slots         int
 	Inflight      int
 	Leaving       bool
+	Busy          bool // an order is being carried out
 	ServeFor      time.Duration
 	Items         map[conf.Item]Line
 }
@@ -77,10 +79,50 @@
 	Item       conf.Item
 	SizeMib    int
 	Epoch      uint64
-	Controller string
+	Controller string // the core's name and its boot
+	Holder     string // the core's name
 }
 
-// Conn asks replicas.
+// Client asks replicas how they are and orders them about.
+type Client interface {
+	// Vitals asks a replica for its report. Sizes, places and the replica's
+	// memory may be missing in it; the configuration knows them then.
+	Vitals(ctx context.Context, r Target) (Vitals, error)
+	// Order sends one order. ErrRefused is a considered no; ErrUnsure means that
+	// the replica may act on it.
+	Order(ctx context.Context, r Target, o Order) error
+	Close()
+	// Traits is what may be relied on.
+	Traits() Traits
+}
+
+// Target is the replica that is meant.
+type Target struct {
+	ID      string
+	Addr    string
+	Service string
+	Model   bool
+	Slots   int
+}
+
+// Traits is what may be relied on in the replicas of a deployment.
+type Traits struct {
+	// WaitsForRuns says that an unload waits for the requests that run, and that
+	// requests for what is being loaded or unloaded are turned away as not run.
+	WaitsForRuns bool
+	// ReportLag is how old a report may be when it is given.
+	ReportLag time.Duration
+	// ServicesReport says that replicas without models have reports too.
+	ServicesReport bool
+	// TellsBusy says that a report tells whether an order is being carried out.
+	TellsBusy bool
+	// OneOrder says that a replica refuses an order while it carries out another.
+	OneOrder bool
+	// AdaptersUnpaced says that loads of adapters do not count at the weight store.
+	AdaptersUnpaced bool
+}
+
+// Conn is the client of the design's own face.
 type Conn struct {
 	http *http.Client
 }
@@ -94,20 +136,23 @@
 	}}
 }
 
-// Close lets go of idle conns.
+// Traits of the design's own replicas.
+func (c *Conn) Traits() Traits { return Traits{ServicesReport: true} }
+
+// Close lets go of idle connections.
 func (c *Conn) Close() { c.http.CloseIdleConnections() }
 
 func (c *Conn) at(addr string) *client.Client {
 	return client.NewClient("http", addr, face.Bounded{HTTP: c.http, Max: 4 << 20}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 }
 
-// Vitals asks a replica how it is; id is whom we expect to answer.
-func (c *Conn) Vitals(ctx context.Context, addr, id string) (Vitals, error) {
-	res, err := c.at(addr).Vitals()(ctx, nil)
+// Vitals asks a replica how it is; the target's id is whom we expect to answer.
+func (c *Conn) Vitals(ctx context.Context, r Target) (Vitals, error) {
+	res, err := c.at(r.Addr).Vitals()(ctx, nil)
 	if err != nil {
 		return Vitals{}, errors.Wrap(ErrDark, err.Error())
 	}
-	return check(res.(*replica.ReplicaVitals), id)
+	return check(res.(*replica.ReplicaVitals), r.ID)
 }
 
 func num(p *int) int {
@@ -155,12 +200,12 @@
 
 // Order sends one order. ErrRefused is a considered no; ErrUnsure means that
 // the replica may act on it.
-func (c *Conn) Order(ctx context.Context, addr string, o Order) error {
+func (c *Conn) Order(ctx context.Context, r Target, o Order) error {
 	p := &replica.LoadOrder{ID: o.ID, Verb: o.Verb, Model: o.Item.Model, SizeMib: &o.SizeMib, Epoch: o.Epoch, Controller: o.Controller}
 	if o.Item.Adapter != "" {
 		p.Adapter = &o.Item.Adapter
 	}
-	_, err := c.at(addr).Order()(ctx, p)
+	_, err := c.at(r.Addr).Order()(ctx, p)
 	if err == nil {
 		return nil
 	}
@@ -173,3 +218,6 @@
 
 // IsUnsure says whether an order may or may not have arrived.
 func IsUnsure(err error) bool { return errors.Is(err, ErrUnsure) }
+
+// IsBusy says whether an order was refused because another is being carried out.
+func IsBusy(err error) bool { return errors.Is(err, ErrBusy) }
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -27,7 +27,7 @@
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	return c.Vitals(ctx, strings.TrimPrefix(srv.URL, "http://"), "r1")
+	return c.Vitals(ctx, Target{Addr: strings.TrimPrefix(srv.URL, "http://"), ID: "r1"})
 }
 
 const head = `"id":"r1","incarnation":"i","kind":"model","slots":2,"inflight":0,"leaving":false`
@@ -84,7 +84,7 @@
 			_, _ = io.WriteString(w, c.body)
 		}))
 		conn := NewConn(wire.Host())
-		err := conn.Order(t.Context(), strings.TrimPrefix(srv.URL, "http://"), Order{ID: "1", Verb: Load, Item: conf.Item{Model: "m"}, Epoch: 1, Controller: "c"})
+		err := conn.Order(t.Context(), Target{Addr: strings.TrimPrefix(srv.URL, "http://")}, Order{ID: "1", Verb: Load, Item: conf.Item{Model: "m"}, Epoch: 1, Controller: "c"})
 		if c.want == nil && err != nil || c.want != nil && !errors.Is(err, c.want) {
 			t.Errorf("status %d: %v, want %v", c.status, err, c.want)
 		}
@@ -93,7 +93,7 @@
 	}
 	conn := NewConn(wire.Host())
 	defer conn.Close()
-	if err := conn.Order(t.Context(), "127.0.0.1:1", Order{ID: "1", Verb: Load, Item: conf.Item{Model: "m"}}); !errors.Is(err, ErrUnsure) {
+	if err := conn.Order(t.Context(), Target{Addr: "127.0.0.1:1"}, Order{ID: "1", Verb: Load, Item: conf.Item{Model: "m"}}); !errors.Is(err, ErrUnsure) {
 		t.Errorf("nobody there: %v", err)
 	}
 }
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -35,6 +35,10 @@
 	Objects     map[string][]byte `cbor:"4,keyasint"`
 	Serial      uint64            `cbor:"5,keyasint"` // one more with each submission kept
 	Sent        map[string][]byte `cbor:"6,keyasint"` // objects that were sent in another form: as sent
+	// Format is that of Submission where it holds a whole configuration in a registered form; there are no Objects then.
+	Format  string  `cbor:"7,keyasint,omitempty"`
+	Version uint64  `cbor:"8,keyasint,omitempty"` // the operator's own number; ours where there is none
+	Taken   []taken `cbor:"9,keyasint,omitempty"` // changes kept of late, to know one that is sent again
 }
 
 // Manners of a submission.
@@ -59,6 +63,9 @@
 	Adapters map[string]bool
 	LoadFor  time.Duration
 	ServeFor time.Duration
+	// AdapterMib is the memory that one adapter takes, besides its place.
+	AdapterMib int
+	Service    string // whose replicas may hold it; "" is any
 }
 
 // Claim says what a group should be ready for.
@@ -72,6 +79,7 @@
 // Class is a kind of visitor.
 type Class struct {
 	Urgent  bool
+	Rank    int // among classes of the same urgency a lower one goes first, whatever the weights
 	Weight  int
 	Holding int
 }
@@ -85,6 +93,15 @@
 	Deadline   time.Duration
 	Repeatable bool
 	MaxBody    int64
+	Host       string // with Prefix: requests are matched by host and path
+	Prefix     string
+	Split      []Share       // services by weight, in place of a selector
+	Service    string        // the one that Resolve has picked
+	Streaming  bool          // answers are series of events
+	Resumable  bool          // another replica may go on after an event
+	Attempts   int           // most replicas that one request is sent to
+	Target     time.Duration // by when an answer, or its first event, should have begun; 0 is none
+	GapTarget  time.Duration // longest pause between events that should occur; 0 is none
 }
 
 // Limits are the bounds that hold for the whole fleet.
@@ -94,6 +111,9 @@
 	Shots          int
 	Csf            float64
 	DayWeights     []float64
+	// Unit is what demand is counted by, and Epoch how many units make the paper's day.
+	Unit           time.Duration
+	Epoch          int
 	WarmupMinutes  int
 	HorizonMinutes int
 	PassEvery      time.Duration
@@ -108,8 +128,13 @@
 	Drains  map[string]labels.Selector
 	Classes map[string]Class
 	Routes  map[string]Route
-	Weights map[string]float64
-	Limits  Limits
+	// Services are named sets of replicas that routes are split over.
+	Services map[string]Service
+	Weights  map[string]float64
+	Limits   Limits
+
+	prefixes map[string]map[string]string // host: path prefix: route
+	hosts    map[string]bool              // services that hold models
 }
 
 // Empty is what is in force before the first configuration.
@@ -267,11 +292,10 @@
 
 // Effect checks all objects together and makes them ready for use.
 func Effect(k Kept) (Effective, error) {
-	e := Effective{Models: map[string]Model{}, Groups: map[string]labels.Selector{}, Claims: map[string]Claim{}, Drains: map[string]labels.Selector{},
-		Classes: map[string]Class{}, Routes: map[string]Route{}, Weights: map[string]float64{}}
-	for j, w := range Judges {
-		e.Weights[j] = w
+	if k.Format != "" {
+		return effectFormat(k)
 	}
+	e := bare()
 	var faults Faults
 	limits := json.RawMessage(`{}`)
 	for _, at := range sorted(k.Objects) {
@@ -291,7 +315,8 @@
 		}
 		switch kind {
 		case "models":
-			m := Model{SizeMib: f["sizeMib"].(int), LoadFor: ms(f["loadMs"]), ServeFor: ms(f["serveMs"]), Adapters: map[string]bool{}}
+			m := Model{SizeMib: f["sizeMib"].(int), LoadFor: ms(f["loadMs"]), ServeFor: ms(f["serveMs"]), Adapters: map[string]bool{},
+				AdapterMib: f["adapterMib"].(int), Service: f["service"].(string)}
 			for _, a := range f["adapters"].([]string) {
 				if !Plain(a) || m.Adapters[a] {
 					faults = append(faults, fmt.Sprintf("%s.adapters: %q is no good name or stands twice", at, a))
@@ -308,11 +333,19 @@
 		case "claims":
 			e.Claims[name] = Claim{Group: f["group"].(string), Models: f["models"].([]string), Adapters: f["adapters"].([]string), MinCopies: f["minCopies"].(int)}
 		case "classes":
-			e.Classes[name] = Class{Urgent: f["urgent"].(bool), Weight: f["weight"].(int), Holding: f["holding"].(int)}
+			e.Classes[name] = Class{Urgent: f["urgent"].(bool), Rank: f["rank"].(int), Weight: f["weight"].(int), Holding: f["holding"].(int)}
+		case "services":
+			e.Services[name] = readService(name, f)
 		case "routes":
 			s, _ := labels.Parse(f["selector"].(string))
+			split, err := parseSplit(f["split"].([]string))
+			if err != nil {
+				faults = append(faults, fmt.Sprintf("%s.split: %v", at, err))
+			}
 			e.Routes[name] = Route{Name: name, Kind: f["kind"].(string), Selector: s, Class: f["class"].(string),
-				Deadline: ms(f["deadlineMs"]), Repeatable: f["repeatable"].(bool), MaxBody: int64(f["maxBodyBytes"].(int))}
+				Deadline: ms(f["deadlineMs"]), Repeatable: f["repeatable"].(bool), MaxBody: int64(f["maxBodyBytes"].(int)),
+				Host: f["host"].(string), Prefix: f["pathPrefix"].(string), Split: split, Streaming: f["streaming"].(bool),
+				Resumable: f["resumable"].(bool), Attempts: f["attempts"].(int), Target: ms(f["targetMs"]), GapTarget: ms(f["gapTargetMs"])}
 		case "weights":
 			if _, known := Judges[name]; !known {
 				faults = append(faults, fmt.Sprintf("%s: no such judge; there are %s", at, strings.Join(sorted(Judges), ", ")))
@@ -320,14 +353,10 @@
 			e.Weights[name] = f["weight"].(float64)
 		}
 	}
-	f, bad := fields("limits", limitsName, limits)
+	var bad []string
+	e.Limits, bad = readLimits(limits)
 	faults = append(faults, bad...)
-	if len(bad) == 0 {
-		e.Limits = Limits{PaceLoads: f["paceLoads"].(int), RetryAllowance: f["retryAllowance"].(int), Shots: f["shots"].(int),
-			Csf: f["csf"].(float64), DayWeights: f["dayWeights"].([]float64),
-			WarmupMinutes: f["warmupMinutes"].(int), HorizonMinutes: f["horizonMinutes"].(int), PassEvery: time.Duration(f["passMinutes"].(int)) * time.Minute,
-			PassSlack: float64(f["passSlack"].(int)) / 100}
-	}
+	faults = append(faults, e.complete()...)
 	faults = append(faults, e.references()...)
 	if len(faults) > 0 {
 		return Effective{}, faults
@@ -335,6 +364,54 @@
 	return e, nil
 }
 
+// bare is a configuration without any object.
+func bare() Effective {
+	e := Effective{Models: map[string]Model{}, Groups: map[string]labels.Selector{}, Claims: map[string]Claim{}, Drains: map[string]labels.Selector{},
+		Classes: map[string]Class{}, Routes: map[string]Route{}, Services: map[string]Service{}, Weights: map[string]float64{}}
+	for j, w := range Judges {
+		e.Weights[j] = w
+	}
+	return e
+}
+
+// effectFormat reads a configuration that is written in a registered format.
+func effectFormat(k Kept) (Effective, error) {
+	f, found := formats[k.Format]
+	if !found {
+		return Effective{}, Faults{"this program does not read configurations written as " + k.Format}
+	}
+	e := bare()
+	e.Limits, _ = readLimits(json.RawMessage(`{}`))
+	e, err := f.Read(e, k.Submission)
+	if err != nil {
+		return Effective{}, asFaults(err)
+	}
+	if faults := append(e.complete(), e.references()...); len(faults) > 0 {
+		return Effective{}, faults
+	}
+	return e, nil
+}
+
+func readService(name string, f map[string]any) Service {
+	s := Service{Selector: OfService(name), MaxConnections: f["maxConnections"].(int), Slots: f["slots"].(int), CapacityMib: f["capacityMib"].(int),
+		AdapterPlaces: f["adapterPlaces"].(int), CacheTokens: f["cacheTokens"].(int), LoadsPerSecond: f["loadsPerSecond"].(float64)}
+	if own := f["selector"].(string); own != "" {
+		s.Selector, _ = labels.Parse(own)
+	}
+	return s
+}
+
+func readLimits(raw json.RawMessage) (Limits, []string) {
+	f, bad := fields("limits", limitsName, raw)
+	if len(bad) > 0 {
+		return Limits{}, bad
+	}
+	return Limits{PaceLoads: f["paceLoads"].(int), RetryAllowance: f["retryAllowance"].(int), Shots: f["shots"].(int),
+		Csf: f["csf"].(float64), DayWeights: f["dayWeights"].([]float64),
+		Unit: ms(f["unitMs"]), Epoch: f["epochUnits"].(int), WarmupMinutes: f["warmupMinutes"].(int), HorizonMinutes: f["horizonMinutes"].(int), PassEvery: time.Duration(f["passMinutes"].(int)) * time.Minute,
+		PassSlack: float64(f["passSlack"].(int)) / 100}, nil
+}
+
 func ms(v any) time.Duration { return time.Duration(v.(int)) * time.Millisecond }
 
 // references tells what names something that is not there.
@@ -385,6 +462,9 @@
 // Allowed says whether a replica with these labels may hold the model, and
 // whether a claim pins it there. Without any claim for it, every replica may.
 func (e Effective) Allowed(model string, labelled map[string]string) bool {
+	if s, found := e.Services[e.Models[model].Service]; found && !s.Selector.Matches(labels.Set(labelled)) {
+		return false
+	}
 	claimed := false
 	for _, c := range e.Claims {
 		if !c.names(model) {
--- /dev/null
+++ b/internal/conf/format.go
@@ -0,0 +1,150 @@
+package conf
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// Format is another form in which operators write whole configurations. A
+// configuration in it is kept as it was sent and read anew wherever it is used.
+type Format interface {
+	// ContentType names the format in the control state.
+	ContentType() string
+	// Read lays a document over the defaults; what cannot be read is Faults.
+	Read(defaults Effective, document []byte) (Effective, error)
+	// Version is the operator's own rising number of a document.
+	Version(document []byte) (uint64, error)
+	// Merge lays a partial change over a document; what cannot be read is Faults.
+	Merge(document, change []byte) ([]byte, error)
+}
+
+var formats = map[string]Format{}
+
+// RegisterFormat makes a format known. Call it before any configuration is read.
+func RegisterFormat(f Format) { formats[f.ContentType()] = f }
+
+// Change is a configuration that an operator sends.
+type Change struct {
+	Manner      string
+	ContentType string
+	Body        []byte
+	IfMatch     *uint64 // the version it is made on top of; nil is any
+}
+
+// taken is one change that was kept, so that it is known when it is sent again.
+type taken struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Sum     uint64 `cbor:"2,keyasint"`
+}
+
+// maxTaken is how many kept changes are remembered.
+const maxTaken = 512
+
+// Applied is what became of a change.
+type Applied struct {
+	Kept  Kept
+	Again bool // it had been kept before; nothing changes
+	Stale bool // it was made on top of another version than the current one
+}
+
+// Apply lays a change over what is kept. Faults refuse it whole.
+func (k Kept) Apply(c Change) (Applied, error) {
+	if f, found := formats[c.ContentType]; found {
+		return k.applyFormat(f, c)
+	}
+	if c.IfMatch != nil && *c.IfMatch != k.Serial {
+		return Applied{Stale: true}, nil
+	}
+	var next Kept
+	var err error
+	switch {
+	case c.Manner == Whole:
+		next, err = ReadWhole(c.ContentType, c.Body)
+	case k.Format != "":
+		err = Faults{"the configuration in force is written as " + k.Format + "; it can only be replaced whole"}
+	default:
+		next, err = ReadPartial(k, c.ContentType, c.Body)
+	}
+	if err != nil {
+		return Applied{}, err
+	}
+	next.Serial = k.Serial + 1
+	next.Version = next.Serial
+	return Applied{Kept: next}, nil
+}
+
+func (k Kept) applyFormat(f Format, c Change) (Applied, error) {
+	sum := c.sum()
+	for _, t := range k.Taken {
+		if t.Sum == sum {
+			return Applied{Again: true}, nil
+		}
+	}
+	if c.IfMatch != nil && *c.IfMatch != k.Version {
+		return Applied{Stale: true}, nil
+	}
+	document := c.Body
+	if c.Manner == Partial {
+		if k.Format != f.ContentType() {
+			return Applied{}, Faults{"there is no configuration in this format to change"}
+		}
+		merged, err := f.Merge(k.Submission, c.Body)
+		if err != nil {
+			return Applied{}, asFaults(err)
+		}
+		document = merged
+	}
+	version, err := f.Version(document)
+	if err != nil {
+		return Applied{}, asFaults(err)
+	}
+	if version <= k.Version {
+		return Applied{}, Faults{fmt.Sprintf("version %d is not above the current %d", version, k.Version)}
+	}
+	next := Kept{Manner: c.Manner, ContentType: f.ContentType(), Format: f.ContentType(), Submission: document,
+		Serial: k.Serial + 1, Version: version}
+	next.Taken = append(next.Taken, k.Taken[max(0, len(k.Taken)-maxTaken+1):]...)
+	next.Taken = append(next.Taken, taken{Version: version, Sum: sum})
+	if _, err := Effect(next); err != nil {
+		return Applied{}, asFaults(err)
+	}
+	return Applied{Kept: next}, nil
+}
+
+// sum tells a change that is sent again from another.
+func (c Change) sum() uint64 {
+	h := sha256.New()
+	h.Write([]byte(c.Manner))
+	if c.IfMatch != nil {
+		h.Write(binary.LittleEndian.AppendUint64(nil, *c.IfMatch))
+	}
+	h.Write(c.Body)
+	return binary.LittleEndian.Uint64(h.Sum(nil))
+}
+
+// Sum is the digest that an acknowledgement carries.
+func (c Change) Sum() string {
+	sum := sha256.Sum256(c.Body)
+	return hex.EncodeToString(sum[:])
+}
+
+func asFaults(err error) error {
+	var faults Faults
+	if errors.As(err, &faults) {
+		return faults
+	}
+	return Faults{err.Error()}
+}
+
+// CheckJSON refuses what is not one whole JSON value without doubled keys.
+func CheckJSON(b []byte) error {
+	var any struct{}
+	if err := decode(b, &any); err != nil {
+		return Faults{err.Error()}
+	}
+	return nil
+}
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,6 +37,7 @@
 func (c *Core) submit(ctx context.Context, s operator.Submission) (operator.Submitted, error) {
 	var out operator.Submitted
 	errStop := errors.New("refused")
+	change := conf.Change{Manner: s.Manner, ContentType: s.ContentType, Body: s.Body, IfMatch: s.IfMatch}
 	rec, err := c.own.Update(ctx, conf.Key, func(old state.Record, found bool) ([]byte, error) {
 		var was conf.Kept
 		if found {
@@ -47,29 +46,23 @@
 				return nil, err
 			}
 		}
-		if s.IfMatch != nil && *s.IfMatch != was.Serial {
-			out = operator.Submitted{Stale: true, Serial: was.Serial}
-			return nil, errStop
-		}
-		var k conf.Kept
-		var err error
-		if s.Manner == conf.Whole {
-			k, err = conf.ReadWhole(s.ContentType, s.Body)
-		} else {
-			k, err = conf.ReadPartial(was, s.ContentType, s.Body)
-		}
+		got, err := was.Apply(change)
 		var faults conf.Faults
-		if errors.As(err, &faults) {
+		switch {
+		case errors.As(err, &faults):
 			out = operator.Submitted{Faults: faults}
 			return nil, errStop
-		}
-		if err != nil {
+		case err != nil:
 			return nil, err
+		case got.Stale:
+			out = operator.Submitted{Stale: true, Serial: was.Serial}
+			return nil, errStop
+		case got.Again:
+			out = operator.Submitted{Serial: was.Serial, Sum: change.Sum()}
+			return nil, errStop
 		}
-		k.Serial = was.Serial + 1
-		sum := sha256.Sum256(s.Body)
-		out = operator.Submitted{Serial: k.Serial, Sum: hex.EncodeToString(sum[:])}
-		return k.Pack(), nil
+		out = operator.Submitted{Serial: got.Kept.Serial, Sum: change.Sum()}
+		return got.Kept.Pack(), nil
 	})
 	if errors.Is(err, errStop) {
 		return out, nil
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"log/slog"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,8 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/inventory"
+	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/ring"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
@@ -27,7 +30,6 @@
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/plan"
 	"drumstall.example/internal/place/report"
-	"drumstall.example/internal/platform"
 	"drumstall.example/internal/state"
 	"drumstall.example/internal/state/acceptor"
 	"drumstall.example/internal/state/coreset"
@@ -46,6 +48,16 @@
 	Cores    int
 	Replaces string
 	Platform string
+	// Founders are the addresses of the cores that form the first set, in place
+	// of a count; a core that is none of them, or is not to found, joins.
+	Founders []string
+	MayFound bool
+	Bounds   bounds.Bounds
+	Cadence  bounds.Cadence
+	Lister   inventory.Lister // nil asks Platform over the design's own face
+	Replicas backend.Client   // nil asks replicas over the design's own face
+	// Operators are further faces for operators, by address.
+	Operators map[string]func(operator.Control) http.Handler
 }
 
 // Env is the machine a core runs on, real or simulated.
@@ -82,8 +94,8 @@
 	spread  *news.Spreader
 	planner *plan.Planner
 	reports *report.Table
-	watch   *platform.Watch
-	conn    *backend.Conn
+	watch   *inventory.Watch
+	conn    backend.Client
 	caller  *wire.Caller
 	mux     *wire.Mux
 	post    *wire.Post
@@ -114,9 +126,17 @@
 func Start(s Settings, env Env) (*Core, error) {
 	c := &Core{s: s, env: env, log: env.Log.Logger().With("node", s.Name), boot: NewBoot(),
 		base: run.NewGroup(context.Background()), news: news.NewTable(), reports: report.NewTable(),
-		conn: backend.NewConn(env.Net), caller: wire.NewCaller(env.Net), mux: wire.NewMux(),
+		caller: wire.NewCaller(env.Net), mux: wire.NewMux(),
 		wards: map[string]*warded{}, absent: map[string]time.Duration{}}
 	c.group = c.base.Child()
+	c.s.Bounds, c.s.Cadence = s.Bounds.OrDefault(), s.Cadence.OrDefault()
+	s = c.s
+	if c.conn = s.Replicas; c.conn == nil {
+		c.conn = backend.NewConn(env.Net)
+	}
+	if s.Lister == nil {
+		s.Lister = inventory.NewLister(env.Net, s.Platform, c.log)
+	}
 	c.wardNow.Store(&map[string]*order.Ward{})
 	empty := conf.Empty()
 	c.conf.Store(&empty)
@@ -129,13 +149,16 @@
 		_ = ln.Close()
 		return nil, errors.Wrap(err, "core: datagram address")
 	}
-	opln, err := env.Net.Listen(s.Operator)
+	faces, err := c.operatorFaces()
 	if err != nil {
 		_, _ = ln.Close(), pc.Close()
-		return nil, errors.Wrap(err, "core: operators' address")
+		return nil, err
 	}
 	if c.acc, err = acceptor.Open(c.base, s.Folder, acceptor.Whose{Fleet: s.Fleet, Node: s.Name}, env.FS, env.Clock, c.log); err != nil {
-		_, _, _ = ln.Close(), pc.Close(), opln.Close()
+		_, _ = ln.Close(), pc.Close()
+		for _, f := range faces {
+			f.Close()
+		}
 		c.base.Stop()
 		return nil, err
 	}
@@ -148,12 +171,12 @@
 	c.spread = news.NewSpreader(c.group, c.news, c.log, c.post, c.caller, c.mux, func() string { return s.Addr }, c.members.Partners, c.touch)
 	c.acc.Serve(c.mux)
 	c.own = owner.New(owner.Deps{Self: c.self, Group: c.group, Clock: env.Clock, Log: c.log, Caller: c.caller, Acceptor: c.acc,
-		Addr: c.addrOf, Rank: c.voters, Behind: func(v state.Core) { c.set.Behind(v) }, OnTake: c.onTake})
-	c.planner = plan.New(plan.Deps{Group: c.group, Clock: env.Clock, Log: c.log, Self: s.Name, Owner: c.own, News: c.news,
+		Addr: c.addrOf, Rank: c.voters, Behind: func(v state.Core) { c.set.Behind(v) }, Quarantine: s.Bounds.Lease, OnTake: c.onTake})
+	c.planner = plan.New(plan.Deps{Group: c.group, Clock: env.Clock, Log: c.log, Self: s.Name, Cadence: s.Cadence, Store: s.Bounds.Store, Owner: c.own, News: c.news,
 		Reports: c.reports, Conf: c.effective, Ask: c.consider, Tell: c.tellShared})
-	c.set = coreset.New(coreset.Deps{Self: c.self, Want: s.Cores, Replaces: s.Replaces, Group: c.group, Log: c.log, Caller: c.caller,
-		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf}, c.mux)
-	c.watch = platform.NewWatch(c.group, env.Net, s.Platform, env.Clock, c.log, c.news, func() bool { return true })
+	c.set = coreset.New(coreset.Deps{Self: c.self, Want: s.Cores, Founders: s.Founders, MayFound: s.MayFound, Target: 2*s.Bounds.Tolerated + 1, Replaces: s.Replaces, Group: c.group, Log: c.log, Caller: c.caller,
+		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf, Gone: c.goneFor}, c.mux)
+	c.watch = inventory.NewWatch(c.group, s.Lister, env.Clock, c.log, c.news, s.Cadence.List, func() bool { return true })
 	c.serve()
 	c.group.Every(300*time.Millisecond, c.tend)
 	c.group.Every(200*time.Millisecond, func(context.Context) {
@@ -161,16 +184,43 @@
 		if c.acc.Sick() {
 			phase = "sick"
 		}
-		c.members.SetSelf(func(n *member.Node) { n.Phase = phase })
+		disk := c.acc.Disk()
+		c.members.SetSelf(func(n *member.Node) { n.Phase, n.Disk = phase, disk })
 	})
 	c.base.Go(c.post.Run)
-	for _, srv := range []*wire.Server{wire.NewServer(ln, c.mux), wire.NewServer(opln, operator.NewHandler(c, env.Log))} {
+	for _, srv := range append([]*wire.Server{wire.NewServer(ln, c.mux)}, faces...) {
 		c.servers = append(c.servers, srv)
 		c.base.Go(srv.Run)
 	}
 	return c, nil
 }
 
+// operatorFaces opens the faces for operators, the design's own among them.
+func (c *Core) operatorFaces() ([]*wire.Server, error) {
+	at := map[string]http.Handler{}
+	if c.s.Operator != "" {
+		at[c.s.Operator] = operator.NewHandler(c, c.env.Log)
+	}
+	for addr, face := range c.s.Operators {
+		at[addr] = face(c)
+	}
+	var out []*wire.Server
+	for addr, h := range at {
+		ln, err := c.env.Net.Listen(addr)
+		if err != nil {
+			for _, f := range out {
+				f.Close()
+			}
+			return nil, errors.Wrap(err, "core: operators' address")
+		}
+		out = append(out, wire.NewServer(ln, h))
+	}
+	return out, nil
+}
+
+// Reseed names other seeds.
+func (c *Core) Reseed(seeds []string) { c.members.Reseed(seeds) }
+
 // Stop ends cleanly: slots are handed over, then all is let go.
 func (c *Core) Stop(ctx context.Context) error {
 	c.own.Stop(ctx)
--- a/internal/core/roll.go
+++ b/internal/core/roll.go
@@ -36,6 +36,20 @@
 	return out
 }
 
+// goneFor is how long ago a voter was last thought to be there.
+func (c *Core) goneFor(v state.Core) (left bool, away time.Duration) {
+	for _, n := range c.members.Nodes() {
+		if n.Role != member.RoleCore || n.Name != v.Name || n.Disk != v.Disk {
+			continue
+		}
+		if n.Thought() {
+			return false, 0
+		}
+		return n.State == member.Left, min(c.members.HeardFor(v.Name), c.own.HeardFor(v))
+	}
+	return false, min(c.members.HeardFor(v.Name), c.own.HeardFor(v))
+}
+
 // others are the live cores but this one.
 func (c *Core) others() []member.Node {
 	var out []member.Node
--- a/internal/core/wards.go
+++ b/internal/core/wards.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
+	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/plan"
-	"drumstall.example/internal/platform"
 )
 
 type warded struct {
@@ -63,7 +63,7 @@
 // tend opens and closes wards, as slots come and go and the platform lists.
 func (c *Core) tend(context.Context) {
 	now := c.env.Clock.Since()
-	listed := map[string]platform.Listed{}
+	listed := map[string]inventory.Listed{}
 	if c.watch.Rounds() > 0 {
 		for _, l := range c.watch.List() {
 			listed[l.ID] = l
@@ -104,7 +104,7 @@
 		}
 		g := c.group.Child()
 		c.wards[id] = &warded{group: g, ward: order.NewWard(g, order.Deps{Clock: c.env.Clock, Log: c.log, Self: c.s.Name, Boot: c.boot,
-			Conn: c.conn, Owner: c.own, News: c.news, Reports: c.reports, Conf: c.effective, Requests: c.planner.Requests,
+			Cadence: c.s.Cadence, Replicas: c.conn, Owner: c.own, News: c.news, Reports: c.reports, Conf: c.effective, Requests: c.planner.Requests,
 			Others: func() []order.News { return plan.Views(c.news) }, Agents: c.agents, Platform: c.watch.HeardFor, Grant: c.grant, Afloat: c.afloat}, l)}
 	}
 	snap := map[string]*order.Ward{}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -11,6 +11,12 @@
 // Path of the exchange on the agent.
 const Path = "/feed"
 
+// UrgentPath takes a report that is to be passed on at once.
+const UrgentPath = "/feed/urgent"
+
+// Taken is the answer to an urgent report.
+type Taken struct{}
+
 // Up is what a proxy sends.
 type Up struct {
 	Boot      string        `cbor:"1,keyasint"` // of the proxy
@@ -21,6 +27,7 @@
 	Confirmed bool          `cbor:"6,keyasint"`           // the proxy serves on a confirmed configuration
 	Conf      state.Stamp   `cbor:"7,keyasint"`           // the one in force there
 	Partners  []string      `cbor:"8,keyasint,omitempty"` // for an agent that is new: whom the one before it knew
+	HoldMs    int           `cbor:"9,keyasint,omitempty"` // how long the answer may be held back until there is something new
 }
 
 // Down is what the agent answers.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -14,11 +14,8 @@
 )
 
 const (
-	beat = 20 * time.Millisecond
-	// silence is how long an item nobody holds is waited for without any word
-	// from a controller.
-	silence = 2500 * time.Millisecond
-	depth   = 4096
+	beat  = 20 * time.Millisecond
+	depth = 4096
 	// reserve is the share of shots that only urgent classes may use.
 	reserve = 4
 )
@@ -34,14 +31,18 @@
 	waiting atomic.Pointer[map[string]int]
 	again   *run.Nudge // dispatches soon
 	beats   int
+	hold    time.Duration
+	onMiss  func() // tells at once that a request waits for what nobody holds
 }
 
 // New opens the gate.
-func New(g *run.Group, routes *route.Keeper) *Gate {
-	t := &Gate{routes: routes, hall: holding.NewHall(), now: time.Now}
+// hold is how long an item that nobody holds is waited for without any word.
+func New(g *run.Group, routes *route.Keeper, hold time.Duration, onMiss func()) *Gate {
+	t := &Gate{routes: routes, hall: holding.NewHall(), now: time.Now, hold: hold, onMiss: onMiss}
 	t.waiting.Store(&map[string]int{})
 	t.desk = run.NewDesk(g, depth, beat, t.onBeat)
 	t.again = run.NewNudge(t.desk, t.dispatch)
+	routes.OnTable(t.again.Now)
 	return t
 }
 
@@ -97,6 +98,10 @@
 	}
 	// Why: if what is ahead already takes longer than the deadline, waiting would only delay the no.
 	_, held, serve := g.routes.Choose(t.Target)
+	if held == 0 {
+		g.tellWaiting()
+		g.onMiss()
+	}
 	if held > 0 {
 		ahead := time.Duration(c.Size()) * serve
 		// Why: who waits longest for the same tells best how long it takes, other edges and other classes included.
@@ -177,11 +182,15 @@
 	g.hopeless()
 	if g.beats++; g.beats%5 == 0 {
 		g.hall.Sweep()
-		w := g.hall.Waiting()
-		g.waiting.Store(&w)
+		g.tellWaiting()
 	}
 }
 
+func (g *Gate) tellWaiting() {
+	w := g.hall.Waiting()
+	g.waiting.Store(&w)
+}
+
 // hopeless turns away what no load and no freed place can serve in time.
 func (g *Gate) hopeless() {
 	s := g.routes.Now()
@@ -212,7 +221,7 @@
 				case coming:
 				case told && x.Refused:
 					drop(t, holding.Answer{Why: x.Why, RetryS: max(1, x.RetryS)})
-				case now.Sub(later(t.Since, l.Empty)) > silence:
+				case now.Sub(later(t.Since, l.Empty)) > g.hold:
 					drop(t, holding.Answer{Why: "nobody has it and no controller answers", RetryS: 2})
 				}
 			}
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -157,7 +157,7 @@
 }
 
 // Order is the classes with tickets in the order in which they are served:
-// urgent ones first, then whoever has had the least for its weight.
+// urgent ones first, then by rank, then whoever has had the least for its weight.
 func (h *Hall) Order() []*Class {
 	var out []*Class
 	for _, c := range h.classes {
@@ -172,7 +172,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(a.spent, b.spent), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(a.Conf.Rank, b.Conf.Rank), cmp.Compare(a.spent, b.spent), cmp.Compare(a.Name, b.Name))
 	})
 	return out
 }
--- a/internal/platform/platform.go
+++ b/internal/inventory/inventory.go
@@ -1,6 +1,6 @@
-// Package platform is the one place that knows what the platform looks like:
-// it lists replicas and marks those that leave.
-package platform
+// Package inventory knows which replicas the platform lists, and marks those
+// that leave. How the platform is asked is a Lister's matter.
+package inventory
 
 import (
 	"context"
@@ -13,6 +13,7 @@
 
 	"drumstall.example/gen/http/platform/client"
 	"drumstall.example/gen/platform"
+	"drumstall.example/internal/backend"
 	"drumstall.example/internal/kernel/face"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
@@ -22,7 +23,6 @@
 )
 
 const (
-	beat  = 500 * time.Millisecond
 	limit = 450 * time.Millisecond
 	// disbelief is for how long a list that is suddenly empty is not believed.
 	disbelief = time.Minute
@@ -36,14 +36,62 @@
 	Model   bool              `cbor:"4,keyasint" json:"model"`
 	Labels  map[string]string `cbor:"5,keyasint" json:"labels"`
 	Leaving bool              `cbor:"6,keyasint" json:"leaving"`
+	Slots   int               `cbor:"7,keyasint,omitempty" json:"slots,omitempty"`  // requests it runs side by side, where the list says so
+	LeftMs  int               `cbor:"8,keyasint,omitempty" json:"leftMs,omitempty"` // time until a leaving replica is gone, where known
+}
+
+// Target is the replica as those that talk to it need it.
+func (l Listed) Target() backend.Target {
+	return backend.Target{ID: l.ID, Addr: l.Addr, Service: l.Labels["service"], Model: l.Model, Slots: l.Slots}
+}
+
+// Lister asks the platform for its list of replicas.
+type Lister interface {
+	List(ctx context.Context) ([]Listed, error)
+	Close()
+}
+
+// native asks over the design's own face.
+type native struct {
+	addr string
+	http *http.Client
+	log  *slog.Logger
+}
+
+// NewLister asks the platform at an address over the design's own face.
+func NewLister(n wire.Net, addr string, log *slog.Logger) Lister {
+	return &native{addr: addr, log: log, http: &http.Client{
+		Transport:     &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Close lets go of idle connections.
+func (l *native) Close() { l.http.CloseIdleConnections() }
+
+// List asks once.
+func (l *native) List(ctx context.Context) ([]Listed, error) {
+	c := client.NewClient("http", l.addr, face.Bounded{HTTP: l.http, Max: 16 << 20}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	res, err := c.List()(ctx, nil)
+	if err != nil {
+		return nil, err
+	}
+	var out []Listed
+	for _, r := range res.([]*platform.Listed) {
+		if r == nil || r.ID == "" || r.Addr == "" || r.Kind != "model" && r.Kind != "service" {
+			l.log.Warn("platform lists something that is no replica")
+			continue
+		}
+		out = append(out, Listed{ID: r.ID, Addr: r.Addr, Zone: r.Zone, Model: r.Kind == "model", Labels: r.Labels, Leaving: r.Leaving})
+	}
+	return out, nil
 }
 
 // Watch looks at the platform's list again and again.
 type Watch struct {
-	addr    string
+	lister  Lister
 	clock   tick.Clock
 	log     *slog.Logger
-	http    *http.Client
 	news    *news.Table
 	list    atomic.Pointer[[]Listed]
 	heardAt atomic.Int64
@@ -51,16 +99,13 @@
 	emptyAt atomic.Int64 // since when it has listed nobody
 }
 
-// NewWatch starts to watch while active says so; leaving marks go into the news.
-func NewWatch(g *run.Group, n wire.Net, addr string, clock tick.Clock, log *slog.Logger, t *news.Table, active func() bool) *Watch {
-	w := &Watch{addr: addr, clock: clock, log: log, news: t, http: &http.Client{
-		Transport:     &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+// NewWatch asks at each interval while active says so; leaving marks go into the news.
+func NewWatch(g *run.Group, lister Lister, clock tick.Clock, log *slog.Logger, t *news.Table, interval time.Duration, active func() bool) *Watch {
+	w := &Watch{lister: lister, clock: clock, log: log, news: t}
 	w.heardAt.Store(-1 << 62)
 	empty := []Listed{}
 	w.list.Store(&empty)
-	g.Every(beat, func(ctx context.Context) {
+	g.Every(interval, func(ctx context.Context) {
 		if active() {
 			w.look(ctx)
 		}
@@ -68,8 +113,8 @@
 	return w
 }
 
-// Close lets go of idle conns.
-func (w *Watch) Close() { w.http.CloseIdleConnections() }
+// Close lets go of idle connections.
+func (w *Watch) Close() { w.lister.Close() }
 
 // List is the newest list.
 func (w *Watch) List() []Listed { return *w.list.Load() }
@@ -84,20 +129,12 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	asked := w.clock.Since()
-	c := client.NewClient("http", w.addr, face.Bounded{HTTP: w.http, Max: 16 << 20}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
-	res, err := c.List()(ctx, nil)
+	out, err := w.lister.List(ctx)
 	if err != nil {
-		w.log.Debug("platform not heard", "problem", err)
+		w.log.Debug("platform not heard", "error", err)
 		return
 	}
-	var out []Listed
-	for _, l := range res.([]*platform.Listed) {
-		if l == nil || l.ID == "" || l.Addr == "" || l.Kind != "model" && l.Kind != "service" {
-			w.log.Warn("platform lists something that is no replica")
-			continue
-		}
-		one := Listed{ID: l.ID, Addr: l.Addr, Zone: l.Zone, Model: l.Kind == "model", Labels: l.Labels, Leaving: l.Leaving}
-		out = append(out, one)
+	for _, one := range out {
 		if one.Leaving {
 			Mark(w.news, one.ID)
 		}
--- a/internal/kernel/run/run.go
+++ b/internal/kernel/run/run.go
@@ -241,6 +241,31 @@
 	}
 }
 
+// WaitOn waits until ch closes, d passes or ctx ends; true when ch closed.
+func WaitOn(ctx context.Context, ch <-chan struct{}, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ch:
+		return true
+	case <-t.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Repeat calls f again and again, at least gap apart, until the group stops.
+func (g *Group) Repeat(gap time.Duration, f func(ctx context.Context)) {
+	g.Go(func(ctx context.Context) {
+		for ctx.Err() == nil {
+			g.Pass()
+			f(ctx)
+			Wait(ctx, gap)
+		}
+	})
+}
+
 // Fan calls f for 0..n-1 side by side and gives the answers as they come.
 func Fan[T any](g *Group, n int, f func(ctx context.Context, i int) T) <-chan T {
 	out := make(chan T, n)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -169,6 +169,9 @@
 	})
 }
 
+// Reseed names other seeds.
+func (t *Table) Reseed(seeds []string) { _ = t.desk.Tell(func() { t.seeds = seeds }) }
+
 // Meet names those whom an earlier process of this node knew. Why: all seeds
 // may be down just now, and a node that starts then must not stay alone.
 func (t *Table) Meet(addrs []string) { _ = t.desk.Tell(func() { t.met = addrs }) }
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -25,11 +25,16 @@
 	digestBeat = time.Second
 	fanout     = 3
 	retell     = 5
-	smallBytes = 500
-	buckets    = 64
-	maxEntries = 200_000
-	purgeAfter = 10 * time.Minute
-	pullAt     = 256 // entries in one answer
+	smallBytes = 900
+	// allTold is up to how many partners one who has something new tells all of them at once; others pass it
+	// on once more. In a larger fleet it goes from few to few.
+	allTold      = 24
+	retellDirect = 2
+	retellTold   = 1
+	buckets      = 64
+	maxEntries   = 200_000
+	purgeAfter   = 10 * time.Minute
+	pullAt       = 256 // entries in one answer
 )
 
 // Entry is one fact; the newest stamp wins.
@@ -77,7 +82,8 @@
 type held struct {
 	e    Entry
 	seq  uint64
-	tell int
+	tell int  // times it is still to be passed on
+	told bool // a partner told us
 	at   time.Time
 }
 
@@ -96,6 +102,8 @@
 	changed chan struct{}
 	dropped atomic.Int64
 	onNew   []func(Entry)
+	small   atomic.Bool // the fleet is so small that who has something new tells everybody
+	onOwn   atomic.Pointer[func()]
 }
 
 // NewTable knows nothing.
@@ -117,8 +125,31 @@
 	return sha256.Sum256(wire.Pack([]any{e.Key, e.Stamp.Epoch, e.Stamp.Serial}))
 }
 
-// Put takes an entry if it is newer than what is known.
+// Put takes an entry of this node's own making if it is newer than what is known.
 func (t *Table) Put(e Entry) bool {
+	if !t.put(e, false) {
+		return false
+	}
+	if f := t.onOwn.Load(); f != nil {
+		(*f)()
+	}
+	return true
+}
+
+// Learn takes an entry that a partner told.
+func (t *Table) Learn(e Entry) bool { return t.put(e, true) }
+
+func (t *Table) tells(told bool) int {
+	switch {
+	case !t.small.Load():
+		return retell
+	case told:
+		return retellTold
+	}
+	return retellDirect
+}
+
+func (t *Table) put(e Entry, told bool) bool {
 	t.mu.Lock()
 	old := t.m[e.Key]
 	// Why: news never runs backwards, whoever tells it.
@@ -138,7 +169,7 @@
 	}
 	xor(&t.sums[b], sumOf(e))
 	t.seq++
-	h := &held{e: e, seq: t.seq, tell: retell, at: time.Now()}
+	h := &held{e: e, seq: t.seq, tell: t.tells(told), told: told, at: time.Now()}
 	t.m[e.Key], t.hot[e.Key] = h, h
 	close(t.changed)
 	t.changed = make(chan struct{})
@@ -307,7 +338,7 @@
 	wire.Handle(mux, "/news/push", func(_ context.Context, b bundle) (Pushed, error) {
 		p := Pushed{}
 		for _, e := range b.Entries {
-			if t.Put(e) {
+			if t.Learn(e) {
 				p.Taken++
 			}
 		}
@@ -325,7 +356,10 @@
 		return out, nil
 	})
 	wire.Handle(mux, "/news/gap", func(_ context.Context, h Heads) (Gap, error) { return t.gap(h), nil })
-	g.Every(beat, s.passOn)
+	desk := run.NewDesk(g, 16, beat, func() { s.passOn(false) })
+	now := run.NewNudge(desk, func() { s.passOn(true) })
+	own := now.Now
+	t.onOwn.Store(&own)
 	g.Every(digestBeat, s.compare)
 	g.Every(time.Minute, func(context.Context) { t.Purge(purgeAfter) })
 	return s
@@ -337,15 +371,32 @@
 	return p[:min(n, len(p))]
 }
 
-// passOn sends what is new to a few partners.
-func (s *Spreader) passOn(context.Context) {
-	to := s.some(fanout)
-	if len(to) == 0 {
+// passOn sends what is new to a few partners, or in a small fleet what is new
+// here to all of them. At once means that only what was never told goes out.
+func (s *Spreader) passOn(atOnce bool) {
+	all := s.partners()
+	s.t.small.Store(len(all) <= allTold)
+	if len(all) == 0 {
 		return
 	}
+	if len(all) <= allTold {
+		s.send(all, s.due(func(h *held) bool { return !h.told && (!atOnce || h.tell == retellDirect) }))
+	}
+	if atOnce {
+		return
+	}
+	s.send(s.some(fanout), s.due(func(h *held) bool { return h.told || len(all) > allTold }))
+}
+
+// due takes the entries that are to be passed on now.
+func (s *Spreader) due(which func(*held) bool) []Entry {
 	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
 	var out []Entry
 	for k, h := range s.t.hot {
+		if !which(h) {
+			continue
+		}
 		e := h.e
 		if len(e.Value) > smallBytes {
 			e.Value, e.Head = nil, true
@@ -355,7 +406,10 @@
 			delete(s.t.hot, k)
 		}
 	}
-	s.t.mu.Unlock()
+	return out
+}
+
+func (s *Spreader) send(to []string, out []Entry) {
 	for len(out) > 0 {
 		n, size := 0, 64
 		for n < len(out) && (n == 0 || size+len(out[n].Key)+len(out[n].Value)+40 < wire.MaxGram) {
@@ -374,7 +428,7 @@
 	var want []string
 	for _, e := range b.Entries {
 		if !e.Head {
-			s.t.Put(e)
+			s.t.Learn(e)
 		} else if e.Stamp.Newer(s.t.StampOf(e.Key)) {
 			want = append(want, e.Key)
 		}
@@ -402,7 +456,7 @@
 		return
 	}
 	for _, e := range b.Entries {
-		s.t.Put(e)
+		s.t.Learn(e)
 	}
 }
 
@@ -435,7 +489,7 @@
 		return 0
 	}
 	for _, e := range g.Entries {
-		t.Put(e)
+		t.Learn(e)
 	}
 	if len(g.Want) > 0 {
 		b := t.pick(g.Want)
--- a/internal/place/demand/demand.go
+++ b/internal/place/demand/demand.go
@@ -8,20 +8,34 @@
 	"drumstall.example/internal/kernel/wire"
 )
 
-// DayMinutes is the length of an epoch.
+// DayMinutes is the length of an epoch where a rule gives none.
 const DayMinutes = 1440
 
+// Minute is the unit that requests are counted by where a rule gives none.
+const Minute = time.Minute
+
 // KeptHours is how many hours are kept: the seven days that predict, and
 // today's. Hours are stored in a ring of that many keys.
 const KeptHours = 8 * 24
 
 // Rule is the free part of the design: weights and lengths.
+//
+// A rule's minute is its unit of counting and its day the epoch; a deployment
+// that lives faster may make both shorter.
 type Rule struct {
+	Day            int64     // units in an epoch; 0 is DayMinutes
 	DayWeights     []float64 // yesterday first, seven of them
 	WarmupMinutes  int
 	HorizonMinutes int
 }
 
+func (r Rule) day() int64 {
+	if r.Day > 0 {
+		return r.Day
+	}
+	return DayMinutes
+}
+
 // Hour is the requests of one hour by minute, and how far each reporter had
 // counted when they were added up.
 type Hour struct {
@@ -51,8 +65,8 @@
 // NewSeries has no history.
 func NewSeries() *Series { return &Series{hours: map[int64]*Hour{}, accDay: -1} }
 
-// MinuteOf is the number of a wall-clock minute.
-func MinuteOf(t time.Time) int64 { return t.Unix() / 60 }
+// MinuteOf is the number of a wall-clock unit.
+func MinuteOf(t time.Time, unit time.Duration) int64 { return t.UnixNano() / int64(unit) }
 
 // Lay puts back an hour that was kept.
 func (s *Series) Lay(h Hour) { s.hours[h.Hour] = &h; s.accDay = -1 }
@@ -100,7 +114,7 @@
 func (s *Series) Initial(r Rule, minute int64) float64 {
 	sum := 0.0
 	for d, w := range r.DayWeights {
-		if n := s.At(minute - int64(d+1)*DayMinutes); n > 0 {
+		if n := s.At(minute - int64(d+1)*r.day()); n > 0 {
 			sum += float64(n) * w
 		}
 	}
@@ -110,7 +124,7 @@
 // Accuracy is today's observed over first-predicted requests up to now; known
 // is false while it says nothing: in the warm-up, or with nothing predicted.
 func (s *Series) Accuracy(r Rule, now int64) (acc float64, known bool) {
-	start := now - now%DayMinutes
+	start := now - now%r.day()
 	if now < start+int64(r.WarmupMinutes) {
 		return 1, false
 	}
@@ -131,7 +145,7 @@
 
 // Predict is the requests expected in a minute, as seen from now.
 func (s *Series) Predict(r Rule, now, minute int64) float64 {
-	start := minute - minute%DayMinutes
+	start := minute - minute%r.day()
 	if warm := int64(r.WarmupMinutes); minute < start+warm {
 		// Why: held constant through the warm-up. The paper prints the sum over the
 		// warm-up as each minute's value; its mean keeps the unit a minute.
@@ -164,6 +178,7 @@
 // Minutes is a clock of minutes that follows the wall but never runs twice
 // through the same one.
 type Minutes struct {
+	unit    time.Duration
 	anchor  time.Time
 	from    time.Duration
 	highest int64
@@ -179,8 +194,8 @@
 )
 
 // NewMinutes starts at the wall's time.
-func NewMinutes(wall time.Time, since time.Duration) *Minutes {
-	return &Minutes{anchor: wall, from: since, off: -1}
+func NewMinutes(wall time.Time, since, unit time.Duration) *Minutes {
+	return &Minutes{unit: unit, anchor: wall, from: since, off: -1}
 }
 
 // Now is the current minute; fresh is false while the minute was already
@@ -197,7 +212,7 @@
 		// Why: a wall that keeps its new time is right; one that jumps and comes back was not.
 		m.anchor, m.from, m.off, own = wall, since, -1, wall
 	}
-	minute = MinuteOf(own)
+	minute = MinuteOf(own, m.unit)
 	// Why: once set back, the minute that was counted last is over too.
 	if minute < m.highest {
 		m.lapsed = true
--- a/internal/place/demand/demand_test.go
+++ b/internal/place/demand/demand_test.go
@@ -97,7 +97,7 @@
 
 func TestNoMinuteRunsTwice(t *testing.T) {
 	wall := time.Unix(day0*60, 0)
-	m := NewMinutes(wall, 0)
+	m := NewMinutes(wall, 0, Minute)
 	counted := map[int64]time.Duration{}
 	off := time.Duration(0)
 	last := int64(0)
--- a/internal/place/order/book.go
+++ b/internal/place/order/book.go
@@ -29,6 +29,7 @@
 		case item.Adapter == "":
 			mib += l.SizeMib
 		default:
+			mib += l.SizeMib
 			places++
 		}
 	}
--- a/internal/place/order/consider.go
+++ b/internal/place/order/consider.go
@@ -58,9 +58,16 @@
 	}
 	mib, places := w.planned()
 	needMib, needPlaces := 0, 0
+	added := 0
 	if base == nil {
-		needMib = mib + model.SizeMib - w.vitals.CapacityMib
-		if model.SizeMib > w.vitals.CapacityMib {
+		added += model.SizeMib
+	}
+	if item.Adapter != "" {
+		added += model.AdapterMib
+	}
+	if added > 0 {
+		needMib = mib + added - w.vitals.CapacityMib
+		if added > w.vitals.CapacityMib {
 			return Considered{Why: "can never hold it"}
 		}
 	}
@@ -138,7 +145,7 @@
 		w.reserve(conf.Item{Model: item.Model}, model.SizeMib)
 	}
 	if item.Adapter != "" {
-		w.reserve(item, 0)
+		w.reserve(item, model.AdapterMib)
 	}
 	for _, v := range victims {
 		w.withdrawItem(v)
@@ -150,6 +157,7 @@
 	}
 	w.tasks.PushBack(t)
 	w.publish()
+	w.soon.Now()
 	out.Taken, out.ReadyMs = true, w.readyMs(model)
 	return out
 }
--- a/internal/place/order/look.go
+++ b/internal/place/order/look.go
@@ -6,17 +6,60 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/platform"
+	"drumstall.example/internal/inventory"
 )
 
 func (w *Ward) fresh() bool { return w.known && w.d.Clock.Since()-w.vitalsAt < 2*time.Second }
 
+// reports says whether the replica can be asked for reports.
+func (w *Ward) reports() bool { return w.listed.Model || w.traits.ServicesReport }
+
+// complete adds what the report leaves to the configuration.
+func (w *Ward) complete(v *backend.Vitals) {
+	cfg := w.d.Conf()
+	if s, found := cfg.ServiceOf(w.listed.Labels); found {
+		if v.CapacityMib == 0 {
+			v.CapacityMib = s.CapacityMib
+		}
+		if v.AdapterPlaces == 0 {
+			v.AdapterPlaces = s.AdapterPlaces
+		}
+		if v.Slots == 0 {
+			v.Slots = s.Slots
+		}
+	}
+	for item, seen := range v.Items {
+		m := cfg.Models[item.Model]
+		switch {
+		case seen.SizeMib > 0:
+		case item.Adapter == "":
+			seen.SizeMib = m.SizeMib
+		default:
+			seen.SizeMib = m.AdapterMib
+		}
+		v.Items[item] = seen
+	}
+}
+
+// doubtFor is for how long after its order a load that no report shows counts
+// as carried out.
+func (w *Ward) doubtFor(l *line) time.Duration {
+	if w.traits.TellsBusy && !l.unsure {
+		return w.traits.ReportLag + doubtMargin
+	}
+	return doubt
+}
+
 // look asks the replica how it is and brings the book in line.
 func (w *Ward) look() {
 	ctx, cancel := context.WithTimeout(w.d.Group.Context(), askLimit)
 	defer cancel()
 	asked := w.d.Clock.Since()
-	v, err := w.d.Conn.Vitals(ctx, w.listed.Addr, w.listed.ID)
+	if !w.reports() {
+		w.vitals, w.vitalsAt, w.known = backend.Vitals{ID: w.listed.ID, Incarnation: w.listed.ID, Slots: w.listed.Slots}, asked, true
+		return
+	}
+	v, err := w.d.Replicas.Vitals(ctx, w.listed.Target())
 	if err != nil {
 		if w.wrong++; w.wrong == 1 {
 			w.d.Log.Info("no report", "replica", w.listed.ID, "problem", err)
@@ -24,13 +67,14 @@
 		return
 	}
 	w.wrong = 0
+	w.complete(&v)
 	if w.known && v.Incarnation != w.vitals.Incarnation {
 		w.d.Log.Info("replica started anew", "replica", w.listed.ID)
 		w.tasks.Clear()
 		w.book = map[conf.Item]*line{}
 	}
 	if v.Leaving {
-		platform.Mark(w.d.News, w.listed.ID)
+		inventory.Mark(w.d.News, w.listed.ID)
 	}
 	w.vitals, w.vitalsAt, w.known = v, asked, true
 	for item, seen := range v.Items {
@@ -39,9 +83,8 @@
 			l = &line{lastUsed: asked}
 			w.book[item] = l
 		}
-		if item.Adapter == "" {
-			l.SizeMib = seen.SizeMib
-		}
+		l.SizeMib = seen.SizeMib
+		l.unsure = false
 		if seen.Inflight > 0 {
 			l.lastUsed = asked
 		}
@@ -58,7 +101,7 @@
 			continue
 		}
 		// Why: an order whose outcome is not known counts as carried out until a later report denies it.
-		if asked-l.ordered < doubt {
+		if asked-l.ordered < w.doubtFor(l) || v.Busy && l.State == backend.Loading {
 			continue
 		}
 		delete(w.book, item)
@@ -70,7 +113,7 @@
 func (w *Ward) unmark() {
 	now := w.d.Clock.Since()
 	// Why: a platform not heard is not one that says the replica stays.
-	if w.d.Platform() > 2*time.Second || w.listed.Leaving || !w.known || w.vitals.Leaving || !platform.Marked(w.d.News, w.listed.ID) {
+	if w.d.Platform() > 2*time.Second || w.listed.Leaving || !w.known || w.vitals.Leaving || !inventory.Marked(w.d.News, w.listed.ID) {
 		w.staying = -1
 		return
 	}
@@ -78,6 +121,6 @@
 		w.staying = now
 	}
 	if now-w.staying > 5*time.Second {
-		platform.Unmark(w.d.News, w.listed.ID)
+		inventory.Unmark(w.d.News, w.listed.ID)
 	}
 }
--- a/internal/place/order/messages.go
+++ b/internal/place/order/messages.go
@@ -1,13 +1,13 @@
 package order
 
 import (
+	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/place/judge"
-	"drumstall.example/internal/platform"
 )
 
 // News is what the data plane and the planners learn of a replica.
 type News struct {
-	Listed        platform.Listed   `cbor:"1,keyasint" json:"listed"`
+	Listed        inventory.Listed  `cbor:"1,keyasint" json:"listed"`
 	Controller    string            `cbor:"2,keyasint" json:"controller"`
 	Items         map[string]string `cbor:"3,keyasint" json:"items"` // item: loaded, loading, withdrawn ...
 	CapacityMib   int               `cbor:"4,keyasint" json:"capacityMib"`
--- a/internal/place/order/task.go
+++ b/internal/place/order/task.go
@@ -8,6 +8,9 @@
 	"drumstall.example/internal/state"
 )
 
+// steps is how many phases a task may pass at once.
+const steps = 8
+
 type phase int
 
 const (
@@ -29,6 +32,7 @@
 	worth   float64
 	cost    time.Duration // of one request without it
 	wait    time.Duration // until the store has room, as last told
+	asked   int           // victims whose unload has been ordered
 }
 
 // waits says that a task holds nothing up yet and may let another go first.
@@ -79,6 +83,7 @@
 			case item.Adapter == "":
 				mib -= l.SizeMib
 			default:
+				mib -= l.SizeMib
 				places--
 			}
 		}
@@ -93,6 +98,9 @@
 			mib += l.SizeMib
 		}
 		if u.item.Adapter != "" {
+			if l := w.book[u.item]; l != nil && l.State == Reserved {
+				mib += l.SizeMib
+			}
 			places++
 		}
 	}
--- a/internal/place/order/ward.go
+++ b/internal/place/order/ward.go
@@ -12,17 +12,20 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/inventory"
+	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/report"
-	"drumstall.example/internal/platform"
 	"drumstall.example/internal/state/owner"
 )
 
 const (
-	beat       = 200 * time.Millisecond
+	// justNow is how old a report may be when a load is ordered. Why: a replica that has just stopped answering
+	// may read the order when it wakes, much later.
+	justNow    = 400 * time.Millisecond
 	askLimit   = 400 * time.Millisecond
 	orderLimit = 900 * time.Millisecond
 	ackLimit   = 3 * time.Second  // fence for proxies that do not acknowledge
@@ -31,12 +34,11 @@
 	paceLimit  = 60 * time.Second
 	maxTasks   = 8
 	floatBeat  = time.Second
-	// justNow is how old a report may be when a load is ordered. Why: a replica that has just stopped answering
-	// may read the order when it wakes, much later.
-	justNow    = 2 * beat
 	aboutRight = 500 * time.Millisecond // by how much an estimate may be off before another is told
-	// doubt is how long an order with no known outcome counts as carried out.
-	doubt = 3 * time.Second
+	// doubt is how long an order with no known outcome counts as carried out, and doubtMargin what is added to a
+	// report's age where reports tell of orders that are being carried out.
+	doubt       = 3 * time.Second
+	doubtMargin = 150 * time.Millisecond
 )
 
 // Key of a replica in the control state and in the news.
@@ -67,7 +69,8 @@
 	Log      *slog.Logger
 	Self     string
 	Boot     string
-	Conn     *backend.Conn
+	Replicas backend.Client
+	Cadence  bounds.Cadence
 	Owner    *owner.Owner
 	News     *news.Table
 	Reports  *report.Table
@@ -87,12 +90,14 @@
 	inflight int
 	// inherited: an owner before us may have ordered it.
 	inherited bool
+	// unsure: its load was ordered and not answered.
+	unsure bool
 }
 
 // Ward controls one replica.
 type Ward struct {
 	d        Deps
-	listed   platform.Listed
+	listed   inventory.Listed
 	desk     *run.Desk
 	vitals   backend.Vitals
 	vitalsAt time.Duration // when the report we have was asked for
@@ -109,24 +114,37 @@
 	closed   bool
 	perMib   float64 // observed ms per MiB loaded; 0 unknown
 	wrong    int
+	lookedAt time.Duration
+	soon     *run.Nudge
+	traits   backend.Traits
 }
 
 // NewWard starts to control a replica.
-func NewWard(g *run.Group, d Deps, l platform.Listed) *Ward {
+func NewWard(g *run.Group, d Deps, l inventory.Listed) *Ward {
 	d.Group = g
-	w := &Ward{d: d, listed: l, book: map[conf.Item]*line{}, vitalsAt: -1 << 62, staying: -1}
-	w.desk = run.NewDesk(g, 64, beat, w.onBeat)
+	w := &Ward{d: d, listed: l, book: map[conf.Item]*line{}, vitalsAt: -1 << 62, lookedAt: -1 << 62, staying: -1, traits: d.Replicas.Traits()}
+	w.desk = run.NewDesk(g, 64, d.Cadence.ReplicaBusy, w.onBeat)
+	w.soon = run.NewNudge(w.desk, w.work)
 	return w
 }
 
 // Listed tells the ward what the platform says now.
-func (w *Ward) Listed(l platform.Listed) { _ = w.desk.Tell(func() { w.listed = l }) }
+func (w *Ward) Listed(l inventory.Listed) { _ = w.desk.Tell(func() { w.listed = l }) }
 
 func (w *Ward) leaving() bool {
-	return w.listed.Leaving || w.vitals.Leaving || platform.Marked(w.d.News, w.listed.ID) || w.d.Conf().Drained(w.listed.Labels, w.listed.Zone)
+	return w.listed.Leaving || w.vitals.Leaving || inventory.Marked(w.d.News, w.listed.ID) || w.d.Conf().Drained(w.listed.Labels, w.listed.Zone)
 }
 
 func (w *Ward) onBeat() {
+	idle := w.tasks.Len() == 0 && w.epoch > 0
+	// Why: a tick may come a little early, and must not wait for the next one then.
+	if idle && w.d.Clock.Since()-w.lookedAt < w.d.Cadence.ReplicaIdle-w.d.Cadence.ReplicaBusy/2 {
+		return
+	}
+	w.work()
+}
+
+func (w *Ward) work() {
 	key := Key(w.listed.ID)
 	if w.closed || !w.d.Owner.Holds(key) {
 		return
@@ -135,6 +153,7 @@
 	if epoch != w.epoch {
 		w.takeOver(epoch)
 	}
+	w.lookedAt = w.d.Clock.Since()
 	w.look()
 	w.unmark()
 	w.advance()
--- a/internal/place/pace/pace.go
+++ b/internal/place/pace/pace.go
@@ -8,7 +8,7 @@
 	"github.com/gammazero/deque"
 )
 
-// Window is the span over which the store counts.
+// Window is the span over which a store counts where a deployment says nothing else.
 const Window = 5 * time.Second
 
 // GrantLife is how long a grant may wait before its load starts.
@@ -39,21 +39,22 @@
 	grants  deque.Deque[time.Duration]
 	recent  deque.Deque[time.Duration] // grants of a use span
 	waiters map[string]waiter
+	window  time.Duration // the span over which the store counts
 }
 
 // NewKeeper is a keeper that took over at an instant. Unless it is the first
 // ever, it waits out whatever the one before it may have granted.
-func NewKeeper(now time.Duration, first bool) *Keeper {
-	k := &Keeper{waiters: map[string]waiter{}, afloat: map[string]float{}}
+func NewKeeper(now, window time.Duration, first bool) *Keeper {
+	k := &Keeper{waiters: map[string]waiter{}, afloat: map[string]float{}, window: window}
 	if !first {
-		k.from = now + Window + GrantLife
+		k.from = now + k.window + GrantLife
 	}
 	return k
 }
 
 // floatLife is how long a start that may still come counts after it was last
 // told of: it may have come just then, and counts for a window from there.
-const floatLife = Window + GrantLife + time.Second
+func (k *Keeper) floatLife() time.Duration { return k.window + GrantLife + time.Second }
 
 // Afloat notes a load that was ordered and may not have arrived: a replica that
 // stands still reads it when it wakes. Why: it takes a place of the pace until it is
@@ -72,7 +73,7 @@
 func (k *Keeper) Floats(now time.Duration) map[string]time.Duration {
 	out := map[string]time.Duration{}
 	for who, f := range k.afloat {
-		if now-f.told <= floatLife {
+		if now-f.told <= k.floatLife() {
 			out[who] = now - f.since
 		}
 	}
@@ -82,11 +83,11 @@
 // Grant allows a load start now, or says how long it will probably take.
 func (k *Keeper) Grant(now time.Duration, loads int, who string, worth float64) (wait time.Duration, ok bool) {
 	// Why: a start comes up to a life after its grant, so grants are counted over the window and a life.
-	for k.grants.Len() > 0 && now-k.grants.Front() > Window+GrantLife {
+	for k.grants.Len() > 0 && now-k.grants.Front() > k.window+GrantLife {
 		k.grants.PopFront()
 	}
 	for name, f := range k.afloat {
-		if now-f.told > floatLife {
+		if now-f.told > k.floatLife() {
 			delete(k.afloat, name)
 		}
 	}
@@ -95,7 +96,7 @@
 	if old, found := k.waiters[who]; found {
 		w.first = old.first
 	} else if len(k.waiters) >= maxWaiters {
-		return Window, false
+		return k.window, false
 	}
 	k.waiters[who] = w
 	ahead := 0
@@ -108,7 +109,7 @@
 		}
 	}
 	if now < k.from {
-		return k.from - now + time.Duration(ahead/max(loads, 1))*(Window+GrantLife), false
+		return k.from - now + time.Duration(ahead/max(loads, 1))*(k.window+GrantLife), false
 	}
 	if taken+ahead < loads {
 		k.grants.PushBack(now)
@@ -123,7 +124,7 @@
 	if k.grants.Len() > 0 {
 		at = k.grants.At(min(n%max(loads, 1), k.grants.Len()-1))
 	}
-	return time.Duration(rounds)*(Window+GrantLife) + max(0, at+Window+GrantLife-now) + time.Millisecond, false
+	return time.Duration(rounds)*(k.window+GrantLife) + max(0, at+k.window+GrantLife-now) + time.Millisecond, false
 }
 
 // Use is the share of the loads the store may start in a use span that were
@@ -142,5 +143,5 @@
 			waiting++
 		}
 	}
-	return float64(k.recent.Len()+waiting) / (float64(max(loads, 1)) * UseSpan.Seconds() / (Window + GrantLife).Seconds())
+	return float64(k.recent.Len()+waiting) / (float64(max(loads, 1)) * UseSpan.Seconds() / (k.window + GrantLife).Seconds())
 }
--- a/internal/place/pace/pace_test.go
+++ b/internal/place/pace/pace_test.go
@@ -13,11 +13,11 @@
 	for seed := range uint64(50) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
 		loads := 1 + rnd.IntN(5)
-		k := NewKeeper(0, true)
+		k := NewKeeper(0, Window, true)
 		var starts []time.Duration
 		for now := time.Duration(0); now < 2*time.Minute; now += time.Duration(rnd.IntN(300)) * time.Millisecond {
 			if rnd.IntN(200) == 0 {
-				k = NewKeeper(now, false)
+				k = NewKeeper(now, Window, false)
 			}
 			if _, ok := k.Grant(now, loads, fmt.Sprint(rnd.IntN(20)), rnd.Float64()); ok {
 				starts = append(starts, now+time.Duration(rnd.Int64N(int64(GrantLife))))
@@ -41,7 +41,7 @@
 }
 
 func TestTheDearestGoesFirst(t *testing.T) {
-	k := NewKeeper(0, true)
+	k := NewKeeper(0, Window, true)
 	if _, ok := k.Grant(0, 1, "a", 1); !ok {
 		t.Fatal("an idle store refuses")
 	}
@@ -63,11 +63,11 @@
 // What the keeper says of the store's use follows its grants and those who
 // wait, forgets them, and a new keeper has nothing to spare until it may grant.
 func TestUseIsToldAsItIs(t *testing.T) {
-	k := NewKeeper(0, false)
+	k := NewKeeper(0, Window, false)
 	if got := k.Use(time.Second, 4); got != 1 {
 		t.Errorf("a keeper that may not grant yet says %v", got)
 	}
-	k = NewKeeper(0, true)
+	k = NewKeeper(0, Window, true)
 	if got := k.Use(0, 4); got != 0 {
 		t.Errorf("an idle store is said to be used by %v", got)
 	}
@@ -95,7 +95,7 @@
 // A start that may still come takes a place for as long as it is told of, and a
 // window longer.
 func TestWhatIsAfloatTakesAPlace(t *testing.T) {
-	k := NewKeeper(0, true)
+	k := NewKeeper(0, Window, true)
 	now := time.Duration(0)
 	for ; now < time.Minute; now += time.Second {
 		k.Afloat(now, "m-1 x")
@@ -116,7 +116,7 @@
 	if _, ok := k.Grant(now+Window, 3, "a", 1); ok {
 		t.Error("granted while one that came just after it was last told of may count")
 	}
-	if _, ok := k.Grant(now+floatLife, 3, "a", 1); !ok {
+	if _, ok := k.Grant(now+k.floatLife(), 3, "a", 1); !ok {
 		t.Error("not granted when nothing is afloat any more")
 	}
 }
--- a/internal/place/plan/history.go
+++ b/internal/place/plan/history.go
@@ -25,7 +25,16 @@
 
 func (p *Planner) rule() demand.Rule {
 	l := p.d.Conf().Limits
-	return demand.Rule{DayWeights: l.DayWeights, WarmupMinutes: l.WarmupMinutes, HorizonMinutes: l.HorizonMinutes}
+	return demand.Rule{Day: int64(l.Epoch), DayWeights: l.DayWeights, WarmupMinutes: l.WarmupMinutes, HorizonMinutes: l.HorizonMinutes}
+}
+
+// clock counts units of the length now in force.
+func (p *Planner) clock(cfg conf.Effective) *demand.Minutes {
+	if p.minutes == nil || p.unit != cfg.Limits.Unit {
+		p.unit = cfg.Limits.Unit
+		p.minutes = demand.NewMinutes(p.d.Clock.Wall(), p.d.Clock.Since(), p.unit)
+	}
+	return p.minutes
 }
 
 // OnTake lays in the history of a slot that this core now holds.
@@ -101,8 +110,8 @@
 		if !p.d.Reports.Put(r, now) {
 			return
 		}
-		minute, fresh := p.minutes.Now(p.d.Clock.Wall(), now)
 		cfg := p.d.Conf()
+		minute, fresh := p.clock(cfg).Now(p.d.Clock.Wall(), now)
 		for name, count := range r.Demand {
 			it := conf.ParseItem(name)
 			if _, known := cfg.Models[it.Model]; !known || !p.holds(it) {
@@ -124,6 +133,9 @@
 				i.dirty[minute/60] = true
 			}
 		}
+		if len(r.Waiting) > 0 {
+			p.soon.Now()
+		}
 	})
 }
 
--- a/internal/place/plan/miss.go
+++ b/internal/place/plan/miss.go
@@ -37,7 +37,7 @@
 		return Decision{}, false
 	}
 	i := p.item(it)
-	if i == nil || now-i.last < again {
+	if i == nil || now-i.last < p.d.Cadence.Again {
 		return Decision{}, false
 	}
 	coming := false
@@ -50,11 +50,11 @@
 	if coming {
 		return Decision{}, false
 	}
-	if now-i.last > 3*again {
+	if now-i.last > 3*p.d.Cadence.Again {
 		i.vain = 0
 	}
 	i.last = now
-	minute, _ := p.minutes.Now(p.d.Clock.Wall(), now)
+	minute, _ := p.clock(cfg).Now(p.d.Clock.Wall(), now)
 	rule := p.rule()
 	requests := i.series.Next(rule, minute, waiting)
 	acc, _ := i.series.Accuracy(rule, minute)
--- a/internal/place/plan/pacing.go
+++ b/internal/place/plan/pacing.go
@@ -22,7 +22,7 @@
 			p.pacer.keeper.Afloat(now, q.Who)
 			return
 		}
-		wait, ok := p.pacer.keeper.Grant(now, p.d.Conf().Limits.PaceLoads, q.Who, q.Worth)
+		wait, ok := p.pacer.keeper.Grant(now, p.starts(), q.Who, q.Worth)
 		// Why: the hold may have run out meanwhile, and another keeper may be granting.
 		g = Granted{OK: ok && p.d.Owner.Holds(PaceKey), WaitMs: int(wait.Milliseconds())}
 	})
@@ -52,11 +52,20 @@
 	}
 	now := p.d.Clock.Since()
 	p.keeperFor(epoch, now)
-	return p.pacer.keeper.Use(now, p.d.Conf().Limits.PaceLoads)
+	return p.pacer.keeper.Use(now, p.starts())
 }
 
 func (p *Planner) keeperFor(epoch uint64, now time.Duration) {
 	if p.pacer.keeper == nil || p.pacer.epoch != epoch {
-		p.pacer.epoch, p.pacer.keeper = epoch, pace.NewKeeper(now, epoch == 1)
+		p.pacer.epoch, p.pacer.keeper = epoch, pace.NewKeeper(now, p.d.Store.Window, epoch == 1)
 	}
 }
+
+// starts is how many loads may begin in a window of the store.
+func (p *Planner) starts() int {
+	cfg := p.d.Conf()
+	if rate := cfg.LoadsPerSecond(); rate > 0 {
+		return p.d.Store.Starts(rate)
+	}
+	return cfg.Limits.PaceLoads
+}
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -12,6 +12,7 @@
 	"github.com/gammazero/deque"
 
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
 	"drumstall.example/internal/news"
@@ -24,13 +25,9 @@
 )
 
 const (
-	beat       = 250 * time.Millisecond
-	shareBeat  = 2 * time.Second
-	keepBeat   = 20 * time.Second
-	again      = time.Second     // between two decisions about one item
 	patience   = 5 * time.Second // for what stands in the way of a load and will pass
 	claimAgain = 5 * time.Second // between two looks at a claim that could not be met
-	useLife    = 3 * shareBeat   // what the store's keeper told holds so long
+	useLife    = 6 * time.Second // what the store's keeper told holds so long
 	tries      = 4               // candidates asked for one decision
 	decisions  = 200             // kept for explaining
 	maxItems   = 20_000
@@ -42,6 +39,8 @@
 	Clock   tick.Clock
 	Log     *slog.Logger
 	Self    string
+	Cadence bounds.Cadence
+	Store   bounds.Store
 	Owner   *owner.Owner
 	News    *news.Table
 	Reports *report.Table
@@ -59,6 +58,8 @@
 	worker  *run.Desk
 	items   map[conf.Item]*item
 	minutes *demand.Minutes
+	unit    time.Duration
+	soon    *run.Nudge
 	loaded  map[int]uint64 // slot: epoch whose history has been read
 	next    atomic.Pointer[map[string]float64]
 	shared  map[string]float64
@@ -79,12 +80,13 @@
 // New starts to plan.
 func New(d Deps) *Planner {
 	p := &Planner{d: d, items: map[conf.Item]*item{}, loaded: map[int]uint64{}, shared: map[string]float64{}, usedAt: -1 << 62, unmet: map[string]string{},
-		claimAt: map[conf.Item]time.Duration{}, minutes: demand.NewMinutes(d.Clock.Wall(), d.Clock.Since())}
+		claimAt: map[conf.Item]time.Duration{}}
 	p.next.Store(&map[string]float64{})
 	p.paceDesk = run.NewDesk(d.Group, 64, 0, nil)
-	p.desk = run.NewDesk(d.Group, 1024, beat, p.onBeat)
-	d.Group.Every(shareBeat, p.share)
-	d.Group.Every(keepBeat, p.keep)
+	p.desk = run.NewDesk(d.Group, 1024, d.Cadence.Plan, p.onBeat)
+	p.soon = run.NewNudge(p.desk, p.onBeat)
+	d.Group.Every(d.Cadence.Share, p.share)
+	d.Group.Every(d.Cadence.Keep, p.keep)
 	return p
 }
 
@@ -102,9 +104,15 @@
 	}
 	now := p.d.Clock.Since()
 	cfg := p.d.Conf()
+	waits := p.d.Reports.Waiting(now)
+	if len(waits) == 0 && len(cfg.Claims) == 0 {
+		p.unmet = map[string]string{}
+		p.busy.Store(false)
+		return
+	}
 	views := Views(p.d.News)
 	var work []Decision
-	for it, n := range p.d.Reports.Waiting(now) {
+	for it, n := range waits {
 		if d, ok := p.miss(cfg, it, n, views, now); ok {
 			work = append(work, d)
 		}
--- a/internal/place/plan/share.go
+++ b/internal/place/plan/share.go
@@ -19,7 +19,7 @@
 	}
 	err := p.desk.Ask(ctx, func() {
 		now := p.d.Clock.Since()
-		minute, _ := p.minutes.Now(p.d.Clock.Wall(), now)
+		minute, _ := p.clock(p.d.Conf()).Now(p.d.Clock.Wall(), now)
 		rule := p.rule()
 		waiting := p.d.Reports.Waiting(now)
 		for it, i := range p.items {
--- /dev/null
+++ b/internal/proxy/feed.go
@@ -0,0 +1,139 @@
+package proxy
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/feed"
+	"drumstall.example/internal/inventory"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/member/touch"
+	"drumstall.example/internal/news"
+	"drumstall.example/internal/place/report"
+)
+
+// mend gets news from the agent's partners while the agent is away, or so new
+// that it may know nobody yet: a configuration must come into force here all the same.
+func (p *Proxy) mend(ctx context.Context) {
+	to := slices.Clone(*p.partners.Load())
+	if p.agentFor() <= agentLost && p.env.Clock.Since()-time.Duration(p.agentNew.Load()) > agentYoung || len(to) == 0 {
+		return
+	}
+	// Why: some of them may be down as well; one that answers is enough.
+	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+	to = to[:min(len(to), mendWith)]
+	asked := p.env.Clock.Since()
+	ch := run.Fan(p.group, len(to), func(ctx context.Context, i int) touch.Word {
+		ctx, cancel := context.WithTimeout(ctx, mendBeat)
+		defer cancel()
+		return news.Mend(ctx, p.caller, p.news, to[i], "")
+	})
+	for range to {
+		p.touch.Told(asked, <-ch)
+	}
+}
+
+// exchange trades news and reports with the agent.
+func (p *Proxy) exchange(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, feedLimit)
+	defer cancel()
+	f := &p.feed
+	snap := p.routes.Now()
+	up := feed.Up{Boot: p.boot, AgentBoot: f.agentBoot, Cursor: f.cursor, Confirmed: p.confirmed.Load(), Conf: snap.Stamp}
+	fresh, mine, _ := p.news.After(f.mine)
+	for _, e := range fresh {
+		if f.all || strings.HasPrefix(e.Key, inventory.MarkKey("")) {
+			up.Entries = append(up.Entries, e)
+		}
+	}
+	// Why: an agent that was started anew while all seeds are down would stay alone.
+	if time.Duration(p.agentSeen.Load()) < time.Duration(p.agentNew.Load())+time.Second {
+		up.Partners = *p.partners.Load()
+	}
+	up.Report, up.HoldMs = p.report(), int(feedHold.Milliseconds())
+	asked := p.env.Clock.Since()
+	down, err := wire.Call[feed.Up, feed.Down](ctx, p.caller, p.s.Agent, feed.Path, up)
+	if err != nil {
+		return
+	}
+	f.mine, f.all = mine, false
+	if down.WantAll {
+		// Why: the agent lost its table; ours may be newer than any it can get elsewhere.
+		f.mine, f.all = 0, true
+	}
+	if f.agentBoot != "" && f.agentBoot != down.AgentBoot {
+		p.agentNew.Store(int64(asked))
+	}
+	f.agentBoot, f.cursor = down.AgentBoot, down.Cursor
+	for _, e := range down.Entries {
+		p.news.Put(e)
+	}
+	if !p.routes.Deaf() {
+		p.deafAt.Store(0)
+	}
+	p.countEdges(down.Edges, asked)
+	// Why: a new agent that knows few must not make us forget whom the one before it knew.
+	if young := asked-time.Duration(p.agentNew.Load()) < agentYoung; len(down.Partners) > 0 && (!young || len(down.Partners) >= len(*p.partners.Load())) {
+		p.partners.Store(&down.Partners)
+	}
+	p.agentSeen.Store(int64(asked))
+	p.touch.Told(asked, touch.Word(down.HeardMs+1))
+	// Why: a proxy just started serves on nothing until it has what was in force before.
+	if down.Confirmed && !p.confirmed.Load() && !down.Conf.Newer(p.news.StampOf(conf.Key)) {
+		p.confirmed.Store(true)
+	}
+}
+
+// report is this proxy's word to the controllers.
+func (p *Proxy) report() report.Report {
+	snap := p.routes.Now()
+	return report.Report{Boot: p.boot, Serial: p.reports.Add(1), Conf: snap.Serial, Demand: p.demands(), Inflight: p.routes.Inflight(),
+		Waiting: p.gate.Waiting(), Acked: snap.Acked, Zone: p.s.Zone, Serving: p.confirmed.Load()}
+}
+
+// tellMiss passes the report on at once. Why: a load can only begin when a
+// controller has heard that somebody waits for it.
+func (p *Proxy) tellMiss() {
+	ctx, cancel := context.WithTimeout(p.group.Context(), feedLimit)
+	defer cancel()
+	_, _ = wire.Call[report.Report, feed.Taken](ctx, p.caller, p.s.Agent, feed.UrgentPath, p.report())
+	run.Wait(ctx, missGap)
+}
+
+// countEdges keeps the largest count of edges seen lately. Why: edges cut apart
+// each see only themselves, and together must keep to one allowance all the same.
+func (p *Proxy) countEdges(n int, now time.Duration) {
+	f := &p.feed
+	if f.first == 0 {
+		f.first = now
+	}
+	f.most = max(f.most, n)
+	switch {
+	case now-f.first < settled:
+		return
+	case int64(f.most) > p.edges.Load() || f.since == 0 || now-f.since > edgesLast:
+		p.edges.Store(int64(max(1, f.most)))
+		f.since, f.most = now, n
+	}
+}
+
+func (p *Proxy) demands() map[string]uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.demand)
+}
+
+func (p *Proxy) count(item conf.Item) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demand[item.Model]++
+	if item.Adapter != "" {
+		p.demand[item.String()]++
+	}
+}
--- /dev/null
+++ b/internal/proxy/native.go
@@ -0,0 +1,89 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"time"
+
+	gen "drumstall.example/gen/visitor"
+	"drumstall.example/internal/attempt"
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/relay"
+	"drumstall.example/internal/route"
+)
+
+// drop is a refusal in the design's own form.
+func (r *Refusal) drop() error {
+	d := &gen.Drop{Name: string(r.Reason), Detail: r.Detail, Outcome: string(r.Outcome)}
+	if r.RetryAfter > 0 {
+		s := strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds())))
+		d.RetryAfter = &s
+	}
+	return d
+}
+
+// Vitals tells whether this proxy serves.
+func (p *Proxy) Vitals(context.Context) (map[string]string, error) {
+	serial, serving := p.InForce()
+	if !serving || p.leaving.Load() {
+		return nil, (&Refusal{Reason: Full, Detail: "not serving yet, or no more", Outcome: attempt.NotRun, RetryAfter: time.Second}).drop()
+	}
+	return map[string]string{"node": p.s.Name, "conf": strconv.FormatUint(serial, 10), "shots": strconv.FormatInt(p.gate.Shots(), 10),
+		"cut": strconv.FormatInt(p.cut.Load(), 10)}, nil
+}
+
+// Shoot takes a caller's request through all stages.
+func (p *Proxy) Shoot(ctx context.Context, q *gen.ShootPayload, body io.ReadCloser) (*gen.ShootResult, io.ReadCloser, error) {
+	defer body.Close()
+	began := time.Now()
+	if refusal := p.Ready(ctx); refusal != nil {
+		return nil, nil, refusal.drop()
+	}
+	target, refusal := p.target(q)
+	if refusal != nil {
+		return nil, nil, refusal.drop()
+	}
+	raw, err := io.ReadAll(io.LimitReader(body, target.Route.MaxBody+1))
+	if err != nil {
+		return nil, nil, (&Refusal{Reason: Bad, Detail: "the body broke off or stalled", Outcome: attempt.NotRun}).drop()
+	}
+	relay.BodyRead(ctx)
+	if int64(len(raw)) > target.Route.MaxBody {
+		detail := fmt.Sprintf("a body on this route has at most %d bytes", target.Route.MaxBody)
+		return nil, nil, (&Refusal{Reason: TooLarge, Detail: detail, Outcome: attempt.NotRun}).drop()
+	}
+	if target.Route.Kind == "model" {
+		target.Prompt = route.ReadPrompt(target.Item.String(), raw)
+	}
+	call := Call{Target: target, Deadline: began.Add(target.Route.Deadline), ContentType: "application/json", Body: raw}
+	if q.DeadlineMs != nil {
+		call.Deadline = began.Add(target.Route.Within(time.Duration(*q.DeadlineMs) * time.Millisecond))
+	}
+	if q.Ticket != nil {
+		call.Ticket = *q.Ticket
+	}
+	a, refusal := p.Serve(ctx, call)
+	if refusal != nil {
+		return nil, nil, refusal.drop()
+	}
+	return &gen.ShootResult{Outcome: string(attempt.Ran), ContentType: a.ContentType, Replica: a.Replica}, a.Body, nil
+}
+
+// target finds what the request names.
+func (p *Proxy) target(q *gen.ShootPayload) (route.Target, *Refusal) {
+	r, found := p.Conf().Routes[q.Route]
+	if !found {
+		return route.Target{}, &Refusal{Reason: NoRoute, Detail: "no route " + q.Route, Outcome: attempt.NotRun}
+	}
+	var item conf.Item
+	if q.Model != nil {
+		item.Model = *q.Model
+	}
+	if q.Adapter != nil {
+		item.Adapter = *q.Adapter
+	}
+	return p.Resolve(r, item)
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -14,6 +14,7 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/share"
 	"drumstall.example/internal/kernel/tick"
@@ -22,7 +23,6 @@
 	"drumstall.example/internal/place/judge"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/plan"
-	"drumstall.example/internal/platform"
 	"drumstall.example/internal/state"
 )
 
@@ -48,7 +48,8 @@
 // Live counts what this proxy has on a replica; it outlives the snapshots.
 type Live struct {
 	Inflight atomic.Int64
-	look     atomic.Bool  // its report is wanted out of turn
+	look     atomic.Bool // its report is wanted out of turn
+	load     atomic.Pointer[loadWord]
 	first    atomic.Int64 // how long a first piece takes, on average of late
 	strays   atomic.Int64 // how far that is off, on average of late
 	refused  atomic.Int64 // when a conn was refused last, on our clock
@@ -56,8 +57,18 @@
 	silent   atomic.Int64 // when it last kept us waiting for longer than it does, on our clock
 	mu       sync.Mutex
 	items    map[string]int
+	missing  map[string]time.Duration // items that it has said it does not hold, and when
 }
 
+// loadWord is what an answer said of a replica's load.
+type loadWord struct {
+	others int // requests there that are not ours
+	at     time.Duration
+}
+
+// wordLasts is how long what an answer said of a replica's load is gone by.
+const wordLasts = time.Second
+
 // First notes how long a request waited for its first piece. Why: two notes at
 // once may lose one of them, which changes next to nothing.
 func (l *Live) First(took time.Duration) {
@@ -86,13 +97,14 @@
 
 // Replica is one row of the table.
 type Replica struct {
-	Listed   platform.Listed
+	Listed   inventory.Listed
 	Slots    int
 	Elsewher int // requests of other edges on it, as of its report
 	Room     int // requests we may have on it until its next report
 	ServeFor time.Duration
 	Ready    map[string]bool
 	Heard    time.Duration
+	Told     bool // what is known of it comes from its controller and its answers, not from reports to us
 	Live     *Live
 }
 
@@ -109,9 +121,9 @@
 
 // Keeper keeps the table.
 type Keeper struct {
+	d      Deps
 	news   *news.Table
 	clock  tick.Clock
-	conn   *backend.Conn
 	group  *run.Group
 	desk   *run.Desk
 	snap   atomic.Pointer[Snapshot]
@@ -122,12 +134,28 @@
 	conf   conf.Effective
 	confAt state.Stamp
 	serial uint64
-	zone   func() string
-	heardF func() time.Duration
-	edges  func() int
+	fresh  *run.Nudge
+	onNew  atomic.Pointer[func()]
 	warmth *memory
 }
 
+// Deps is what a keeper needs from the rest of the proxy.
+type Deps struct {
+	Group    *run.Group
+	News     *news.Table
+	Clock    tick.Clock
+	Replicas backend.Client
+	Zone     func() string
+	// HeardFor is how long ago anyone was heard who would know of leaving replicas.
+	HeardFor func() time.Duration
+	// Edges is how many share the replicas.
+	Edges func() int
+	// Ask says that this proxy asks replicas for their reports itself.
+	Ask bool
+	// Deaf is how long nobody may be heard before nothing is sent any more; 0 is the default.
+	Deaf time.Duration
+}
+
 type report struct {
 	v     backend.Vitals
 	at    time.Duration
@@ -162,24 +190,32 @@
 	at    time.Duration
 }
 
-// NewKeeper keeps a table fresh. heardFor is how long ago anyone was heard who
-// would know of leaving replicas; edges is how many share the replicas.
-func NewKeeper(g *run.Group, t *news.Table, clock tick.Clock, conn *backend.Conn, zone func() string, heardFor func() time.Duration, edges func() int) *Keeper {
-	k := &Keeper{news: t, clock: clock, conn: conn, group: g, lives: map[string]*Live{}, heard: map[string]report{}, told: map[string]told{},
+// NewKeeper keeps a table fresh.
+func NewKeeper(d Deps) *Keeper {
+	if d.Deaf == 0 {
+		d.Deaf = deaf
+	}
+	k := &Keeper{d: d, news: d.News, clock: d.Clock, group: d.Group, lives: map[string]*Live{}, heard: map[string]report{}, told: map[string]told{},
 		full: map[bool]time.Duration{true: -1 << 61, false: -1 << 61},
-		conf: conf.Empty(), zone: zone, heardF: heardFor, edges: edges, warmth: newMemory()}
+		conf: conf.Empty(), warmth: newMemory()}
 	k.snap.Store(&Snapshot{Conf: k.conf})
-	k.desk = run.NewDesk(g, 256, beat, k.rebuild)
+	k.desk = run.NewDesk(d.Group, 256, beat, k.rebuild)
 	// Why: a configuration and a withdrawn item are in force at once, not at the next beat; news that comes
 	// together makes one table.
-	fresh := run.NewNudge(k.desk, k.rebuild)
-	t.OnNew(func(news.Entry) { fresh.Now() })
-	g.Every(lookBeat, func(ctx context.Context) { k.look(ctx, func(*Replica) bool { return true }) })
+	k.fresh = run.NewNudge(k.desk, k.rebuild)
+	d.News.OnNew(func(news.Entry) { k.fresh.Now() })
+	if !d.Ask {
+		return k
+	}
+	d.Group.Every(lookBeat, func(ctx context.Context) { k.look(ctx, func(*Replica) bool { return true }) })
 	// Why: a replica just learned of is of no use until it has been looked at, nor is one whose room we have used up.
-	g.Every(beat, func(ctx context.Context) { k.look(ctx, func(r *Replica) bool { return r.Live.look.Swap(false) }) })
+	d.Group.Every(beat, func(ctx context.Context) { k.look(ctx, func(r *Replica) bool { return r.Live.look.Swap(false) }) })
 	return k
 }
 
+// OnTable names what is called after each new table.
+func (k *Keeper) OnTable(f func()) { k.onNew.Store(&f) }
+
 // Now is the table as it is.
 func (k *Keeper) Now() *Snapshot { return k.snap.Load() }
 
@@ -221,7 +257,7 @@
 			r.Elsewher = h.other
 			// Why: all edges see the same free places. Each takes its part of them and then looks again; if each took
 			// them all, a crowd would be sent to replicas that must refuse it.
-			edges := max(1, k.edges())
+			edges := max(1, k.d.Edges())
 			r.Room = int(h.mine)
 			// Others' places must be seen free twice: what has just ended there is replaced by them at once.
 			if free := h.v.Slots - max(h.other, h.was) - int(h.mine); free > 0 {
@@ -236,6 +272,9 @@
 				}
 			}
 		}
+		if !k.d.Ask {
+			r.byWord(n, now)
+		}
 		t := k.toldAt(before, e, now)
 		for item, st := range n.Items {
 			if !n.Dark && !n.Listed.Leaving && (st == order.Reserved || st == backend.Loading) {
@@ -263,6 +302,40 @@
 		}
 	}
 	k.snap.Store(s)
+	if f := k.onNew.Load(); f != nil {
+		(*f)()
+	}
+}
+
+// byWord fills a row from what the replica's controller tells.
+func (r *Replica) byWord(n order.News, now time.Duration) {
+	r.Told = true
+	if n.Dark {
+		return
+	}
+	r.Heard = now
+	r.Slots = max(n.Slots, n.Listed.Slots)
+	r.Elsewher = r.Live.others(now)
+	r.Room = max(0, r.Slots-r.Elsewher)
+	for item, st := range n.Items {
+		if st == backend.Loaded {
+			r.Ready[item] = true
+		}
+	}
+}
+
+// others is how many requests of others an answer has told of lately.
+func (l *Live) others(now time.Duration) int {
+	w := l.load.Load()
+	if w == nil || now-w.at > wordLasts {
+		return 0
+	}
+	return w.others
+}
+
+// Heard notes what an answer said of a replica's load.
+func (k *Keeper) Heard(r *Replica, running, waiting int) {
+	r.Live.load.Store(&loadWord{others: max(0, running+waiting-int(r.Live.Inflight.Load())), at: k.clock.Since()})
 }
 
 // toldAt is when an entry in its present form was first seen here; what is
@@ -298,7 +371,7 @@
 		defer cancel()
 		r := s.Replicas[ids[i]]
 		mine := r.Live.Inflight.Load()
-		v, err := k.conn.Vitals(ctx, r.Listed.Addr, ids[i])
+		v, err := k.d.Replicas.Vitals(ctx, r.Listed.Target())
 		return answer{ids[i], report{v: v, at: asked, mine: mine, known: err == nil}}
 	})
 	var got []answer
@@ -314,7 +387,7 @@
 		}
 		got = append(got, a)
 		if a.r.v.Leaving {
-			platform.Mark(k.news, a.id)
+			inventory.Mark(k.news, a.id)
 		}
 	}
 	_ = k.desk.Tell(func() {
@@ -335,11 +408,16 @@
 	Route  conf.Route
 	Item   conf.Item
 	Prompt Prompt
+	Avoid  string // a replica that is taken only where no other can be
 }
 
 // Lane groups requests that need the same.
 func (t Target) Lane() string {
-	if t.Route.Kind == "service" {
+	switch {
+	case t.Route.Kind == "model":
+	case t.Route.Service != "":
+		return "service " + t.Route.Service
+	default:
 		return "service " + t.Route.Selector.String()
 	}
 	return t.Item.String()
@@ -348,14 +426,14 @@
 // Sendable says whether a request may go to a replica at this very moment.
 func (k *Keeper) Sendable(id string) bool {
 	// Why: a mark may have come since the table was made, and a proxy that hears nobody cannot know of marks.
-	return !platform.Marked(k.news, id) && !k.Deaf()
+	return !inventory.Marked(k.news, id) && !k.Deaf()
 }
 
 // Since is the clock that Coming is told by.
 func (k *Keeper) Since() time.Duration { return k.clock.Since() }
 
 // Deaf says that nobody is heard who would tell of leaving replicas.
-func (k *Keeper) Deaf() bool { return k.heardF() >= deaf }
+func (k *Keeper) Deaf() bool { return k.d.HeardFor() >= k.d.Deaf }
 
 // Choose ranks the replicas that can serve now. held says whether any holds
 // the item at all, with a free place or not.
@@ -367,7 +445,7 @@
 	now := k.clock.Since()
 	item := t.Item.String()
 	var facts, quiet []judge.Replica // those that answer, and those last heard of by their silence
-	zone := k.zone()
+	zone := k.d.Zone()
 	places := 0
 	for id, r := range s.Replicas {
 		if !k.serves(t, item, id, r, now) {
@@ -378,7 +456,7 @@
 		serve += r.ServeFor
 		mine := int(r.Live.Inflight.Load())
 		// Why: one that has just refused is fuller than its report says, and would refuse the next one too.
-		if mine >= r.Room || time.Duration(r.Live.over.Load()) >= r.Heard {
+		if mine >= r.Room || r.over(now) {
 			r.Live.look.Store(true)
 			continue
 		}
@@ -386,7 +464,7 @@
 			SameZone: r.Listed.Zone == zone}
 		// Why: silence is no proof. It only ranks a replica behind all that answer, until a report that was asked for
 		// later comes.
-		if !r.answers() {
+		if !r.answers(now) || id == t.Avoid {
 			quiet = append(quiet, f)
 			continue
 		}
@@ -450,25 +528,48 @@
 func (k *Keeper) Others(t Target, not string) bool {
 	s, now, item := k.Now(), k.clock.Since(), t.Item.String()
 	for id, r := range s.Replicas {
-		if id != not && k.serves(t, item, id, r, now) && r.answers() && int(r.Live.Inflight.Load()) < r.Room {
+		if id != not && k.serves(t, item, id, r, now) && r.answers(now) && int(r.Live.Inflight.Load()) < r.Room {
 			return true
 		}
 	}
 	return false
 }
 
+// quietFor is how long a silence or a refusal counts against a replica that is
+// not asked for reports.
+const quietFor = 400 * time.Millisecond
+
 // answers says that a report asked for later than its last silence has come.
-func (r *Replica) answers() bool { return time.Duration(r.Live.silent.Load()) < r.Heard }
+func (r *Replica) answers(now time.Duration) bool {
+	if r.Told {
+		return now-time.Duration(r.Live.silent.Load()) > quietFor
+	}
+	return time.Duration(r.Live.silent.Load()) < r.Heard
+}
+
+// over says that it would not run what it was sent last, and has not been heard since.
+func (r *Replica) over(now time.Duration) bool {
+	if r.Told {
+		return now-time.Duration(r.Live.over.Load()) < quietFor/4
+	}
+	return time.Duration(r.Live.over.Load()) >= r.Heard
+}
 
 // serves says whether a replica holds the item that a request needs and may be sent to.
 func (k *Keeper) serves(t Target, item, id string, r *Replica, now time.Duration) bool {
 	switch {
-	case r.Listed.Model != (t.Route.Kind == "model"), r.Listed.Leaving, now-r.Heard > dark, platform.Marked(k.news, id):
+	case r.Listed.Model != (t.Route.Kind == "model"), r.Listed.Leaving, now-r.Heard > dark, inventory.Marked(k.news, id):
 		return false
 	case now-time.Duration(r.Live.refused.Load()) < time.Second:
 		return false
+	case t.Route.Service != "" && r.Listed.Labels[conf.ServiceLabel] != t.Route.Service && !t.Route.Selector.Matches(labels.Set(r.Listed.Labels)):
+		return false
+	case r.Listed.Model && r.Told && r.Live.lacks(item, now):
+		return false
 	case r.Listed.Model:
 		return r.Ready[item] && (t.Item.Adapter == "" || r.Ready[t.Item.Model])
+	case t.Route.Service != "":
+		return true
 	}
 	return t.Route.Selector.Matches(labels.Set(r.Listed.Labels))
 }
@@ -480,6 +581,29 @@
 	r.Live.look.Store(true)
 }
 
+// Missing notes that a replica said it does not hold an item; it gets no request
+// for it until its controller's word changes.
+func (k *Keeper) Missing(r *Replica, item conf.Item) {
+	now := k.clock.Since()
+	r.Live.mu.Lock()
+	defer r.Live.mu.Unlock()
+	if r.Live.missing == nil {
+		r.Live.missing = map[string]time.Duration{}
+	}
+	r.Live.missing[item.String()] = now
+}
+
+// lacks says that a replica has just said that it does not hold an item.
+func (l *Live) lacks(item string, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at, found := l.missing[item]
+	return found && now-at < missingFor
+}
+
+// missingFor is how long a replica's word that it does not hold an item counts.
+const missingFor = 300 * time.Millisecond
+
 // Refused notes that a replica took no conn; it is left out for a moment.
 func (k *Keeper) Refused(r *Replica) { r.Live.refused.Store(int64(k.clock.Since())) }
 
--- a/internal/route/warmth.go
+++ b/internal/route/warmth.go
@@ -40,6 +40,27 @@
 	return p
 }
 
+// Part is one part of a prompt that its caller has named.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// PromptOf digests the named parts of a prompt for an item; a part is only
+// warm where every part before it is.
+func PromptOf(item string, parts []Part) Prompt {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(item))
+	var p Prompt
+	for _, part := range parts[:min(len(parts), maxParts)] {
+		_, _ = h.Write([]byte{0})
+		_, _ = h.Write([]byte(part.ID))
+		p.size += part.Tokens
+		p.digests, p.sizes = append(p.digests, h.Sum64()), append(p.sizes, p.size)
+	}
+	return p
+}
+
 // home is the digest that decides where a prompt goes that is warm nowhere. Why:
 // the end of a prompt is the caller's own and its beginning is everybody's; those that share the greater
 // part should meet, and those that share only the beginning should not.
--- a/internal/state/acceptor/acceptor.go
+++ b/internal/state/acceptor/acceptor.go
@@ -80,7 +80,7 @@
 	folder   string
 	clock    tick.Clock
 	log      *slog.Logger
-	disk     string
+	disk     atomic.Pointer[string]
 	sick     atomic.Bool
 	standing atomic.Pointer[Standing]
 	setDesk  *run.Desk
@@ -155,20 +155,20 @@
 }
 
 func (a *Acceptor) load() error {
-	found, err := a.read(keyDisk, &a.disk)
+	var disk string
+	found, err := a.read(keyDisk, &disk)
 	if err != nil {
 		return err
 	}
 	if !found {
-		var id [8]byte
-		if _, err := rand.Read(id[:]); err != nil {
+		if disk, err = newDisk(); err != nil {
 			return err
 		}
-		a.disk = hex.EncodeToString(id[:])
-		if err := a.db.Set(keyDisk, wire.Pack(a.disk), pebble.Sync); err != nil {
+		if err := a.db.Set(keyDisk, wire.Pack(disk), pebble.Sync); err != nil {
 			return err
 		}
 	}
+	a.disk.Store(&disk)
 	st := Standing{Phase: Empty}
 	if _, err := a.read(keyStanding, &st); err != nil {
 		return err
@@ -189,6 +189,15 @@
 	return nil
 }
 
+// newDisk is a fresh identity of a data folder.
+func newDisk() (string, error) {
+	var id [8]byte
+	if _, err := rand.Read(id[:]); err != nil {
+		return "", err
+	}
+	return hex.EncodeToString(id[:]), nil
+}
+
 // Close lets go of the data folder; the group must have stopped.
 func (a *Acceptor) Close() error {
 	// Why: a failed pebble may never finish closing.
@@ -199,7 +208,7 @@
 }
 
 // Disk is the identity of the data folder.
-func (a *Acceptor) Disk() string { return a.disk }
+func (a *Acceptor) Disk() string { return *a.disk.Load() }
 
 // Sick says whether the disk has failed for good.
 func (a *Acceptor) Sick() bool { return a.sick.Load() }
@@ -232,6 +241,44 @@
 	return out.st, err
 }
 
+// Reset forgets everything and goes on as an empty core with an identity of its
+// own. Why: a voter that the core set has gone on without may only come back as a
+// new member, filled by the others.
+func (a *Acceptor) Reset(ctx context.Context) error {
+	disk, err := newDisk()
+	if err != nil {
+		return err
+	}
+	problem, err := run.AskFor(ctx, a.setDesk, func() error {
+		st := Standing{Phase: Empty}
+		a.standing.Store(&st)
+		return a.commit(func(b *pebble.Batch) error {
+			for _, family := range []string{"p", "r"} {
+				if err := b.DeleteRange([]byte(family+"/"), []byte(family+"0"), nil); err != nil {
+					return err
+				}
+			}
+			if err := b.Set(keyDisk, wire.Pack(disk), nil); err != nil {
+				return err
+			}
+			return b.Set(keyStanding, wire.Pack(st), nil)
+		})
+	})
+	if err == nil {
+		err = problem
+	}
+	if err != nil {
+		return err
+	}
+	for _, t := range a.slots {
+		if _, err := run.AskFor(ctx, t.desk, func() bool { t.pr, t.anew, t.freed = promise{}, true, bid{}; return true }); err != nil {
+			return err
+		}
+	}
+	a.disk.Store(&disk)
+	return nil
+}
+
 // spare is what must be free on the disk; pebble itself needs room to tidy up.
 const spare = 64 << 20
 
@@ -494,6 +541,10 @@
 	problem, err := run.AskFor(ctx, t.desk, func() error {
 		recs, pr := Merge(replies)
 		problem := a.commit(func(b *pebble.Batch) error {
+			o := bounds(slot)
+			if err := b.DeleteRange(o.LowerBound, o.UpperBound, nil); err != nil {
+				return err
+			}
 			for _, rec := range recs {
 				if err := b.Set(keyRecord(slot, rec.Key), wire.Pack(rec), nil); err != nil {
 					return err
--- a/internal/state/coreset/coreset.go
+++ b/internal/state/coreset/coreset.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sort"
 	"time"
 
@@ -23,8 +24,11 @@
 // Deps is what the slice needs from the rest of the core.
 type Deps struct {
 	Self     func() state.Core
-	Want     int    // how many cores the first formation waits for
-	Replaces string // name of the member whose place this core takes
+	Want     int      // how many cores the first formation waits for; 0 goes by Founders, and the set changes unattended
+	Founders []string // addresses of the cores that form the first set
+	MayFound bool     // this start may be the first of all
+	Target   int      // size that an unattended set is brought back to
+	Replaces string   // name of the member whose place this core takes
 	Group    *run.Group
 	Log      *slog.Logger
 	Caller   *wire.Caller
@@ -33,14 +37,29 @@
 	// Live are the cores thought alive, with the phase each reports.
 	Live func() map[state.Core]acceptor.Phase
 	Addr func(state.Core) (string, bool)
+	// Gone says whether a voter has left on purpose, and how long it has been away.
+	Gone func(state.Core) (left bool, away time.Duration)
 }
 
 // Keeper keeps the core set.
 type Keeper struct {
-	d    Deps
-	desk *run.Desk
+	d     Deps
+	desk  *run.Desk
+	beats int
 }
 
+const (
+	// goneAfter is how long a voter must have been away before an unattended set goes on without it.
+	goneAfter = 2500 * time.Millisecond
+	// settleBeats is how long a core looks around before it thinks of anybody as gone.
+	settleBeats = 12
+	// lookBeats is how often a voter asks another whether it knows a newer set.
+	lookBeats = 4
+)
+
+// unattended says that the set changes without an operator.
+func (k *Keeper) unattended() bool { return k.d.Want == 0 }
+
 // Adoption hands over a newer set.
 type Adoption struct {
 	Set   state.CoreSet  `cbor:"1,keyasint"`
@@ -82,6 +101,7 @@
 	defer cancel()
 	st := k.d.Acceptor.Standing()
 	self := k.d.Self()
+	k.beats++
 	switch st.Phase {
 	case acceptor.Empty, acceptor.Pending:
 		live := k.d.Live()
@@ -102,12 +122,105 @@
 		k.fill(ctx, st)
 	case acceptor.Voter:
 		k.follow(ctx, st)
-		if !st.Set.Has(self) {
+		switch {
+		case !st.Set.Has(self) && k.unattended():
+			k.d.Log.Warn("this core was replaced in the core set; it comes back as a new member", "set", st.Set.Serial)
+			if err := k.d.Acceptor.Reset(ctx); err != nil {
+				k.d.Log.Warn("reset", "error", err)
+			}
+		case !st.Set.Has(self):
 			k.d.Log.Warn("this core was replaced in the core set", "set", st.Set.Serial)
+		case k.unattended():
+			k.catchUp(ctx, st)
+			k.trim(ctx, st)
 		}
 	}
 }
 
+// catchUp asks another core for its set now and then. Why: one that was away
+// while the set went on without it is told by nobody.
+func (k *Keeper) catchUp(ctx context.Context, st acceptor.Standing) {
+	if k.beats%lookBeats != 0 {
+		return
+	}
+	for c := range k.d.Live() {
+		addr, ok := k.d.Addr(c)
+		if !ok || c.Is(k.d.Self()) {
+			continue
+		}
+		a, err := wire.Call[None, Adoption](ctx, k.d.Caller, addr, "/state/set", None{})
+		if err == nil && a.Phase == acceptor.Voter && a.Set.Has(c) && a.Set.Serial > st.Set.Serial {
+			_, _ = k.adopt(ctx, a)
+		}
+		return
+	}
+}
+
+// trim takes a voter that is gone out of a set that is larger than it need be.
+// Why: each voter that does not answer makes a majority harder to find.
+func (k *Keeper) trim(ctx context.Context, st acceptor.Standing) {
+	if !k.d.Owner.Holds(Key) || k.beats < settleBeats || len(st.Set.Cores) <= k.d.Target {
+		return
+	}
+	lost, found := k.lost(st.Set)
+	if !found {
+		return
+	}
+	next := state.CoreSet{Serial: st.Set.Serial + 1}
+	for _, c := range st.Set.Cores {
+		if !c.Is(lost) {
+			next.Cores = append(next.Cores, c)
+		}
+	}
+	if err := k.decide(ctx, func(set state.CoreSet) (state.CoreSet, error) {
+		if set.Serial != st.Set.Serial {
+			return set, wire.Drop("busy", "the set has changed")
+		}
+		return next, nil
+	}); err == nil {
+		k.d.Log.Info("core set shrinks", "serial", next.Serial, "without", lost.Name)
+	}
+}
+
+// lost is the voter that has been away longest, if one is gone.
+func (k *Keeper) lost(set state.CoreSet) (state.Core, bool) {
+	var lost state.Core
+	longest := time.Duration(0)
+	for _, c := range set.Cores {
+		if c.Is(k.d.Self()) {
+			continue
+		}
+		if left, away := k.d.Gone(c); (left || away > goneAfter) && away > longest {
+			lost, longest = c, away
+		}
+	}
+	return lost, longest > 0
+}
+
+// decide changes the set through a majority of the old one and spreads it.
+func (k *Keeper) decide(ctx context.Context, change func(set state.CoreSet) (state.CoreSet, error)) error {
+	var next state.CoreSet
+	_, err := k.d.Owner.Update(ctx, Key, func(old state.Record, found bool) ([]byte, error) {
+		set := k.d.Acceptor.Standing().Set
+		if found {
+			var kept state.CoreSet
+			if err := wire.Unpack(old.Value, &kept); err == nil && kept.Serial > set.Serial {
+				return nil, wire.Drop("busy", "a change is under way")
+			}
+		}
+		var err error
+		if next, err = change(set); err != nil {
+			return nil, err
+		}
+		return wire.Pack(next), nil
+	})
+	if err != nil {
+		return err
+	}
+	k.spread(ctx, next)
+	return nil
+}
+
 // lookForUs adopts a formed set that counts us as a member: our formation
 // became firm elsewhere, or our joining was agreed.
 func (k *Keeper) lookForUs(ctx context.Context, c state.Core) bool {
@@ -128,13 +241,10 @@
 }
 
 func (k *Keeper) found(ctx context.Context, st acceptor.Standing, live map[state.Core]acceptor.Phase) {
-	if len(live) != k.d.Want {
+	cores, ready := k.founders(st, live)
+	if !ready {
 		return
 	}
-	var cores []state.Core
-	for c := range live {
-		cores = append(cores, c)
-	}
 	sort.Slice(cores, func(i, j int) bool { return cores[i].Name < cores[j].Name })
 	for i := 1; i < len(cores); i++ {
 		if cores[i].Name == cores[i-1].Name {
@@ -171,6 +281,27 @@
 	}
 }
 
+// founders are the cores that form the first set, once all of them are there.
+func (k *Keeper) founders(st acceptor.Standing, live map[state.Core]acceptor.Phase) ([]state.Core, bool) {
+	var cores []state.Core
+	if !k.unattended() {
+		for c := range live {
+			cores = append(cores, c)
+		}
+		return cores, len(live) == k.d.Want
+	}
+	// Why: a core that starts empty later must never found a second fleet; one that had agreed to found goes on.
+	if !k.d.MayFound && st.Phase != acceptor.Pending {
+		return nil, false
+	}
+	for c := range live {
+		if slices.Contains(k.d.Founders, c.Addr) {
+			cores = append(cores, c)
+		}
+	}
+	return cores, len(cores) > 0 && len(cores) == len(k.d.Founders)
+}
+
 // offer is the set to be formed from these cores: the one that all have agreed
 // to, or else one under a higher serial than any of them has.
 func (k *Keeper) offer(ctx context.Context, cores []state.Core) (state.CoreSet, bool) {
@@ -288,54 +419,69 @@
 		}
 		return None{}, wire.Drop("not-owner", "nobody holds the core set")
 	}
+	err := k.decide(ctx, func(set state.CoreSet) (state.CoreSet, error) {
+		if set.Has(q.Core) {
+			return set, nil
+		}
+		if k.unattended() {
+			return k.admit(set, q.Core), nil
+		}
+		return k.replace(set, q)
+	})
+	if err != nil {
+		return None{}, err
+	}
+	k.d.Log.Info("core set changes", "for", q.Core.Name)
+	return None{}, nil
+}
+
+// replace gives a core the place of the member that it names, or of its own past.
+func (k *Keeper) replace(set state.CoreSet, q Joining) (state.CoreSet, error) {
 	name := q.Replaces
 	if name == "" {
 		name = q.Core.Name
 	}
-	var next state.CoreSet
-	why := ""
-	_, err := k.d.Owner.Update(ctx, Key, func(old state.Record, found bool) ([]byte, error) {
-		set := k.d.Acceptor.Standing().Set
-		if found {
-			var kept state.CoreSet
-			if err := wire.Unpack(old.Value, &kept); err == nil && kept.Serial > set.Serial {
-				why = "a change is under way"
-				return nil, wire.Drop("busy", why)
-			}
-		}
-		if set.Has(q.Core) {
-			next = set
-			return wire.Pack(set), nil
+	next := state.CoreSet{Serial: set.Serial + 1}
+	replaced := false
+	for _, c := range set.Cores {
+		if c.Name != name {
+			next.Cores = append(next.Cores, c)
+			continue
 		}
-		next = state.CoreSet{Serial: set.Serial + 1}
-		replaced := false
-		for _, c := range set.Cores {
-			if c.Name != name {
-				next.Cores = append(next.Cores, c)
-				continue
-			}
-			if _, alive := k.d.Live()[c]; alive {
-				return nil, wire.Drop("alive", "member "+name+" is alive; it is not replaced")
-			}
-			next.Cores = append(next.Cores, q.Core)
-			replaced = true
+		if _, alive := k.d.Live()[c]; alive {
+			return next, wire.Drop("alive", "member "+name+" is alive; it is not replaced")
 		}
-		// Why: after a rescue the set is smaller than it should be, and takes in whoever comes.
-		if !replaced && k.d.Replaces == "" && len(set.Cores) < k.d.Want {
-			next.Cores = append(next.Cores, q.Core)
-			replaced = true
+		next.Cores = append(next.Cores, q.Core)
+		replaced = true
+	}
+	// Why: after a rescue the set is smaller than it should be, and takes in whoever comes.
+	if !replaced && k.d.Replaces == "" && len(set.Cores) < k.d.Want {
+		next.Cores = append(next.Cores, q.Core)
+		replaced = true
+	}
+	if !replaced {
+		return next, wire.Drop("unknown", "no member "+name+"; start the core with --replaces")
+	}
+	return next, nil
+}
+
+// admit takes a core in: in the place of its own past, of a voter that is gone,
+// or beside the others.
+func (k *Keeper) admit(set state.CoreSet, joiner state.Core) state.CoreSet {
+	out, found := k.lost(set)
+	for _, c := range set.Cores {
+		if c.Name == joiner.Name {
+			out, found = c, true
 		}
-		if !replaced {
-			return nil, wire.Drop("unknown", "no member "+name+"; start the core with --replaces")
+	}
+	next := state.CoreSet{Serial: set.Serial + 1}
+	for _, c := range set.Cores {
+		if !found || !c.Is(out) {
+			next.Cores = append(next.Cores, c)
 		}
-		return wire.Pack(next), nil
-	})
-	if err != nil {
-		return None{}, err
 	}
-	k.d.Log.Info("core set changes", "serial", next.Serial, "for", q.Core.Name)
-	k.spread(ctx, next)
-	return None{}, nil
+	next.Cores = append(next.Cores, joiner)
+	return next
 }
 
 // follow spreads a decided change that its author could not finish.
--- a/internal/state/owner/owner.go
+++ b/internal/state/owner/owner.go
@@ -26,9 +26,6 @@
 	// lapse is how long, times its rank, a core lets a slot go unheld before it takes it out of turn.
 	lapse       = time.Second
 	repairEvery = 8 // beats between two looks at one slot
-	// quarantine is how long a new owner gives no orders: what the old one
-	// sent may still be on its way.
-	quarantine = 3 * time.Second
 )
 
 // Deps is what an owner needs from the rest of the core.
@@ -45,6 +42,9 @@
 	Rank func(slot int) []state.Core
 	// Behind is told that a voter knows an older core set.
 	Behind func(state.Core)
+	// Quarantine is how long a new owner gives no orders: what the old one sent
+	// may still be on its way.
+	Quarantine time.Duration
 	// OnTake is called in the slot's desk when a slot has been taken.
 	OnTake func(slot int, records []state.Record)
 }
@@ -361,7 +361,7 @@
 	s.until.Store(int64(before + state.HoldFor - state.HoldMargin))
 	// Why: whoever held the slot before may have orders on the way; a first owner has none to wait out.
 	wonAt := o.d.Clock.Since()
-	s.orderFrom.Store(int64(wonAt + quarantine))
+	s.orderFrom.Store(int64(wonAt + o.d.Quarantine))
 	if q.Epoch == 1 {
 		s.orderFrom.Store(int64(wonAt))
 	}
