--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -117,8 +118,13 @@
 	Whole       bool          // the answer is read to its end before it is passed on
 	Stall       time.Duration // longest silence within the answer; 0 is the sender's own
 	FirstBy     time.Time     // the first byte of the answer must have come by then
-	Again       bool          // another attempt may be made after a failure
-	Sendable    func() bool   // asked right before the first byte leaves
+	// Alive says that the replica has been heard of late, on whatever request.
+	// While it is, a silence before FirstAtLast or within the answer is borne; nil bears none.
+	Alive       func() bool
+	FirstAtLast time.Time
+	Heard       func()      // called whenever a piece comes
+	Again       bool        // another attempt may be made after a failure
+	Sendable    func() bool // asked right before the first byte leaves
 }
 
 // Reply is an answer that has begun.
@@ -132,18 +138,40 @@
 	raw         io.ReadCloser
 	cancel      context.CancelFunc
 	stall       time.Duration
+	alive       func() bool
+	heard       func()
+	reading     atomic.Bool
 	silence     *time.Timer
 	once        sync.Once
 }
 
+// patienceStep is how often a silence that is borne is looked at again.
+const patienceStep = 50 * time.Millisecond
+
 // Read reads pieces as they come; a stream that stalls or breaks off is an error.
 func (r *Reply) Read(p []byte) (int, error) {
+	r.reading.Store(true)
 	r.silence.Reset(r.stall)
 	n, err := r.body.Read(p)
+	r.reading.Store(false)
 	r.silence.Stop()
+	if n > 0 && r.heard != nil {
+		r.heard()
+	}
 	return n, err
 }
 
+// stalled ends an answer that brings nothing, unless its replica is heard on others.
+func (r *Reply) stalled() {
+	switch {
+	case !r.reading.Load():
+	case r.alive != nil && r.alive():
+		r.silence.Reset(patienceStep)
+	default:
+		r.cancel()
+	}
+}
+
 // Close ends the attempt.
 func (r *Reply) Close() error {
 	r.once.Do(func() {
@@ -168,7 +196,7 @@
 		cancel()
 		return nil, &Failure{Outcome: NotRun, Why: err.Error()}
 	}
-	late := time.AfterFunc(time.Until(q.FirstBy), cancel)
+	late := q.lateness(cancel)
 	res, err := s.http.Do(req)
 	if err != nil {
 		late.Stop()
@@ -197,7 +225,7 @@
 		return fail(Failure{Outcome: Ran, Why: "replica's answer has no end that can be told"})
 	}
 	r := &Reply{Status: res.StatusCode, Header: d.Header, ContentType: res.Header.Get("Content-Type"), Length: res.ContentLength, Load: d.Load,
-		raw: res.Body, cancel: cancel, stall: s.stall}
+		raw: res.Body, cancel: cancel, stall: s.stall, alive: q.Alive, heard: q.Heard}
 	if q.Stall > 0 {
 		r.stall = q.Stall
 	}
@@ -207,11 +235,31 @@
 	if !late.Stop() && ctx.Err() != nil {
 		return fail(Failure{Outcome: Unknown, Why: "the first piece came too late"})
 	}
-	r.silence = time.AfterFunc(r.stall, cancel)
+	if q.Heard != nil {
+		q.Heard()
+	}
+	r.silence = time.AfterFunc(r.stall, r.stalled)
 	r.silence.Stop()
 	return r, nil
 }
 
+// lateness gives an attempt up whose first piece does not come in time.
+func (q Request) lateness(giveUp func()) *time.Timer {
+	var late *time.Timer
+	var ready sync.WaitGroup
+	ready.Add(1)
+	defer ready.Done()
+	late = time.AfterFunc(time.Until(q.FirstBy), func() {
+		ready.Wait()
+		if q.Alive != nil && q.Alive() && time.Now().Before(q.FirstAtLast) {
+			late.Reset(patienceStep)
+			return
+		}
+		giveUp()
+	})
+	return late
+}
+
 // begin waits for the first piece, or for the whole answer.
 func (r *Reply) begin(body io.Reader, whole bool) error {
 	if whole {
--- a/internal/place/order/ward.go
+++ b/internal/place/order/ward.go
@@ -136,14 +136,30 @@
 }
 
 func (w *Ward) onBeat() {
+	now := w.d.Clock.Since()
 	idle := w.tasks.Len() == 0 && w.epoch > 0
 	// Why: a tick may come a little early, and must not wait for the next one then.
-	if idle && w.d.Clock.Since()-w.lookedAt < w.d.Cadence.ReplicaIdle-w.d.Cadence.ReplicaBusy/2 {
+	early := now-w.lookedAt < w.d.Cadence.ReplicaIdle-w.d.Cadence.ReplicaBusy/2
+	if early && (idle || w.expects() > now) {
 		return
 	}
 	w.work()
 }
 
+// expects is when the task in front may next have got on. Why: a replica that
+// loads for a second or more need not be asked all the while.
+func (w *Ward) expects() time.Duration {
+	if w.tasks.Len() == 0 || !w.traits.TellsBusy {
+		return 0
+	}
+	t := w.tasks.Front()
+	if t.phase != loaded || t.item.Adapter != "" {
+		return 0
+	}
+	load := time.Duration(w.loadMs(w.d.Conf().Models[t.item.Model])) * time.Millisecond
+	return t.since + load*9/10
+}
+
 func (w *Ward) work() {
 	key := Key(w.listed.ID)
 	if w.closed || !w.d.Owner.Holds(key) {
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -28,7 +28,7 @@
 	patience   = 5 * time.Second // for what stands in the way of a load and will pass
 	claimAgain = 5 * time.Second // between two looks at a claim that could not be met
 	useLife    = 6 * time.Second // what the store's keeper told holds so long
-	tries      = 4               // candidates asked for one decision
+	tries      = 8               // candidates asked for one decision
 	decisions  = 200             // kept for explaining
 	maxItems   = 20_000
 )
@@ -105,6 +105,10 @@
 	now := p.d.Clock.Since()
 	cfg := p.d.Conf()
 	waits := p.d.Reports.Waiting(now)
+	// Why: an item whose holders all have many requests is missed as well, if less than one that nobody holds.
+	for it, n := range p.d.Reports.Pressed(now) {
+		waits[it] = max(waits[it], n)
+	}
 	if len(waits) == 0 && len(cfg.Claims) == 0 {
 		p.unmet = map[string]string{}
 		p.busy.Store(false)
--- a/internal/place/report/report.go
+++ b/internal/place/report/report.go
@@ -26,6 +26,7 @@
 	Acked    map[string]state.Stamp    `cbor:"8,keyasint"` // replica: its news in force at the proxy
 	Zone     string                    `cbor:"9,keyasint"`
 	Serving  bool                      `cbor:"10,keyasint"`
+	Pressed  map[string]int            `cbor:"11,keyasint,omitempty"` // item: requests that went where many are, of late
 }
 
 // Taken is a core's answer to a report.
@@ -96,6 +97,19 @@
 	return sum
 }
 
+// Pressed sums the requests that had to go where many are, by item.
+func (t *Table) Pressed(now time.Duration) map[conf.Item]int {
+	out := map[conf.Item]int{}
+	for _, r := range t.All() {
+		if now-r.At < Fresh {
+			for item, n := range r.Report.Pressed {
+				out[conf.ParseItem(item)] += n
+			}
+		}
+	}
+	return out
+}
+
 // Waiting sums what waits, by item.
 func (t *Table) Waiting(now time.Duration) map[conf.Item]int {
 	out := map[conf.Item]int{}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -274,12 +274,21 @@
 	// Why: what may run again is only worth passing on whole; a part of it would have to be broken off.
 	q.Whole = c.Target.Route.Service != "" && c.Target.Route.Repeatable && !c.Target.Route.Streaming
 	q.Again = c.Target.Route.Repeatable && w.number < c.Target.Route.Attempts
+	q.Heard = func() { w.p.routes.HeardFrom(r) }
 	if c.Target.Route.Resumable && c.Target.Route.GapTarget > 0 {
-		q.Stall = c.Target.Route.GapTarget
+		// Why: a pause that is too long is late already; what must be told is a replica that stands still from one
+		// that is slow, and its other answers tell.
+		q.Stall = stallTimes * c.Target.Route.GapTarget
+		q.Alive = func() bool { return w.p.routes.Alive(r) }
+		q.FirstAtLast = time.Now().Add(time.Until(c.Deadline) / 2)
 	}
 	return q
 }
 
+// stallTimes the pause that should not occur is what a stream may be silent for
+// before its replica is doubted.
+const stallTimes = 2
+
 // firstBy is by when an attempt's first piece must have come. early says that
 // this is sooner than anything but the replica's own habit asks for.
 func (w *passage) firstBy(r *route.Replica, now time.Time) (by time.Time, early bool) {
@@ -294,7 +303,9 @@
 	// late. It is given up for that only where another could answer, and with a retry set aside: one that somebody
 	// else took meanwhile would leave this request without any answer.
 	own := r.Live.Patience()
-	if half := t.Route.Target / 2; own > 0 && half > own {
+	if t.Route.Streaming {
+		own = max(own, t.Route.Target)
+	} else if half := t.Route.Target / 2; own > 0 && half > own {
 		own = half
 	}
 	if own > 0 && now.Add(own).Before(by) && p.routes.Others(t, r.Listed.ID) && p.budget.Keep(service(t)) {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -50,6 +50,7 @@
 	Inflight atomic.Int64
 	look     atomic.Bool // its report is wanted out of turn
 	load     atomic.Pointer[loadWord]
+	heardAt  atomic.Int64 // when a piece of an answer came from it last, on our clock
 	first    atomic.Int64 // how long a first piece takes, on average of late
 	strays   atomic.Int64 // how far that is off, on average of late
 	refused  atomic.Int64 // when a conn was refused last, on our clock
@@ -137,6 +138,9 @@
 	fresh  *run.Nudge
 	onNew  atomic.Pointer[func()]
 	warmth *memory
+
+	pressMu  sync.Mutex
+	pressing map[string]pressing
 }
 
 // Deps is what a keeper needs from the rest of the proxy.
@@ -197,7 +201,7 @@
 	}
 	k := &Keeper{d: d, news: d.News, clock: d.Clock, group: d.Group, lives: map[string]*Live{}, heard: map[string]report{}, told: map[string]told{},
 		full: map[bool]time.Duration{true: -1 << 61, false: -1 << 61},
-		conf: conf.Empty(), warmth: newMemory()}
+		conf: conf.Empty(), warmth: newMemory(), pressing: map[string]pressing{}}
 	k.snap.Store(&Snapshot{Conf: k.conf})
 	k.desk = run.NewDesk(d.Group, 256, beat, k.rebuild)
 	// Why: a configuration and a withdrawn item are in force at once, not at the next beat; news that comes
@@ -499,6 +503,9 @@
 	item := t.Item.String()
 	if t.Route.Kind == "model" {
 		k.warmth.sent(t.Prompt, r.Listed.ID)
+		if r.Told && r.pressed() {
+			k.press(item, k.clock.Since())
+		}
 	}
 	r.Live.Inflight.Add(1)
 	r.Live.mu.Lock()
@@ -581,6 +588,64 @@
 	r.Live.look.Store(true)
 }
 
+// HeardFrom notes that a piece of an answer came from a replica.
+func (k *Keeper) HeardFrom(r *Replica) { r.Live.heardAt.Store(int64(k.clock.Since())) }
+
+// aliveFor is how long a replica counts as alive after a piece of any answer.
+const aliveFor = 400 * time.Millisecond
+
+// Alive says that a piece of an answer came from a replica just now.
+func (k *Keeper) Alive(r *Replica) bool {
+	return k.clock.Since()-time.Duration(r.Live.heardAt.Load()) < aliveFor
+}
+
+// pressedShare of its places, and at most pressedMost requests, is how many a
+// replica may have before one more answer comes noticeably later there.
+const (
+	pressedShare = 2
+	pressedMost  = 16
+	// pressedLasts is how long an item counts as pressed after a request of it went to such a replica.
+	pressedLasts = time.Second
+)
+
+func (r *Replica) pressed() bool {
+	return r.Elsewher+int(r.Live.Inflight.Load()) >= max(2, min(pressedMost, r.Slots/pressedShare))
+}
+
+// press notes that a request had to go where many are.
+func (k *Keeper) press(item string, now time.Duration) {
+	k.pressMu.Lock()
+	defer k.pressMu.Unlock()
+	p := k.pressing[item]
+	if now-p.since > pressedLasts {
+		p = pressing{since: now}
+	}
+	p.count++
+	k.pressing[item] = p
+}
+
+// Pressed is the items whose holders all have many requests, with how many came lately.
+func (k *Keeper) Pressed() map[string]int {
+	k.pressMu.Lock()
+	defer k.pressMu.Unlock()
+	now := k.clock.Since()
+	out := map[string]int{}
+	for item, p := range k.pressing {
+		if now-p.since > 2*pressedLasts {
+			delete(k.pressing, item)
+			continue
+		}
+		out[item] = p.count
+	}
+	return out
+}
+
+// pressing counts the requests of an item that had to go where many are.
+type pressing struct {
+	since time.Duration
+	count int
+}
+
 // Missing notes that a replica said it does not hold an item; it gets no request
 // for it until its controller's word changes.
 func (k *Keeper) Missing(r *Replica, item conf.Item) {
