--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	confirmBeat = 300 * time.Millisecond
+	confirmBeat = 100 * time.Millisecond
 	limit       = time.Second
 	maxPartners = 16
 	// maxHold bounds how long a proxy may have its answer held back.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,12 +105,15 @@
 	wards   map[string]*warded // owned by the ward desk
 	wardNow atomic.Pointer[map[string]*order.Ward]
 	absent  map[string]time.Duration
-	holders [state.Slots]atomic.Pointer[string] // who held each slot when last asked
+	// tendSoon looks at once at which replicas are to be controlled here.
+	tendSoon *run.Nudge
+	holders  [state.Slots]atomic.Pointer[string] // who held each slot when last asked
 }
 
 const (
-	probeFor = 400 * time.Millisecond // for asking who holds a slot
-	ownerFor = 3 * time.Second        // for what is done at the holder
+	probeFor  = 400 * time.Millisecond // for asking who holds a slot
+	ownerFor  = 3 * time.Second        // for what is done at the holder
+	tendEvery = 300 * time.Millisecond // between two looks at which replicas are controlled here
 )
 
 // NewBoot is a fresh identity for a process.
@@ -178,7 +181,8 @@
 		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf, Gone: c.goneFor}, c.mux)
 	c.watch = inventory.NewWatch(c.group, s.Lister, env.Clock, c.log, c.news, s.Cadence.List, func() bool { return true })
 	c.serve()
-	c.group.Every(300*time.Millisecond, c.tend)
+	tending := run.NewDesk(c.group, 4, tendEvery, func() { c.tend(c.group.Context()) })
+	c.tendSoon = run.NewNudge(tending, func() { c.tend(c.group.Context()) })
 	c.group.Every(200*time.Millisecond, func(context.Context) {
 		phase := string(c.acc.Standing().Phase)
 		if c.acc.Sick() {
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -13,6 +13,9 @@
 )
 
 func (c *Core) onTake(slot int, recs []state.Record) {
+	if c.tendSoon != nil {
+		c.tendSoon.Now()
+	}
 	epoch := c.own.Held()[slot]
 	c.planner.OnTake(slot, epoch, recs)
 	for _, r := range recs {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -105,11 +105,14 @@
 	w.heardAt.Store(-1 << 62)
 	empty := []Listed{}
 	w.list.Store(&empty)
-	g.Every(interval, func(ctx context.Context) {
+	look := func(ctx context.Context) {
 		if active() {
 			w.look(ctx)
 		}
-	})
+	}
+	// Why: who has just started knows no replica, and need not wait for that.
+	g.Go(look)
+	g.Every(interval, look)
 	return w
 }
 
--- a/internal/kernel/bounds/bounds.go
+++ b/internal/kernel/bounds/bounds.go
@@ -99,6 +99,9 @@
 	// Hold is how long a request waits for an item that nobody holds without any
 	// word from a controller.
 	Hold time.Duration
+	// Start is how long a proxy that has just started keeps requests waiting
+	// until it knows what is in force, rather than turning them away; 0 is not at all.
+	Start time.Duration
 }
 
 // DefaultCadence is for a fleet whose replicas may be asked at any time.
--- a/internal/kernel/ring/ring.go
+++ b/internal/kernel/ring/ring.go
@@ -25,6 +25,7 @@
 	max   int
 	out   io.Writer
 	shown int // lines not yet written out
+	loud  bool
 }
 
 // New keeps max lines and writes them to out when a line of error level comes.
@@ -33,6 +34,13 @@
 	return &Ring{shared: s, text: slog.NewTextHandler(&s.buf, &slog.HandlerOptions{Level: slog.LevelDebug})}
 }
 
+// NewLoud keeps max lines and writes each to out at once.
+func NewLoud(out io.Writer, max int) *Ring {
+	r := New(out, max)
+	r.shared.loud = true
+	return r
+}
+
 // Logger is a slog logger on the ring.
 func (r *Ring) Logger() *slog.Logger { return slog.New(r) }
 
@@ -53,7 +61,7 @@
 	if s.lines.Len() > s.max {
 		s.lines.PopFront()
 	}
-	if rec.Level < slog.LevelError {
+	if rec.Level < slog.LevelError && !s.loud {
 		return nil
 	}
 	// Why: what led up to an error explains it; lines already shown are not shown twice.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -154,6 +154,8 @@
 		return Who{Name: self.Name, Boot: self.Boot}, nil
 	})
 	t.desk = run.NewDesk(g, 1024, beat, t.onBeat)
+	// Why: a node that starts knows nobody, and need not wait for that.
+	_ = t.desk.Tell(t.onBeat)
 	return t
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -95,6 +95,7 @@
 	servers   []*wire.Server
 	reports   atomic.Uint64
 	missed    *run.Nudge
+	began     time.Duration
 	confirmed atomic.Bool
 	touch     *touch.Keeper
 	agentSeen atomic.Int64
@@ -126,6 +127,7 @@
 		news: news.NewTable(), budget: attempt.NewBudget(s.Bounds.Retry.Ratio), conn: s.Replicas,
 		caller: wire.NewCaller(env.Net), demand: map[string]uint64{}}
 	p.group = p.base.Child()
+	p.began = env.Clock.Since()
 	if s.Protocol == nil {
 		s.Protocol = attempt.Native{}
 	}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -60,8 +60,22 @@
 	RetryAfter time.Duration // 0 says nothing
 }
 
+// starting waits until a proxy that has just started knows what is in force.
+// Why: callers would come again and again, to be turned away each time.
+func (p *Proxy) starting(ctx context.Context) {
+	defer p.waking.Add(-1)
+	if p.waking.Add(1) > maxWaking {
+		return
+	}
+	for !p.confirmed.Load() && p.env.Clock.Since()-p.began < p.s.Cadence.Start && run.Wait(ctx, wakeBeat) {
+	}
+}
+
 // Ready is nil when requests are taken.
 func (p *Proxy) Ready(ctx context.Context) *Refusal {
+	if !p.confirmed.Load() {
+		p.starting(ctx)
+	}
 	if !p.confirmed.Load() || p.stopping.Load() {
 		return &Refusal{Reason: Full, Detail: "not serving yet, or no more", Outcome: attempt.NotRun, RetryAfter: time.Second}
 	}
--- a/internal/state/acceptor/acceptor.go
+++ b/internal/state/acceptor/acceptor.go
@@ -379,8 +379,9 @@
 			r.Why = state.WhyLower
 			return
 		}
-		// Why: while a hold may be in use, no other holder is promised anything.
-		if now < time.Duration(t.until.Load()) && (t.anew || !t.pr.Holder.Is(q.From)) && t.pr.Epoch > 0 {
+		// Why: while a hold may be in use, no other holder is promised anything. Every grant was to the holder that
+		// is on the disk, so after a restart too only that one may have a hold, and may ask for it again.
+		if now < time.Duration(t.until.Load()) && !t.pr.Holder.Is(q.From) && t.pr.Epoch > 0 {
 			r.Why = state.WhyHeld
 			return
 		}
@@ -395,6 +396,7 @@
 			r.Why = state.WhySick
 			return
 		}
+		r.WasEpoch, r.WasHolder = t.pr.Epoch, t.pr.Holder
 		t.pr, t.anew = next, false
 		t.grant(a.clock.Since() + state.HoldFor)
 		r.OK, r.Records, r.Full, r.Serial = true, recs, next.Full, next.Serial
--- a/internal/state/owner/owner.go
+++ b/internal/state/owner/owner.go
@@ -362,7 +362,7 @@
 	// Why: whoever held the slot before may have orders on the way; a first owner has none to wait out.
 	wonAt := o.d.Clock.Since()
 	s.orderFrom.Store(int64(wonAt + o.d.Quarantine))
-	if q.Epoch == 1 {
+	if q.Epoch == 1 || s.ownBefore(yes) {
 		s.orderFrom.Store(int64(wonAt))
 	}
 	if err := s.write(recs, true); err != nil {
@@ -377,6 +377,23 @@
 	}
 }
 
+// ownBefore says that nobody but this core was promised the slot last. Why: what
+// it ordered in an earlier life is its own, under its own name, and need not be waited out.
+func (s *slot) ownBefore(yes []state.Reply) bool {
+	var last state.Reply
+	for _, r := range yes {
+		if r.WasEpoch >= last.WasEpoch {
+			last = r
+		}
+	}
+	for _, r := range yes {
+		if r.WasEpoch == last.WasEpoch && r.WasHolder.Name != s.o.d.Self().Name {
+			return false
+		}
+	}
+	return last.WasEpoch > 0
+}
+
 // repair hands partners what they missed: those with a hint, and those whose
 // digest differs.
 func (s *slot) repair(set state.CoreSet) {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -113,6 +113,9 @@
 	Records []Record `cbor:"7,keyasint,omitempty"`
 	Holder  Core     `cbor:"8,keyasint,omitempty"`
 	Sum     []byte   `cbor:"9,keyasint,omitempty"`
+	// To a prepare: the promise that stood before, and whom it was given to.
+	WasEpoch  uint64 `cbor:"10,keyasint,omitempty"`
+	WasHolder Core   `cbor:"11,keyasint,omitempty"`
 }
 
 // Renewal asks for several slots at once.
