A stopping proxy turns away what waits before its grace ends; choice by predicted wait

Ruled out: streams (they were finished). Change: after a quarter of the grace new requests, and an eighth later waiting ones, are turned away as not run.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -118,6 +118,8 @@
 	TellsBusy bool
 	// OneOrder says that a replica refuses an order while it carries out another.
 	OneOrder bool
+	// KeepsOnDisk says that a replica keeps models that it has held on a disk of its own.
+	KeepsOnDisk bool
 	// AdaptersUnpaced says that loads of adapters do not count at the weight store.
 	AdaptersUnpaced bool
 }
--- a/internal/conf/table.go
+++ b/internal/conf/table.go
@@ -134,7 +134,7 @@
 
 // Judges names the weights that exist and their starting values.
 var Judges = map[string]float64{
-	"warmth": 8, "load": 3, "zone": 1, "serve": 2, "drain": 1, "demand": 4, "recency": 1, "copies": 1, "adapters": 1, "room": 2,
+	"warmth": 8, "wait": 0, "load": 3, "zone": 1, "serve": 2, "drain": 1, "demand": 4, "recency": 1, "copies": 1, "adapters": 1, "room": 2,
 }
 
 // limitsName is the one object of kind limits.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -32,6 +32,7 @@
 	again   *run.Nudge // dispatches soon
 	beats   int
 	hold    time.Duration
+	closed  atomic.Bool
 	onMiss  func() // tells at once that a request waits for what nobody holds
 }
 
@@ -75,6 +76,24 @@
 	return <-t.Answer
 }
 
+// Close turns away whatever waits, and whatever comes from now on.
+func (g *Gate) Close() {
+	g.closed.Store(true)
+	_ = g.desk.Tell(func() {
+		for _, c := range g.hall.Order() {
+			c.Lanes(func(l *holding.Lane) (bool, bool) {
+				for i := range l.Tickets.Len() {
+					drop(l.Tickets.At(i), stopped)
+				}
+				return false, false
+			})
+		}
+	})
+}
+
+// stopped is the answer of a gate that has closed.
+var stopped = holding.Answer{Why: "this proxy is stopping", RetryS: 1}
+
 func drop(t *holding.Ticket, a holding.Answer) {
 	if t.Withdraw() {
 		t.Answer <- a
@@ -82,6 +101,10 @@
 }
 
 func (g *Gate) take(t *holding.Ticket) {
+	if g.closed.Load() {
+		drop(t, stopped)
+		return
+	}
 	cl, known := g.routes.Now().Conf.Classes[t.Class]
 	if !known {
 		drop(t, holding.Answer{Why: "its class has gone", RetryS: 1})
@@ -162,13 +185,13 @@
 	if c.Urgent {
 		g.urgent.Add(1)
 	}
-	uncount := g.routes.Took(t.Target, r)
+	place := g.routes.Took(t.Target, r)
 	var once atomic.Bool
-	t.Answer <- holding.Answer{Replica: r, Done: func() {
+	t.Answer <- holding.Answer{Replica: r, Begun: place.Begun, Done: func() {
 		if once.Swap(true) {
 			return
 		}
-		uncount()
+		place.Done()
 		g.shots.Add(-1)
 		if c.Urgent {
 			g.urgent.Add(-1)
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -35,6 +35,7 @@
 // Answer ends the wait: a replica, or the reason why there will be none.
 type Answer struct {
 	Replica *route.Replica
+	Begun   func() // the first piece of the answer has come
 	Done    func()
 	Why     string
 	Late    bool
--- a/internal/place/judge/judge.go
+++ b/internal/place/judge/judge.go
@@ -43,6 +43,8 @@
 	NeedMib  int
 	AdFree   int
 	Copies   int // copies of the item in the replica's zone
+	// Wait is how long the first event is predicted to take there, with what it holds up there.
+	Wait time.Duration
 }
 
 // Idle is what judges look at in an idle item that may go.
@@ -78,6 +80,9 @@
 // known is how much what is known to be warm counts against where it should be.
 const known = 0.5
 
+// waitScale is the predicted wait that halves the verdict on it.
+const waitScale = 100 * time.Millisecond
+
 // forRoute rank the replicas that may serve a request now.
 var forRoute = []replicaJudge{
 	{name: "warmth", look: func(r Replica) (float64, bool) {
@@ -85,6 +90,7 @@
 		// beginning that everybody shares is warm in many places and must not outweigh it.
 		return (1-known)*clamp(r.Home) + known*clamp(r.Warm), false
 	}},
+	{name: "wait", look: func(r Replica) (float64, bool) { return 1 / (1 + float64(r.Wait)/float64(waitScale)), false }},
 	{name: "load", look: func(r Replica) (float64, bool) { return free(r), r.Inflight >= max(r.Slots, 1) }},
 	{name: "zone", look: func(r Replica) (float64, bool) {
 		if r.SameZone {
--- a/internal/place/order/consider.go
+++ b/internal/place/order/consider.go
@@ -42,11 +42,11 @@
 		return Considered{Why: "enough orders wait already", Soon: true}
 	}
 	if l := w.book[item]; l != nil && l.State != Leaving && l.State != backend.Unloading {
-		return Considered{Taken: true, Why: "on its way or there already", ReadyMs: w.readyMs(model)}
+		return Considered{Taken: true, Why: "on its way or there already", ReadyMs: w.readyMs(model, item.Model)}
 	}
 	for i := range w.tasks.Len() {
 		if w.tasks.At(i).item == item {
-			return Considered{Taken: true, Why: "on its way already", ReadyMs: w.readyMs(model)}
+			return Considered{Taken: true, Why: "on its way already", ReadyMs: w.readyMs(model, item.Model)}
 		}
 		if w.tasks.At(i).item.Model == item.Model {
 			return Considered{Why: "another order about the model waits", Soon: true}
@@ -136,7 +136,7 @@
 		out.Victims = append(out.Victims, v.String())
 	}
 	if q.Dry {
-		out.Taken = true
+		out.Taken, out.ReadyMs = true, w.readyMs(model, item.Model)
 		return out
 	}
 	t := &task{item: item, victims: victims, since: w.d.Clock.Since(), begun: w.d.Clock.Since(), worth: q.Penalty, cost: time.Duration(q.CostMs) * time.Millisecond}
@@ -158,7 +158,7 @@
 	w.tasks.PushBack(t)
 	w.publish()
 	w.soon.Now()
-	out.Taken, out.ReadyMs = true, w.readyMs(model)
+	out.Taken, out.ReadyMs = true, w.readyMs(model, item.Model)
 	return out
 }
 
--- a/internal/place/order/look.go
+++ b/internal/place/order/look.go
@@ -104,6 +104,9 @@
 		if asked-l.ordered < w.doubtFor(l) || v.Busy && l.State == backend.Loading {
 			continue
 		}
+		if item.Adapter == "" && (l.State == Leaving || l.State == backend.Loaded) {
+			w.held[item.Model] = true
+		}
 		delete(w.book, item)
 	}
 }
--- a/internal/place/order/tell.go
+++ b/internal/place/order/tell.go
@@ -10,27 +10,38 @@
 	"drumstall.example/internal/state"
 )
 
-// loadMs is how long a load takes here, as seen before or else as configured.
-func (w *Ward) loadMs(m conf.Model) int {
-	if w.perMib > 0 {
+// loadMs is how long a load takes here, as seen before or else as configured. A
+// model that the replica has held comes from its own disk.
+func (w *Ward) loadMs(m conf.Model, name string) int {
+	switch {
+	case w.held[name] && w.perMibAgain > 0:
+		return int(w.perMibAgain * float64(m.SizeMib))
+	case w.perMib > 0:
 		return int(w.perMib * float64(m.SizeMib))
 	}
 	return int(m.LoadFor.Milliseconds())
 }
 
-func (w *Ward) readyMs(m conf.Model) int {
-	ms := w.loadMs(m)
-	return ms + 1500 + w.tasks.Len()*ms
+func (w *Ward) readyMs(m conf.Model, name string) int {
+	ms := w.loadMs(m, name)
+	return ms + 1500 + w.tasks.Len()*int(m.LoadFor.Milliseconds())
 }
 
 func (w *Ward) learn(t *task, now time.Duration) {
-	if m := w.d.Conf().Models[t.item.Model]; t.item.Adapter == "" && m.SizeMib > 0 {
-		took := float64((now - t.since).Milliseconds()) / float64(m.SizeMib)
-		if w.perMib == 0 {
-			w.perMib = took
-		}
-		w.perMib = 0.7*w.perMib + 0.3*took
+	m := w.d.Conf().Models[t.item.Model]
+	w.d.Log.Info("loaded", "replica", w.listed.ID, "item", t.item.String(), "tookMs", (now - t.since).Milliseconds(), "again", w.held[t.item.Model])
+	if t.item.Adapter != "" || m.SizeMib == 0 {
+		return
+	}
+	seen := &w.perMib
+	if w.held[t.item.Model] && w.traits.KeepsOnDisk {
+		seen = &w.perMibAgain
+	}
+	took := float64((now - t.since).Milliseconds()) / float64(m.SizeMib)
+	if *seen == 0 {
+		*seen = took
 	}
+	*seen = 0.7**seen + 0.3*took
 }
 
 func (w *Ward) stampNow() state.Stamp { return state.Stamp{Epoch: w.epoch, Serial: w.serial} }
@@ -75,7 +86,7 @@
 		if i > 0 {
 			sofar += 500 * time.Millisecond
 		}
-		load := time.Duration(w.loadMs(models[t.item.Model])) * time.Millisecond
+		load := time.Duration(w.loadMs(models[t.item.Model], t.item.Model)) * time.Millisecond
 		if t.phase == loaded {
 			load = max(load-(now-t.since), 100*time.Millisecond)
 		}
--- a/internal/place/order/ward.go
+++ b/internal/place/order/ward.go
@@ -113,16 +113,19 @@
 	staying  time.Duration
 	closed   bool
 	perMib   float64 // observed ms per MiB loaded; 0 unknown
-	wrong    int
-	lookedAt time.Duration
-	soon     *run.Nudge
-	traits   backend.Traits
+	// perMibAgain is the same for models that the replica has held before, and held which they are.
+	perMibAgain float64
+	held        map[string]bool
+	wrong       int
+	lookedAt    time.Duration
+	soon        *run.Nudge
+	traits      backend.Traits
 }
 
 // NewWard starts to control a replica.
 func NewWard(g *run.Group, d Deps, l inventory.Listed) *Ward {
 	d.Group = g
-	w := &Ward{d: d, listed: l, book: map[conf.Item]*line{}, vitalsAt: -1 << 62, lookedAt: -1 << 62, staying: -1, traits: d.Replicas.Traits()}
+	w := &Ward{d: d, listed: l, book: map[conf.Item]*line{}, vitalsAt: -1 << 62, lookedAt: -1 << 62, staying: -1, held: map[string]bool{}, traits: d.Replicas.Traits()}
 	w.desk = run.NewDesk(g, 64, d.Cadence.ReplicaBusy, w.onBeat)
 	w.soon = run.NewNudge(w.desk, w.work)
 	return w
@@ -156,7 +159,7 @@
 	if t.phase != loaded || t.item.Adapter != "" {
 		return 0
 	}
-	load := time.Duration(w.loadMs(w.d.Conf().Models[t.item.Model])) * time.Millisecond
+	load := time.Duration(w.loadMs(w.d.Conf().Models[t.item.Model], t.item.Model)) * time.Millisecond
 	return t.since + load*9/10
 }
 
--- a/internal/place/plan/decide.go
+++ b/internal/place/plan/decide.go
@@ -50,12 +50,12 @@
 		x := <-ch
 		answers[x.i] = x.a
 	}
-	// Why: of those that agree, the one that takes the store's time the least, then the one whose victims are worth
-	// least; the judges' order decides between equals.
+	// Why: of those that agree, the one that takes the store's time the least, then the one that is ready clearly
+	// sooner, then the one whose victims are worth least; the judges' order decides between equals.
 	for len(names) > 0 && d.Taken == "" && !undecided {
 		best := -1
 		for i, a := range answers {
-			if a.Taken && (best < 0 || a.Starts < answers[best].Starts || a.Starts == answers[best].Starts && a.Sum < answers[best].Sum) {
+			if a.Taken && (best < 0 || better(a, answers[best])) {
 				best = i
 			}
 		}
@@ -120,6 +120,22 @@
 	})
 }
 
+// clearly is by how much one replica must be ready sooner than another to be taken for that.
+const clearly = 400 // ms
+
+// better says whether a load is rather ordered where a was answered than where b was.
+func better(a, b order.Considered) bool {
+	switch {
+	case a.Starts != b.Starts:
+		return a.Starts < b.Starts
+	case a.ReadyMs+clearly < b.ReadyMs:
+		return true
+	case b.ReadyMs+clearly < a.ReadyMs:
+		return false
+	}
+	return a.Sum < b.Sum
+}
+
 // Explain gives the newest decisions first, about one item or all.
 func (p *Planner) Explain(ctx context.Context, about string) []Decision {
 	out := []Decision{}
--- a/internal/place/plan/miss.go
+++ b/internal/place/plan/miss.go
@@ -31,7 +31,7 @@
 }
 
 // miss prepares a decision about an item that requests wait for.
-func (p *Planner) miss(cfg conf.Effective, it conf.Item, waiting int, views []order.News, now time.Duration) (Decision, bool) {
+func (p *Planner) miss(cfg conf.Effective, it conf.Item, waiting int, pressed bool, views []order.News, now time.Duration) (Decision, bool) {
 	m, known := cfg.Models[it.Model]
 	if !known || !p.holds(it) {
 		return Decision{}, false
@@ -60,6 +60,11 @@
 	acc, _ := i.series.Accuracy(rule, minute)
 	cheapest := order.Cheapest(views, "", it, p.d.Reports, now, cfg)
 	alone := cheapest == 0
+	// Why: where proxies go by what controllers tell, a request whose item is there waits no longer; a report that
+	// still counts it is from before.
+	if !alone && !pressed && !p.d.Cadence.ProxiesAsk {
+		return Decision{}, false
+	}
 	if alone {
 		cheapest = m.LoadFor + m.ServeFor
 	}
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -106,7 +106,8 @@
 	cfg := p.d.Conf()
 	waits := p.d.Reports.Waiting(now)
 	// Why: an item whose holders all have many requests is missed as well, if less than one that nobody holds.
-	for it, n := range p.d.Reports.Pressed(now) {
+	pressed := p.d.Reports.Pressed(now)
+	for it, n := range pressed {
 		waits[it] = max(waits[it], n)
 	}
 	if len(waits) == 0 && len(cfg.Claims) == 0 {
@@ -117,7 +118,7 @@
 	views := Views(p.d.News)
 	var work []Decision
 	for it, n := range waits {
-		if d, ok := p.miss(cfg, it, n, views, now); ok {
+		if d, ok := p.miss(cfg, it, n, pressed[it] > 0, views, now); ok {
 			work = append(work, d)
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -104,6 +104,7 @@
 	partners  atomic.Pointer[[]string]
 	deafAt    atomic.Int64 // since when a request has found this proxy out of touch; 0 is not
 	waking    atomic.Int64 // requests that wait for it to be in touch again
+	serving   atomic.Int64 // requests that are being served
 	leaving   atomic.Bool  // a planned stop has begun: serve, but let go of conns
 	stopping  atomic.Bool
 	cut       atomic.Int64
@@ -188,6 +189,9 @@
 
 // Stop takes no new requests, finishes the accepted ones, and ends.
 func (p *Proxy) Stop(ctx context.Context) error {
+	if p.s.Bounds.Grace > 0 {
+		return p.stopWithin(ctx, p.s.Bounds.Grace)
+	}
 	// Why: a connection closed while a caller writes to it drops that request. So each is closed after an
 	// answer that says so, and only those idle for longer than callers keep them are closed unasked.
 	p.leaving.Store(true)
@@ -206,6 +210,27 @@
 	return failed
 }
 
+// stopWithin ends where whatever is not done after a grace is cut off. Callers may
+// come to the very end; they are told so at once when there is no time left for them.
+func (p *Proxy) stopWithin(ctx context.Context, grace time.Duration) error {
+	p.leaving.Store(true)
+	run.Wait(ctx, grace/4)
+	p.stopping.Store(true)
+	// Why: what waits for a replica now would still be at work when the grace ends.
+	run.Wait(ctx, grace/8)
+	p.gate.Close()
+	for p.serving.Load() > 0 && run.Wait(ctx, wakeBeat) {
+	}
+	var failed error
+	for _, srv := range p.servers {
+		if err := srv.Drain(ctx); err != nil {
+			failed = err
+		}
+	}
+	p.Kill()
+	return failed
+}
+
 // lameDuck is how long a stopping proxy still serves while it lets go of its connections.
 func (p *Proxy) lameDuck() time.Duration {
 	if g := p.s.Bounds.Grace; g > 0 {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -152,6 +153,7 @@
 type passage struct {
 	p        *Proxy
 	call     Call
+	began    time.Time
 	number   int // attempts so far
 	outcome  attempt.Outcome
 	reserved bool // a retry is set aside for this request
@@ -162,10 +164,12 @@
 	if c.Target.Route.Kind == "model" {
 		p.count(c.Target.Item)
 	}
-	w := &passage{p: p, call: c, outcome: attempt.NotRun}
+	p.serving.Add(1)
+	w := &passage{p: p, call: c, began: time.Now(), outcome: attempt.NotRun}
 	got, refusal := w.begin(ctx)
 	w.giveBack()
 	if refusal != nil {
+		p.serving.Add(-1)
 		return nil, refusal
 	}
 	a := &Answer{Replica: got.replica, Status: got.reply.Status, Header: got.reply.Header, ContentType: got.reply.ContentType, Length: got.reply.Length}
@@ -173,7 +177,7 @@
 	if c.Target.Route.Resumable && c.Target.Route.Streaming && got.reply.Status == http.StatusOK {
 		from, a.Length = newEventStream(ctx, w, got), -1
 	}
-	a.Body = relay.New(from, &p.cut, func() {})
+	a.Body = relay.New(from, &p.cut, func() { p.serving.Add(-1) })
 	return a, nil
 }
 
@@ -182,15 +186,43 @@
 	reply   *attempt.Reply
 	replica string
 	done    func()
+	log     *slog.Logger
+	item    string
+	load    int           // requests on the replica when this one was sent
+	waited  time.Duration // until it was sent
+	tokens  int           // of the prompt
+	first   time.Duration
+	lastAt  time.Time
+	pause   time.Duration // the longest between two pieces
+	bound   time.Duration // a longer one says that the replica has too much to do
+	press   func()
 }
 
+// pressedPart of what should not occur is where a replica counts as having too much to do.
+const pressedPart = 2
+
 // Read reads the reply.
-func (b *begun) Read(to []byte) (int, error) { return b.reply.Read(to) }
+func (b *begun) Read(to []byte) (int, error) {
+	n, err := b.reply.Read(to)
+	if n > 0 {
+		now := time.Now()
+		if !b.lastAt.IsZero() {
+			b.pause = max(b.pause, now.Sub(b.lastAt))
+		}
+		if b.press != nil && b.pause > b.bound {
+			b.press()
+			b.press = nil
+		}
+		b.lastAt = now
+	}
+	return n, err
+}
 
 // Close ends the attempt and gives its place back.
 func (b *begun) Close() error {
 	err := b.reply.Close()
 	b.done()
+	b.log.Debug("answer ended", "replica", b.replica, "item", b.item, "load", b.load, "waitedMs", b.waited.Milliseconds(), "tokens", b.tokens, "firstMs", b.first.Milliseconds(), "pauseMs", b.pause.Milliseconds())
 	return err
 }
 
@@ -230,8 +262,17 @@
 		}
 		if failure == nil {
 			a.Replica.Live.First(time.Since(sentAt))
+			a.Begun()
+			if t.Route.Streaming && t.Route.Target > 0 && time.Since(sentAt) > t.Route.Target/pressedPart {
+				p.routes.Press(t.Item)
+			}
 			p.heard(a.Replica, reply.Load)
-			return &begun{reply: reply, replica: a.Replica.Listed.ID, done: a.Done}, nil
+			b := &begun{reply: reply, replica: a.Replica.Listed.ID, done: a.Done, log: p.log, item: t.Item.String(),
+				load: a.Replica.Load(), waited: sentAt.Sub(w.began), tokens: t.Prompt.Size(), first: time.Since(sentAt)}
+			if item := t.Item; t.Route.GapTarget > 0 && item.Model != "" {
+				b.bound, b.press = t.Route.GapTarget/pressedPart, func() { p.routes.Press(item) }
+			}
+			return b, nil
 		}
 		a.Done()
 		if refusal := w.failed(ctx, a.Replica, failure, sentAt, firstBy, early); refusal != nil {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -50,6 +50,7 @@
 	Inflight atomic.Int64
 	look     atomic.Bool // its report is wanted out of turn
 	load     atomic.Pointer[loadWord]
+	unread   unread
 	heardAt  atomic.Int64 // when a piece of an answer came from it last, on our clock
 	first    atomic.Int64 // how long a first piece takes, on average of late
 	strays   atomic.Int64 // how far that is off, on average of late
@@ -63,8 +64,9 @@
 
 // loadWord is what an answer said of a replica's load.
 type loadWord struct {
-	others int // requests there that are not ours
-	at     time.Duration
+	others  int // requests there that are not ours
+	waiting int // requests there whose prompt has not been read
+	at      time.Duration
 }
 
 // wordLasts is how long what an answer said of a replica's load is gone by.
@@ -139,6 +141,8 @@
 	onNew  atomic.Pointer[func()]
 	warmth *memory
 
+	predictor Predictor
+
 	pressMu  sync.Mutex
 	pressing map[string]pressing
 }
@@ -339,7 +343,7 @@
 
 // Heard notes what an answer said of a replica's load.
 func (k *Keeper) Heard(r *Replica, running, waiting int) {
-	r.Live.load.Store(&loadWord{others: max(0, running+waiting-int(r.Live.Inflight.Load())), at: k.clock.Since()})
+	r.Live.load.Store(&loadWord{others: max(0, running+waiting-int(r.Live.Inflight.Load())), waiting: waiting, at: k.clock.Since()})
 }
 
 // toldAt is when an entry in its present form was first seen here; what is
@@ -484,6 +488,9 @@
 		for i := range facts {
 			id := facts[i].Name
 			facts[i].Warm, facts[i].Home = warm[id], float64(share.Draw(home, id)>>11)/(1<<53)
+			if r := s.Replicas[id]; r.Told {
+				facts[i].Wait = k.wait(r, int(float64(t.Prompt.size)*(1-warm[id])), now)
+			}
 		}
 	}
 	if held == 0 {
@@ -497,22 +504,43 @@
 	return s.Replicas[facts[i].Name], held, serve
 }
 
+// Place is what a request takes at a replica.
+type Place struct {
+	Begun func() // its first piece has come
+	Done  func() // it has ended
+}
+
 // Took remembers where a prefix is warm now, counts the request there, and
 // gives back how to uncount it.
-func (k *Keeper) Took(t Target, r *Replica) (done func()) {
+func (k *Keeper) Took(t Target, r *Replica) Place {
 	item := t.Item.String()
+	tokens := 0
+	if t.Route.Kind == "model" && r.Told {
+		tokens = int(float64(t.Prompt.size) * (1 - k.warmth.warm(t.Prompt)[r.Listed.ID]))
+		r.Live.unread.tokens.Add(int64(tokens))
+	}
 	if t.Route.Kind == "model" {
 		k.warmth.sent(t.Prompt, r.Listed.ID)
 		if r.Told && r.pressed() {
-			k.press(item, k.clock.Since())
+			k.press(t.Item.Model, k.clock.Since())
 		}
 	}
 	r.Live.Inflight.Add(1)
 	r.Live.mu.Lock()
 	r.Live.items[item]++
 	r.Live.mu.Unlock()
-	var once sync.Once
-	return func() {
+	load, sentAt := r.Load(), k.clock.Since()
+	var first, once sync.Once
+	begun := func(answered bool) {
+		first.Do(func() {
+			r.Live.unread.tokens.Add(int64(-tokens))
+			if answered && tokens > 0 {
+				k.predictor.Learn(tokens, load, k.clock.Since()-sentAt)
+			}
+		})
+	}
+	done := func() {
+		begun(false)
 		once.Do(func() {
 			r.Live.Inflight.Add(-1)
 			r.Live.mu.Lock()
@@ -522,6 +550,7 @@
 			r.Live.mu.Unlock()
 		})
 	}
+	return Place{Begun: func() { begun(true) }, Done: done}
 }
 
 // Silent notes that a replica kept a request waiting for longer than it does; it is
@@ -608,10 +637,16 @@
 	pressedLasts = time.Second
 )
 
+// Load is how many requests a replica has, as far as is known here.
+func (r *Replica) Load() int { return r.Elsewher + int(r.Live.Inflight.Load()) }
+
 func (r *Replica) pressed() bool {
-	return r.Elsewher+int(r.Live.Inflight.Load()) >= max(2, min(pressedMost, r.Slots/pressedShare))
+	return r.Load() >= max(2, min(pressedMost, r.Slots/pressedShare))
 }
 
+// Press notes that an answer of an item came later, or with longer pauses, than it should.
+func (k *Keeper) Press(item conf.Item) { k.press(item.Model, k.clock.Since()) }
+
 // press notes that a request had to go where many are.
 func (k *Keeper) press(item string, now time.Duration) {
 	k.pressMu.Lock()
