--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -83,6 +83,7 @@
 	env     Env
 	log     *slog.Logger
 	boot    string
+	began   time.Duration
 	group   *run.Group // what this core does
 	base    *run.Group // what it stands on: servers, datagrams, disk
 	acc     *acceptor.Acceptor
@@ -132,6 +133,7 @@
 		caller: wire.NewCaller(env.Net), mux: wire.NewMux(),
 		wards: map[string]*warded{}, absent: map[string]time.Duration{}}
 	c.group = c.base.Child()
+	c.began = env.Clock.Since()
 	c.s.Bounds, c.s.Cadence = s.Bounds.OrDefault(), s.Cadence.OrDefault()
 	s = c.s
 	if c.conn = s.Replicas; c.conn == nil {
@@ -174,7 +176,7 @@
 	c.spread = news.NewSpreader(c.group, c.news, c.log, c.post, c.caller, c.mux, func() string { return s.Addr }, c.members.Partners, c.touch)
 	c.acc.Serve(c.mux)
 	c.own = owner.New(owner.Deps{Self: c.self, Group: c.group, Clock: env.Clock, Log: c.log, Caller: c.caller, Acceptor: c.acc,
-		Addr: c.addrOf, Rank: c.voters, Behind: func(v state.Core) { c.set.Behind(v) }, Quarantine: s.Bounds.Lease, OnTake: c.onTake})
+		Addr: c.addrOf, Rank: c.voters, Behind: func(v state.Core) { c.set.Behind(v) }, Quarantine: s.Bounds.Lease, Handback: s.Cadence.Handback, OnTake: c.onTake})
 	c.planner = plan.New(plan.Deps{Group: c.group, Clock: env.Clock, Log: c.log, Self: s.Name, Cadence: s.Cadence, Store: s.Bounds.Store, Owner: c.own, News: c.news,
 		Reports: c.reports, Conf: c.effective, Ask: c.consider, Tell: c.tellShared})
 	c.set = coreset.New(coreset.Deps{Self: c.self, Want: s.Cores, Founders: s.Founders, MayFound: s.MayFound, Target: 2*s.Bounds.Tolerated + 1, Replaces: s.Replaces, Group: c.group, Log: c.log, Caller: c.caller,
--- a/internal/core/roll.go
+++ b/internal/core/roll.go
@@ -36,6 +36,18 @@
 	return out
 }
 
+// unheardAfter is for how long a voter must not have answered this core to be passed over for slots.
+const unheardAfter = 1500 * time.Millisecond
+
+// unheard says that a voter does not answer this core. Why: one that others still
+// reach may be cut off from the cores, and a slot that waits for it is held by nobody.
+func (c *Core) unheard(v state.Core) bool {
+	if v.Is(c.self()) || c.env.Clock.Since()-c.began < unheardAfter {
+		return false
+	}
+	return min(c.members.HeardFor(v.Name), c.own.HeardFor(v)) > unheardAfter
+}
+
 // goneFor is how long ago a voter was last thought to be there.
 func (c *Core) goneFor(v state.Core) (left bool, away time.Duration) {
 	for _, n := range c.members.Nodes() {
@@ -85,7 +97,7 @@
 	}
 	var all []scored
 	for v, phase := range c.liveCores() {
-		if phase != acceptor.Voter || !set.Has(v) {
+		if phase != acceptor.Voter || !set.Has(v) || c.unheard(v) {
 			continue
 		}
 		all = append(all, scored{v, share.Draw([]byte{byte(slot)}, v.Name)})
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -187,7 +187,7 @@
 	}
 	place := g.routes.Took(t.Target, r)
 	var once atomic.Bool
-	t.Answer <- holding.Answer{Replica: r, Begun: place.Begun, Done: func() {
+	t.Answer <- holding.Answer{Replica: r, Begun: func() { place.Begun(); g.again.Now() }, Done: func() {
 		if once.Swap(true) {
 			return
 		}
--- a/internal/kernel/bounds/bounds.go
+++ b/internal/kernel/bounds/bounds.go
@@ -96,6 +96,12 @@
 	Report time.Duration
 	// Keep is how often demand history is written to the control state.
 	Keep time.Duration
+	// Ask is how long a planner waits for a controller's answer.
+	Ask time.Duration
+	// Tasks is how many loads one controller takes on at a time.
+	Tasks int
+	// Handback is how long a core keeps a slot that another is preferred for.
+	Handback time.Duration
 	// Hold is how long a request waits for an item that nobody holds without any
 	// word from a controller.
 	Hold time.Duration
@@ -108,7 +114,7 @@
 func DefaultCadence() Cadence {
 	return Cadence{ReplicaIdle: 200 * time.Millisecond, ReplicaBusy: 200 * time.Millisecond, ProxiesAsk: true,
 		List: 500 * time.Millisecond, Plan: 250 * time.Millisecond, Again: time.Second, Share: 2 * time.Second,
-		Report: 500 * time.Millisecond, Keep: 20 * time.Second, Hold: 2500 * time.Millisecond}
+		Report: 500 * time.Millisecond, Keep: 20 * time.Second, Hold: 2500 * time.Millisecond, Ask: 1500 * time.Millisecond, Tasks: 8, Handback: 4 * time.Second}
 }
 
 // OrDefault is the default cadence where none was given.
--- a/internal/place/order/consider.go
+++ b/internal/place/order/consider.go
@@ -38,7 +38,7 @@
 		return Considered{Why: "no fresh report from the replica"}
 	case w.leaving():
 		return Considered{Why: "the replica is leaving"}
-	case w.tasks.Len() >= maxTasks:
+	case w.tasks.Len() >= w.d.Cadence.Tasks:
 		return Considered{Why: "enough orders wait already", Soon: true}
 	}
 	if l := w.book[item]; l != nil && l.State != Leaving && l.State != backend.Unloading {
--- a/internal/place/order/hold_test.go
+++ b/internal/place/order/hold_test.go
@@ -105,7 +105,7 @@
 						time.Sleep(200 * time.Millisecond) // the keeper is far off
 						return 0, true
 					}}, inventory.Listed{ID: "r", Addr: "10.0.0.2:9000", Model: true})
-				for taken := 0; taken < maxTasks; {
+				for taken := 0; taken < bounds.DefaultCadence().Tasks; {
 					time.Sleep(50 * time.Millisecond)
 					for i := range 12 {
 						if a, err := w.Consider(t.Context(), Consider{Replica: "r", Item: fmt.Sprint("m", i), Alone: true}); err == nil && a.Taken {
--- a/internal/place/order/ward.go
+++ b/internal/place/order/ward.go
@@ -32,7 +32,6 @@
 	idleLimit  = 10 * time.Second // victims that do not get idle are let be
 	goneLimit  = 20 * time.Second
 	paceLimit  = 60 * time.Second
-	maxTasks   = 8
 	floatBeat  = time.Second
 	aboutRight = 500 * time.Millisecond // by how much an estimate may be off before another is told
 	// doubt is how long an order with no known outcome counts as carried out, and doubtMargin what is added to a
--- a/internal/place/pace/pace.go
+++ b/internal/place/pace/pace.go
@@ -52,6 +52,34 @@
 	return k
 }
 
+// settle is how long a keeper that took over waits to be told of loads that may
+// still start.
+const settle = 1100 * time.Millisecond
+
+// Resume is a keeper that took over at an instant from one that wrote down its
+// grants: before is how long before its last word each of them was given. Why: when that
+// word was given nobody knows, so each counts as if it were given now.
+func Resume(now, window time.Duration, before []time.Duration) *Keeper {
+	k := NewKeeper(now, window, true)
+	k.from = now + settle
+	for _, age := range before {
+		if age <= window+GrantLife {
+			k.grants.PushBack(now)
+			k.recent.PushBack(now)
+		}
+	}
+	return k
+}
+
+// Ages is how long ago each grant was given that still counts.
+func (k *Keeper) Ages(now time.Duration) []time.Duration {
+	var out []time.Duration
+	for i := range k.grants.Len() {
+		out = append(out, now-k.grants.At(i))
+	}
+	return out
+}
+
 // floatLife is how long a start that may still come counts after it was last
 // told of: it may have come just then, and counts for a window from there.
 func (k *Keeper) floatLife() time.Duration { return k.window + GrantLife + time.Second }
--- a/internal/place/pace/pace_test.go
+++ b/internal/place/pace/pace_test.go
@@ -14,12 +14,17 @@
 		rnd := rand.New(rand.NewPCG(seed, 1))
 		loads := 1 + rnd.IntN(5)
 		k := NewKeeper(0, Window, true)
-		var starts []time.Duration
+		var starts, written []time.Duration
 		for now := time.Duration(0); now < 2*time.Minute; now += time.Duration(rnd.IntN(300)) * time.Millisecond {
-			if rnd.IntN(200) == 0 {
+			switch rnd.IntN(400) {
+			case 0:
 				k = NewKeeper(now, Window, false)
+			case 1:
+				// What the keeper before wrote down may be as old as its last grant.
+				k = Resume(now, Window, written)
 			}
 			if _, ok := k.Grant(now, loads, fmt.Sprint(rnd.IntN(20)), rnd.Float64()); ok {
+				written = k.Ages(now)
 				starts = append(starts, now+time.Duration(rnd.Int64N(int64(GrantLife))))
 			}
 		}
--- a/internal/place/plan/decide.go
+++ b/internal/place/plan/decide.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"drumstall.example/internal/conf"
@@ -22,7 +26,7 @@
 	ready, undecided := 0, false
 	// Why: several candidates are asked at once, so asking writes nothing that is shared.
 	ask := func(to string, dry bool) (a order.Considered, unsure bool) {
-		one, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+		one, cancel := context.WithTimeout(ctx, p.d.Cadence.Ask)
 		defer cancel()
 		var err error
 		a, err = p.d.Ask(one, by[to].Controller, order.Consider{Replica: to, Item: d.Item, Penalty: d.Penalty, Alone: d.Pass, Claim: d.claim, Dry: dry, CostMs: int(d.CheapestMs)})
@@ -75,7 +79,7 @@
 		d.Tried = append(d.Tried, Tried{names[i], a})
 		undecided = undecided || a.Silent
 	}
-	p.d.Log.Info("decision", "item", d.Item, "cause", d.Cause, "penalty", d.Penalty, "alone", d.Alone, "taken", d.Taken)
+	p.d.Log.Info("decision", "item", d.Item, "cause", d.Cause, "penalty", d.Penalty, "alone", d.Alone, "taken", d.Taken, "why", d.reasons())
 	e := Expect{ReadyMs: ready}
 	if d.Taken == "" {
 		e = Expect{Refused: true, RetryS: 2, Why: "no replica can load it now"}
@@ -120,6 +124,22 @@
 	})
 }
 
+// reasons counts why candidates did not take an item.
+func (d Decision) reasons() string {
+	if d.Taken != "" {
+		return ""
+	}
+	count := map[string]int{}
+	for _, t := range d.Tried {
+		count[t.Answer.Why]++
+	}
+	var out []string
+	for _, why := range slices.Sorted(maps.Keys(count)) {
+		out = append(out, fmt.Sprintf("%d: %s", count[why], why))
+	}
+	return strings.Join(out, "; ")
+}
+
 // clearly is by how much one replica must be ready sooner than another to be taken for that.
 const clearly = 400 // ms
 
--- a/internal/place/plan/history.go
+++ b/internal/place/plan/history.go
@@ -42,7 +42,7 @@
 	if slot == state.SlotOf(PaceKey) {
 		// Why: what the keeper before us granted is waited out from now on, not from the first question.
 		now := p.d.Clock.Since()
-		_ = p.paceDesk.Tell(func() { p.keeperFor(epoch, now) })
+		_ = p.paceDesk.Tell(func() { p.keeperFor(p.d.Group.Context(), epoch, now) })
 	}
 	// Why: a full holding must not lose this; without its history the slot would never be planned for.
 	p.d.Group.Go(func(ctx context.Context) { _ = p.desk.Ask(ctx, func() { p.layIn(slot, epoch, recs) }) })
--- a/internal/place/plan/pacing.go
+++ b/internal/place/plan/pacing.go
@@ -4,9 +4,16 @@
 	"context"
 	"time"
 
+	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/place/pace"
+	"drumstall.example/internal/state"
 )
 
+// Grants is what the store's keeper writes down before it lets a load start.
+type Grants struct {
+	AgesMs []int64 `cbor:"1,keyasint"` // how long ago each grant was given that still counts
+}
+
 // Grant allows a load start within the store's pace; only the owner of the
 // pace may.
 func (p *Planner) Grant(ctx context.Context, q Granting) (Granted, error) {
@@ -17,18 +24,34 @@
 			return
 		}
 		now := p.d.Clock.Since()
-		p.keeperFor(epoch, now)
+		if !p.keeperFor(ctx, epoch, now) {
+			return
+		}
 		if q.Afloat {
 			p.pacer.keeper.Afloat(now, q.Who)
 			return
 		}
 		wait, ok := p.pacer.keeper.Grant(now, p.starts(), q.Who, q.Worth)
+		// Why: whoever keeps the pace next must know of this start, or would have to wait out all that could have been.
+		ok = ok && p.writeGrants(ctx, now)
 		// Why: the hold may have run out meanwhile, and another keeper may be granting.
 		g = Granted{OK: ok && p.d.Owner.Holds(PaceKey), WaitMs: int(wait.Milliseconds())}
 	})
 	return g, err
 }
 
+func (p *Planner) writeGrants(ctx context.Context, now time.Duration) bool {
+	var w Grants
+	for _, age := range p.pacer.keeper.Ages(now) {
+		w.AgesMs = append(w.AgesMs, age.Milliseconds())
+	}
+	_, err := p.d.Owner.Update(ctx, PaceKey, func(state.Record, bool) ([]byte, error) { return wire.Pack(w), nil })
+	if err != nil {
+		p.d.Log.Info("grants not kept", "error", err)
+	}
+	return err == nil
+}
+
 // Afloat tells which loads were ordered and may still start, and for how many
 // seconds that has been so; each takes a place of the store's pace.
 func (p *Planner) Afloat(ctx context.Context) map[string]int {
@@ -51,14 +74,37 @@
 		return -1
 	}
 	now := p.d.Clock.Since()
-	p.keeperFor(epoch, now)
+	if !p.keeperFor(p.d.Group.Context(), epoch, now) {
+		return -1
+	}
 	return p.pacer.keeper.Use(now, p.starts())
 }
 
-func (p *Planner) keeperFor(epoch uint64, now time.Duration) {
-	if p.pacer.keeper == nil || p.pacer.epoch != epoch {
-		p.pacer.epoch, p.pacer.keeper = epoch, pace.NewKeeper(now, p.d.Store.Window, epoch == 1)
+// keeperFor sees to it that there is a keeper under an epoch.
+func (p *Planner) keeperFor(ctx context.Context, epoch uint64, now time.Duration) bool {
+	if p.pacer.keeper != nil && p.pacer.epoch == epoch {
+		return true
+	}
+	rec, found, err := p.d.Owner.Get(ctx, PaceKey)
+	if err != nil {
+		return false
+	}
+	var before Grants
+	switch {
+	case epoch == 1:
+		p.pacer.keeper = pace.NewKeeper(now, p.d.Store.Window, true)
+	case found && wire.Unpack(rec.Value, &before) == nil:
+		ages := make([]time.Duration, len(before.AgesMs))
+		for i, ms := range before.AgesMs {
+			ages[i] = time.Duration(ms) * time.Millisecond
+		}
+		p.pacer.keeper = pace.Resume(now, p.d.Store.Window, ages)
+	default:
+		p.pacer.keeper = pace.NewKeeper(now, p.d.Store.Window, false)
 	}
+	p.pacer.epoch = epoch
+	// Why: from here on there is a word to go by, also if nothing is ever granted.
+	return found || p.writeGrants(ctx, now)
 }
 
 // starts is how many loads may begin in a window of the store.
--- a/internal/route/predict.go
+++ b/internal/route/predict.go
@@ -59,6 +59,29 @@
 	}
 }
 
+// backlogPart of the pause that should not occur is how long the prompts that a
+// replica still has to read may take before it gets another from here.
+const backlogPart = 0.45
+
+// wordFresh is how long what an answer said of prompts that wait is taken as the present.
+const wordFresh = 150 * time.Millisecond
+
+// swamped says that one more prompt would make the running answers of a replica
+// pause for too long. Why: a replica reads prompts between the tokens of other
+// answers, and what is read together stops those.
+func (k *Keeper) swamped(r *Replica, uncached int, gap time.Duration, now time.Duration) bool {
+	ahead := float64(r.Live.unread.tokens.Load())
+	if w := r.Live.load.Load(); w != nil && now-w.at < wordFresh {
+		_, mean := k.predictor.Pace()
+		ahead += float64(w.waiting) * mean
+	}
+	if gap <= 0 || ahead == 0 {
+		return false
+	}
+	pace, _ := k.predictor.Pace()
+	return (ahead+float64(uncached))*float64(pace) > backlogPart*float64(gap)
+}
+
 // unread counts the prompt tokens that a replica has been sent and has not answered.
 type unread struct{ tokens atomic.Int64 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -483,6 +483,9 @@
 	}
 	// Why: most calls ask only who holds it, or have one replica to go to; the memory of prompts is not asked for those. A
 	// service keeps nothing warm; a home there would send everybody to one replica, whatever its zone.
+	if len(facts) > 0 && t.Route.Kind == "model" && s.Replicas[facts[0].Name].Told {
+		facts = k.unswamped(t, s, facts, now)
+	}
 	if len(facts) > 1 && t.Route.Kind == "model" {
 		warm, home := k.warmth.warm(t.Prompt), binary.LittleEndian.AppendUint64(nil, t.Prompt.home())
 		for i := range facts {
@@ -504,6 +507,18 @@
 	return s.Replicas[facts[i].Name], held, serve
 }
 
+// unswamped leaves out the replicas that have enough prompts to read.
+func (k *Keeper) unswamped(t Target, s *Snapshot, facts []judge.Replica, now time.Duration) []judge.Replica {
+	warm := k.warmth.warm(t.Prompt)
+	out := facts[:0]
+	for _, f := range facts {
+		if !k.swamped(s.Replicas[f.Name], int(float64(t.Prompt.size)*(1-warm[f.Name])), t.Route.GapTarget, now) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // Place is what a request takes at a replica.
 type Place struct {
 	Begun func() // its first piece has come
--- a/internal/state/acceptor/acceptor.go
+++ b/internal/state/acceptor/acceptor.go
@@ -55,9 +55,16 @@
 type table struct {
 	desk  *run.Desk
 	pr    promise
-	until atomic.Int64 // hold granted until, on our clock
-	anew  bool         // since start nobody has been granted: wait a whole hold
-	freed bid          // let go of last
+	until atomic.Int64               // hold granted until, on our clock
+	anew  bool                       // since start nobody has been granted: wait a whole hold
+	freed bid                        // let go of last
+	last  atomic.Pointer[state.Core] // pr.Holder, for readers outside the desk
+}
+
+func (t *table) keep(pr promise) {
+	t.pr = pr
+	holder := pr.Holder
+	t.last.Store(&holder)
 }
 
 // bid is one try of one core to hold a slot.
@@ -178,9 +185,11 @@
 		// Why: a restarted grantor forgot its grants, so it waits a whole hold before the next.
 		a.slots[i] = &table{anew: true}
 		a.slots[i].grant(a.clock.Since() + state.HoldFor)
-		if _, err := a.read(keyPromise(i), &a.slots[i].pr); err != nil {
+		var pr promise
+		if _, err := a.read(keyPromise(i), &pr); err != nil {
 			return err
 		}
+		a.slots[i].keep(pr)
 		// Why: a record that cannot be read is found now, not when it is needed.
 		if _, err := a.records(i); err != nil {
 			return err
@@ -271,7 +280,7 @@
 		return err
 	}
 	for _, t := range a.slots {
-		if _, err := run.AskFor(ctx, t.desk, func() bool { t.pr, t.anew, t.freed = promise{}, true, bid{}; return true }); err != nil {
+		if _, err := run.AskFor(ctx, t.desk, func() bool { t.keep(promise{}); t.anew, t.freed = true, bid{}; return true }); err != nil {
 			return err
 		}
 	}
@@ -397,7 +406,9 @@
 			return
 		}
 		r.WasEpoch, r.WasHolder = t.pr.Epoch, t.pr.Holder
-		t.pr, t.anew = next, false
+		r.FreeMs = max(0, (now - time.Duration(t.until.Load())).Milliseconds())
+		t.keep(next)
+		t.anew = false
 		t.grant(a.clock.Since() + state.HoldFor)
 		r.OK, r.Records, r.Full, r.Serial = true, recs, next.Full, next.Serial
 	})
@@ -451,13 +462,21 @@
 			r.Why = state.WhySick
 			return
 		}
-		t.pr = next
+		t.keep(next)
 		r.OK = true
 	})
 }
 
 func (t *table) grant(until time.Duration) { t.until.Store(int64(until)) }
 
+// Promised is whom the slot was promised last.
+func (a *Acceptor) Promised(slot int) state.Core {
+	if c := a.slots[slot].last.Load(); c != nil {
+		return *c
+	}
+	return state.Core{}
+}
+
 // Lapsed is how long no hold of the slot has been granted here; 0 while one is.
 func (a *Acceptor) Lapsed(slot int) time.Duration {
 	return max(0, a.clock.Since()-time.Duration(a.slots[slot].until.Load()))
@@ -482,7 +501,7 @@
 				if err := a.commit(func(b *pebble.Batch) error { return b.Set(keyPromise(slot), wire.Pack(next), nil) }); err != nil {
 					return
 				}
-				t.pr = next
+				t.keep(next)
 			}
 			t.anew = false
 			t.grant(a.clock.Since() + state.HoldFor)
@@ -555,7 +574,8 @@
 			return b.Set(keyPromise(slot), wire.Pack(pr), nil)
 		})
 		if problem == nil {
-			t.pr, t.anew = pr, true
+			t.keep(pr)
+			t.anew = true
 			t.grant(a.clock.Since() + state.HoldFor)
 		}
 		return problem
--- a/internal/state/owner/owner.go
+++ b/internal/state/owner/owner.go
@@ -45,6 +45,8 @@
 	// Quarantine is how long a new owner gives no orders: what the old one sent
 	// may still be on its way.
 	Quarantine time.Duration
+	// Handback is how long a slot is kept that another core is preferred for.
+	Handback time.Duration
 	// OnTake is called in the slot's desk when a slot has been taken.
 	OnTake func(slot int, records []state.Record)
 }
@@ -57,6 +59,7 @@
 	owed  atomic.Int64
 	mu    sync.Mutex
 	heard map[string]time.Duration // voter: when it last granted us something
+	began time.Duration
 }
 
 type slot struct {
@@ -77,7 +80,7 @@
 
 // New starts to look for slots to hold.
 func New(d Deps) *Owner {
-	o := &Owner{d: d, heard: map[string]time.Duration{}}
+	o := &Owner{d: d, heard: map[string]time.Duration{}, began: d.Clock.Since()}
 	for i := range o.slots {
 		s := &slot{o: o, n: i, owes: map[string]bool{}, beats: i}
 		s.desk = run.NewDesk(d.Group, 256, beat, s.onBeat)
@@ -302,7 +305,7 @@
 	}
 	known := me < len(rank)
 	switch {
-	case s.table == nil && known && now >= s.waitUntil && (me == 0 || o.d.Acceptor.Lapsed(s.n) > lapse*time.Duration(me)):
+	case s.table == nil && known && now >= s.waitUntil && (me == 0 || s.heldBeforeStart(now) || o.d.Acceptor.Lapsed(s.n) > lapse*time.Duration(me)):
 		// Why: who should hold it may be alive for some and cut off from the other cores; a slot that nobody
 		// holds goes to the next in rank.
 		s.take(st.Set)
@@ -311,7 +314,7 @@
 		// core that grants us our own holds.
 		if s.strayed == 0 {
 			s.strayed = now
-		} else if now-s.strayed > 4*time.Second {
+		} else if now-s.strayed > o.d.Handback {
 			s.giveUp("another core is preferred", true)
 		}
 	default:
@@ -322,6 +325,12 @@
 	}
 }
 
+// heldBeforeStart says that this core held the slot last, before it was started.
+// Why: the others keep everybody else out until that hold has run out.
+func (s *slot) heldBeforeStart(now time.Duration) bool {
+	return now-s.o.began < state.HoldFor && s.o.d.Acceptor.Promised(s.n).Is(s.o.d.Self())
+}
+
 // take asks a majority for the slot, carries their newest records forward
 // under the new epoch, and only then serves.
 func (s *slot) take(set state.CoreSet) {
@@ -361,7 +370,7 @@
 	s.until.Store(int64(before + state.HoldFor - state.HoldMargin))
 	// Why: whoever held the slot before may have orders on the way; a first owner has none to wait out.
 	wonAt := o.d.Clock.Since()
-	s.orderFrom.Store(int64(wonAt + o.d.Quarantine))
+	s.orderFrom.Store(int64(wonAt + o.d.Quarantine - freeFor(yes)))
 	if q.Epoch == 1 || s.ownBefore(yes) {
 		s.orderFrom.Store(int64(wonAt))
 	}
@@ -377,6 +386,19 @@
 	}
 }
 
+// freeFor is how long nobody has held the slot for sure. Why: who held it last
+// needed grants from a majority, one of which is among those that answered; its hold ended before
+// the last of theirs, and with the hold its orders.
+func freeFor(yes []state.Reply) time.Duration {
+	free := time.Duration(-1)
+	for _, r := range yes {
+		if d := time.Duration(r.FreeMs) * time.Millisecond; free < 0 || d < free {
+			free = d
+		}
+	}
+	return max(0, free)
+}
+
 // ownBefore says that nobody but this core was promised the slot last. Why: what
 // it ordered in an earlier life is its own, under its own name, and need not be waited out.
 func (s *slot) ownBefore(yes []state.Reply) bool {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -116,6 +116,7 @@
 	// To a prepare: the promise that stood before, and whom it was given to.
 	WasEpoch  uint64 `cbor:"10,keyasint,omitempty"`
 	WasHolder Core   `cbor:"11,keyasint,omitempty"`
+	FreeMs    int64  `cbor:"12,keyasint,omitempty"` // for how long no hold had been granted here
 }
 
 // Renewal asks for several slots at once.
