Who held a slot last is told by its whole table, not by promises

A core took a promise that it had been given in vain for a hold of its own and did not wait out the lease of the core before it.

Change: acceptors keep who wrote the whole table of a slot; only the writer of the newest one is the last holder.

--- a/internal/place/pace/pace.go
+++ b/internal/place/pace/pace.go
@@ -57,8 +57,8 @@
 const settle = 1100 * time.Millisecond
 
 // Resume is a keeper that took over at an instant from one that wrote down its
-// grants: before is how long before its last word each of them was given. Why: when that
-// word was given nobody knows, so each counts as if it were given now.
+// grants: before is how long ago each of them was given at the latest. Why: when the word
+// itself was given nobody knows, so each that may still count does so from now.
 func Resume(now, window time.Duration, before []time.Duration) *Keeper {
 	k := NewKeeper(now, window, true)
 	k.from = now + settle
--- a/internal/place/plan/history.go
+++ b/internal/place/plan/history.go
@@ -16,6 +16,7 @@
 	series *demand.Series
 	seen   map[string]uint64
 	last   time.Duration // last decision
+	since  time.Duration // since when requests wait for it; below 0: none does
 	vain   time.Duration // since when nothing could be loaded for what will pass; 0 is not
 	passed time.Duration // when it was last loaded without the test
 	said   state.Stamp
@@ -97,7 +98,7 @@
 		if len(p.items) >= maxItems {
 			return nil
 		}
-		i = &item{series: demand.NewSeries(), seen: map[string]uint64{}, last: -1 << 62, passed: -1 << 62, dirty: map[int64]bool{}}
+		i = &item{series: demand.NewSeries(), seen: map[string]uint64{}, since: -1, last: -1 << 62, passed: -1 << 62, dirty: map[int64]bool{}}
 		p.items[it] = i
 	}
 	return i
--- a/internal/place/plan/messages.go
+++ b/internal/place/plan/messages.go
@@ -54,6 +54,7 @@
 	Tried      []Tried        `json:"tried"`
 	Taken      string         `json:"taken"`
 	claim      bool           // it is about a claim's copy
+	waited     time.Duration  // for how long requests have waited for it
 }
 
 // Shared is a core's predictions, told to the others.
--- a/internal/place/plan/miss.go
+++ b/internal/place/plan/miss.go
@@ -70,6 +70,9 @@
 	}
 	d := Decision{At: p.d.Clock.Wall(), Core: p.d.Self, Item: it.String(), Cause: fmt.Sprintf("%d requests wait", waiting), Requests: requests, Accuracy: acc,
 		CheapestMs: cheapest.Milliseconds(), Penalty: penalty.Of(requests, cheapest), Csf: cfg.Limits.Csf, Alone: alone}
+	if i.since >= 0 {
+		d.waited = now - i.since
+	}
 	// Why: if every miss of an item nobody holds went in without the test, rare items would drive each other
 	// and the wanted ones out, faster than the store can bring them back (docs/measurements/replay.md).
 	// While the store has time to spare they cannot, and whoever asks would be turned away for nothing. A keeper
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -28,9 +28,12 @@
 	patience   = 5 * time.Second // for what stands in the way of a load and will pass
 	claimAgain = 5 * time.Second // between two looks at a claim that could not be met
 	useLife    = 6 * time.Second // what the store's keeper told holds so long
-	tries      = 8               // candidates asked for one decision
+	tries      = 16              // candidates asked for one decision
 	decisions  = 200             // kept for explaining
 	maxItems   = 20_000
+	// pressedFew is how many answers of an item must have been held up lately for another copy to be thought of.
+	// Why: an answer now and then is held up by what others ask of the same replica.
+	pressedFew = 4
 )
 
 // Deps is what the planner needs from the core.
@@ -108,6 +111,10 @@
 	// Why: an item whose holders all have many requests is missed as well, if less than one that nobody holds.
 	pressed := p.d.Reports.Pressed(now)
 	for it, n := range pressed {
+		if n < pressedFew {
+			delete(pressed, it)
+			continue
+		}
 		waits[it] = max(waits[it], n)
 	}
 	if len(waits) == 0 && len(cfg.Claims) == 0 {
@@ -117,13 +124,14 @@
 	}
 	views := Views(p.d.News)
 	var work []Decision
+	p.noteWaiting(waits, now)
 	for it, n := range waits {
 		if d, ok := p.miss(cfg, it, n, pressed[it] > 0, views, now); ok {
 			work = append(work, d)
 		}
 	}
 	work = append(work, p.claims(cfg, views, now)...)
-	sort.Slice(work, func(i, j int) bool { return work[i].Penalty > work[j].Penalty })
+	sort.Slice(work, func(i, j int) bool { return work[i].before(work[j]) })
 	if !p.d.Group.Go(func(ctx context.Context) {
 		defer p.busy.Store(false)
 		for _, d := range work {
@@ -133,3 +141,32 @@
 		p.busy.Store(false)
 	}
 }
+
+// noteWaiting keeps in mind since when requests wait for each item.
+func (p *Planner) noteWaiting(waits map[conf.Item]int, now time.Duration) {
+	for it, i := range p.items {
+		switch {
+		case waits[it] == 0:
+			i.since = -1
+		case i.since < 0:
+			i.since = now
+		}
+	}
+}
+
+// unfair is for how long requests may wait for an item that nobody holds before
+// it goes before dearer ones. Why: the dearest first would never let the cheapest in.
+const unfair = 1500 * time.Millisecond
+
+// before says which decision is made first: what has waited for too long, the
+// longest first, then the dearest.
+func (d Decision) before(o Decision) bool {
+	late, other := d.Alone && d.waited > unfair, o.Alone && o.waited > unfair
+	switch {
+	case late != other:
+		return late
+	case late && d.waited != o.waited:
+		return d.waited > o.waited
+	}
+	return d.Penalty > o.Penalty
+}
--- a/internal/state/acceptor/acceptor.go
+++ b/internal/state/acceptor/acceptor.go
@@ -48,8 +48,9 @@
 type promise struct {
 	Epoch  uint64     `cbor:"1,keyasint"`
 	Holder state.Core `cbor:"2,keyasint"`
-	Full   uint64     `cbor:"3,keyasint"` // newest epoch whose whole table is here
-	Serial uint64     `cbor:"4,keyasint"` // newest serial seen in the slot
+	Full   uint64     `cbor:"3,keyasint"`           // newest epoch whose whole table is here
+	Serial uint64     `cbor:"4,keyasint"`           // newest serial seen in the slot
+	FullBy state.Core `cbor:"5,keyasint,omitempty"` // who wrote the whole table under Full
 }
 
 type table struct {
@@ -405,7 +406,7 @@
 			r.Why = state.WhySick
 			return
 		}
-		r.WasEpoch, r.WasHolder = t.pr.Epoch, t.pr.Holder
+		r.FullBy = t.pr.FullBy
 		r.FreeMs = max(0, (now - time.Duration(t.until.Load())).Milliseconds())
 		t.keep(next)
 		t.anew = false
@@ -432,7 +433,7 @@
 		}
 		next.Serial = max(next.Serial, q.At)
 		if q.Full {
-			next.Full = q.Epoch
+			next.Full, next.FullBy = q.Epoch, q.From
 		}
 		err := a.commit(func(b *pebble.Batch) error {
 			if q.Full {
@@ -552,7 +553,7 @@
 			r.Why = state.WhySick
 			return
 		}
-		r.OK, r.Records, r.Full, r.Serial = true, recs, t.pr.Full, t.pr.Serial
+		r.OK, r.Records, r.Full, r.Serial, r.FullBy = true, recs, t.pr.Full, t.pr.Serial, t.pr.FullBy
 	})
 }
 
@@ -595,7 +596,9 @@
 		if r.Epoch > pr.Epoch {
 			pr.Epoch, pr.Holder = r.Epoch, r.Holder
 		}
-		pr.Full = max(pr.Full, r.Full)
+		if r.Full > pr.Full {
+			pr.Full, pr.FullBy = r.Full, r.FullBy
+		}
 		pr.Serial = max(pr.Serial, r.Serial)
 	}
 	for _, r := range replies {
--- a/internal/state/owner/owner.go
+++ b/internal/state/owner/owner.go
@@ -69,6 +69,7 @@
 	epoch     atomic.Uint64
 	until     atomic.Int64 // hold good until, on our clock; 0 when not held
 	orderFrom atomic.Int64
+	freeFor   atomic.Int64 // how long nobody had held the slot for sure when it was taken
 	serial    uint64
 	table     map[string]state.Record
 	seen      uint64 // highest epoch heard of
@@ -125,6 +126,11 @@
 	return epoch, left, left > 0 && now >= time.Duration(s.orderFrom.Load()) && s.epoch.Load() == epoch
 }
 
+// FreeFor is how long nobody had held the slot of a key for sure when it was taken.
+func (o *Owner) FreeFor(key string) time.Duration {
+	return time.Duration(o.slots[state.SlotOf(key)].freeFor.Load())
+}
+
 func (s *slot) held() bool {
 	return s.o.d.Clock.Since() < time.Duration(s.until.Load())
 }
@@ -371,8 +377,11 @@
 	// Why: whoever held the slot before may have orders on the way; a first owner has none to wait out.
 	wonAt := o.d.Clock.Since()
 	s.orderFrom.Store(int64(wonAt + o.d.Quarantine - freeFor(yes)))
+	s.freeFor.Store(int64(freeFor(yes)))
 	if q.Epoch == 1 || s.ownBefore(yes) {
 		s.orderFrom.Store(int64(wonAt))
+		// Why: what an earlier life of this process did was over when this one began.
+		s.freeFor.Store(int64(max(freeFor(yes), min(wonAt-o.began, state.HoldFor))))
 	}
 	if err := s.write(recs, true); err != nil {
 		o.d.Log.Info("slot not taken", "slot", s.n, "epoch", q.Epoch, "problem", err)
@@ -399,21 +408,18 @@
 	return max(0, free)
 }
 
-// ownBefore says that nobody but this core was promised the slot last. Why: what
-// it ordered in an earlier life is its own, under its own name, and need not be waited out.
+// ownBefore says that this core was the last to hold the slot. Why: whoever holds
+// one has first written the whole table to a majority, one of which has answered; a
+// promise alone may have been given in vain. What this core ordered in an earlier life is its own, under its
+// own name, and need not be waited out.
 func (s *slot) ownBefore(yes []state.Reply) bool {
 	var last state.Reply
 	for _, r := range yes {
-		if r.WasEpoch >= last.WasEpoch {
+		if r.Full > last.Full {
 			last = r
 		}
 	}
-	for _, r := range yes {
-		if r.WasEpoch == last.WasEpoch && r.WasHolder.Name != s.o.d.Self().Name {
-			return false
-		}
-	}
-	return last.WasEpoch > 0
+	return last.Full > 0 && last.FullBy.Name == s.o.d.Self().Name
 }
 
 // repair hands partners what they missed: those with a hint, and those whose
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -113,10 +113,8 @@
 	Records []Record `cbor:"7,keyasint,omitempty"`
 	Holder  Core     `cbor:"8,keyasint,omitempty"`
 	Sum     []byte   `cbor:"9,keyasint,omitempty"`
-	// To a prepare: the promise that stood before, and whom it was given to.
-	WasEpoch  uint64 `cbor:"10,keyasint,omitempty"`
-	WasHolder Core   `cbor:"11,keyasint,omitempty"`
-	FreeMs    int64  `cbor:"12,keyasint,omitempty"` // for how long no hold had been granted here
+	FullBy  Core     `cbor:"10,keyasint,omitempty"` // who wrote the whole table under Full
+	FreeMs  int64    `cbor:"11,keyasint,omitempty"` // to a prepare: for how long no hold had been granted here
 }
 
 // Renewal asks for several slots at once.
