Who would be given up by its client is told in time to come again

Cause: most requests that failed had waited for a rare model until their client went away (a stream is given up after four times its aim); that try was lost. Ruled out: replicas that refuse, the budget for retries (unused).

--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -138,6 +138,7 @@
 		return broke
 	}
 	w.call.Target.Avoid = s.from.replica
+	w.call.FirstBy = w.call.Deadline
 	w.outcome = attempt.Unknown
 	if s.known {
 		w.call.LastEvent = strconv.FormatUint(s.last, 10)
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -20,6 +20,7 @@
 type Call struct {
 	Target      route.Target
 	Deadline    time.Time
+	FirstBy     time.Time // when the caller goes away if nothing has come; zero is the deadline
 	Ticket      string // the caller's own number
 	ContentType string
 	Method      string
@@ -165,11 +166,16 @@
 		p.count(c.Target.Item)
 	}
 	p.serving.Add(1)
+	if c.FirstBy.IsZero() || c.FirstBy.After(c.Deadline) {
+		c.FirstBy = c.Deadline
+	}
 	w := &passage{p: p, call: c, began: time.Now(), outcome: attempt.NotRun}
 	got, refusal := w.begin(ctx)
 	w.giveBack()
 	if refusal != nil {
 		p.serving.Add(-1)
+		p.log.Debug("refused", "item", c.Target.Item.String(), "reason", string(refusal.Reason), "outcome", string(refusal.Outcome),
+			"attempts", w.number, "detail", refusal.Detail, "afterMs", time.Since(w.began).Milliseconds())
 		return nil, refusal
 	}
 	a := &Answer{Replica: got.replica, Status: got.reply.Status, Header: got.reply.Header, ContentType: got.reply.ContentType, Length: got.reply.Length}
@@ -238,7 +244,7 @@
 	p, svc, t := w.p, service(w.call.Target), &w.call.Target
 	for {
 		w.number++
-		a := p.gate.Enter(ctx, *t, t.Route.Class, w.call.Deadline)
+		a := p.gate.Enter(ctx, *t, t.Route.Class, w.call.FirstBy)
 		if a.Replica == nil {
 			return nil, turnedAway(a, w.outcome)
 		}
@@ -309,7 +315,7 @@
 		w.outcome = attempt.Unknown
 	}
 	again := f.Outcome == attempt.NotRun || f.Outcome == attempt.Unknown && t.Route.Repeatable
-	late := !time.Now().Before(w.call.Deadline) || ctx.Err() != nil
+	late := !time.Now().Before(w.call.FirstBy) || ctx.Err() != nil
 	switch {
 	case f.Outcome == attempt.Ran:
 		return &Refusal{Reason: Lost, Detail: f.Why, Outcome: attempt.Ran}
@@ -335,7 +341,7 @@
 		// that is slow, and its other answers tell.
 		q.Stall = stallTimes * c.Target.Route.GapTarget
 		q.Alive = func() bool { return w.p.routes.Alive(r) }
-		q.FirstAtLast = time.Now().Add(time.Until(c.Deadline) / 2)
+		q.FirstAtLast = time.Now().Add(time.Until(c.FirstBy) / 2)
 	}
 	return q
 }
@@ -347,7 +353,7 @@
 // firstBy is by when an attempt's first piece must have come. early says that
 // this is sooner than anything but the replica's own habit asks for.
 func (w *passage) firstBy(r *route.Replica, now time.Time) (by time.Time, early bool) {
-	p, t, deadline := w.p, w.call.Target, w.call.Deadline
+	p, t, deadline := w.p, w.call.Target, w.call.FirstBy
 	hurried := p.routes.Now().Conf.Classes[t.Route.Class].Urgent || t.Route.Target > 0
 	if !t.Route.Repeatable || w.number >= t.Route.Attempts || !hurried {
 		return deadline, false
