Copies of a model follow the work that its prompts make

Cause: after a shift a busy model got its copies one by one, some 3 s apart, and only once its answers paused; late answers and work per copy go together (25 % of a replica's time for prompts: few late; 45 %: half of them). Ruled out: the choice among holders (backlogs within bounds). Change: proxies count the time that replicas take to read each model's prompts; a model wants as many copies as keep each below 22 %, and several may be on their way at once; the csf test still decides what makes room.

--- a/internal/place/plan/history.go
+++ b/internal/place/plan/history.go
@@ -111,6 +111,7 @@
 		if !p.d.Reports.Put(r, now) {
 			return
 		}
+		p.work.add(r, now)
 		cfg := p.d.Conf()
 		minute, fresh := p.clock(cfg).Now(p.d.Clock.Wall(), now)
 		for name, count := range r.Demand {
@@ -155,6 +156,7 @@
 				alive[r.Agent+"/"+r.Boot] = true
 			}
 		}
+		p.work.forget(alive, now)
 		for it, i := range p.items {
 			if !p.holds(it) {
 				continue
--- a/internal/place/plan/miss.go
+++ b/internal/place/plan/miss.go
@@ -31,7 +31,7 @@
 }
 
 // miss prepares a decision about an item that requests wait for.
-func (p *Planner) miss(cfg conf.Effective, it conf.Item, waiting int, pressed bool, views []order.News, now time.Duration) (Decision, bool) {
+func (p *Planner) miss(cfg conf.Effective, it conf.Item, waiting int, pressed bool, wanted int, views []order.News, now time.Duration) (Decision, bool) {
 	m, known := cfg.Models[it.Model]
 	if !known || !p.holds(it) {
 		return Decision{}, false
@@ -40,14 +40,22 @@
 	if i == nil || now-i.last < p.d.Cadence.Again {
 		return Decision{}, false
 	}
-	coming := false
+	coming, copies := false, 0
 	for _, v := range views {
-		if s := v.Items[it.String()]; !v.Dark && !v.Listed.Leaving && (s == order.Reserved || s == backend.Loading) {
+		if v.Dark || v.Listed.Leaving {
+			continue
+		}
+		switch v.Items[it.String()] {
+		case order.Reserved, backend.Loading:
 			coming = true
+			copies++
+		case backend.Loaded:
+			copies++
 		}
 	}
-	// Why: many misses for one item make one load; the next is thought of when it is there.
-	if coming {
+	// Why: many misses for one item make one load; the next is thought of when it is there, unless its work is more
+	// than all of them will bear.
+	if coming && copies >= wanted {
 		return Decision{}, false
 	}
 	if now-i.last > 3*p.d.Cadence.Again {
@@ -62,7 +70,7 @@
 	alone := cheapest == 0
 	// Why: where proxies go by what controllers tell, a request whose item is there waits no longer; a report that
 	// still counts it is from before.
-	if !alone && !pressed && !p.d.Cadence.ProxiesAsk {
+	if !alone && !pressed && copies >= wanted && !p.d.Cadence.ProxiesAsk {
 		return Decision{}, false
 	}
 	if alone {
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -63,6 +63,7 @@
 	minutes *demand.Minutes
 	unit    time.Duration
 	soon    *run.Nudge
+	work    workRates
 	loaded  map[int]uint64 // slot: epoch whose history has been read
 	next    atomic.Pointer[map[string]float64]
 	shared  map[string]float64
@@ -108,6 +109,7 @@
 	now := p.d.Clock.Since()
 	cfg := p.d.Conf()
 	waits := p.d.Reports.Waiting(now)
+	crowded := p.crowded(now)
 	// Why: an item whose holders all have many requests is missed as well, if less than one that nobody holds.
 	pressed := p.d.Reports.Pressed(now)
 	for it, n := range pressed {
@@ -117,6 +119,9 @@
 		}
 		waits[it] = max(waits[it], n)
 	}
+	for it := range crowded {
+		waits[it] = max(waits[it], 1)
+	}
 	if len(waits) == 0 && len(cfg.Claims) == 0 {
 		p.unmet = map[string]string{}
 		p.busy.Store(false)
@@ -126,7 +131,7 @@
 	var work []Decision
 	p.noteWaiting(waits, now)
 	for it, n := range waits {
-		if d, ok := p.miss(cfg, it, n, pressed[it] > 0, views, now); ok {
+		if d, ok := p.miss(cfg, it, n, pressed[it] > 0, crowded[it], views, now); ok {
 			work = append(work, d)
 		}
 	}
--- a/internal/place/report/report.go
+++ b/internal/place/report/report.go
@@ -27,6 +27,7 @@
 	Zone     string                    `cbor:"9,keyasint"`
 	Serving  bool                      `cbor:"10,keyasint"`
 	Pressed  map[string]int            `cbor:"11,keyasint,omitempty"` // item: requests that went where many are, of late
+	WorkMs   map[string]uint64         `cbor:"12,keyasint,omitempty"` // model: replicas' time to read its prompts, so far
 }
 
 // Taken is a core's answer to a report.
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -21,7 +21,7 @@
 	Target      route.Target
 	Deadline    time.Time
 	FirstBy     time.Time // when the caller goes away if nothing has come; zero is the deadline
-	Ticket      string // the caller's own number
+	Ticket      string    // the caller's own number
 	ContentType string
 	Method      string
 	Path        string // with the query, as the caller wrote it
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -145,6 +145,7 @@
 
 	pressMu  sync.Mutex
 	pressing map[string]pressing
+	work     map[string]time.Duration // of each model: replicas' time to read its prompts, so far
 }
 
 // Deps is what a keeper needs from the rest of the proxy.
@@ -205,7 +206,7 @@
 	}
 	k := &Keeper{d: d, news: d.News, clock: d.Clock, group: d.Group, lives: map[string]*Live{}, heard: map[string]report{}, told: map[string]told{},
 		full: map[bool]time.Duration{true: -1 << 61, false: -1 << 61},
-		conf: conf.Empty(), warmth: newMemory(), pressing: map[string]pressing{}}
+		conf: conf.Empty(), warmth: newMemory(), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
 	k.snap.Store(&Snapshot{Conf: k.conf})
 	k.desk = run.NewDesk(d.Group, 256, beat, k.rebuild)
 	// Why: a configuration and a withdrawn item are in force at once, not at the next beat; news that comes
@@ -533,6 +534,8 @@
 	if t.Route.Kind == "model" && r.Told {
 		tokens = int(float64(t.Prompt.size) * (1 - k.warmth.warm(t.Prompt)[r.Listed.ID]))
 		r.Live.unread.tokens.Add(int64(tokens))
+		pace, _ := k.predictor.Pace()
+		k.addWork(t.Item.Model, time.Duration(tokens)*pace)
 	}
 	if t.Route.Kind == "model" {
 		k.warmth.sent(t.Prompt, r.Listed.ID)
@@ -674,6 +677,23 @@
 	k.pressing[item] = p
 }
 
+func (k *Keeper) addWork(model string, d time.Duration) {
+	k.pressMu.Lock()
+	defer k.pressMu.Unlock()
+	k.work[model] += d
+}
+
+// Work is the time that replicas have taken to read each model's prompts, as predicted, so far, in ms.
+func (k *Keeper) Work() map[string]uint64 {
+	k.pressMu.Lock()
+	defer k.pressMu.Unlock()
+	out := make(map[string]uint64, len(k.work))
+	for model, d := range k.work {
+		out[model] = uint64(d.Milliseconds())
+	}
+	return out
+}
+
 // Pressed is the items whose holders all have many requests, with how many came lately.
 func (k *Keeper) Pressed() map[string]int {
 	k.pressMu.Lock()
