--- a/internal/place/plan/work.go
+++ b/internal/place/plan/work.go
@@ -13,7 +13,7 @@
 	workSpan = 1500 * time.Millisecond
 	// workShare of its time is what one replica may spend on reading prompts before the answers that run there
 	// pause for too long; measured on replicas that read prompts between the tokens of other answers.
-	workShare = 0.22
+	workShare = 0.25
 	// workOver is how much a wanted copy must be needed before it is loaded.
 	workOver = 0.15
 )
