--- a/internal/conf/service.go
+++ b/internal/conf/service.go
@@ -121,6 +121,9 @@
 	weights := 0
 	for _, s := range r.Split {
 		weights += s.Weight
+		if s.Weight < 0 {
+			faults = append(faults, fmt.Sprintf("%s.split: the weight of %s is below 0", at, s.Service))
+		}
 		if _, found := e.Services[s.Service]; !found {
 			faults = append(faults, fmt.Sprintf("%s.split: no service %q", at, s.Service))
 		}
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -94,8 +94,10 @@
 		}
 		s.ready = append(s.ready, event...)
 	}
-	if all {
+	if number, numbered := eventNumber(s.partial); all && !(numbered && s.known && number <= s.last) {
 		s.ready = append(s.ready, s.partial...)
+	}
+	if all {
 		s.partial = nil
 	}
 	// Why: the rest moves to the front of a buffer of its own, so that the old one does not grow for ever.
--- a/internal/route/warmth.go
+++ b/internal/route/warmth.go
@@ -111,7 +111,7 @@
 			}
 		}
 		for _, id := range s {
-			if id != "" {
+			if id != "" && p.size > 0 {
 				out[id] = float64(p.sizes[i]) / float64(p.size)
 			}
 		}
