A slot is bid for only when a majority would promise it; a leaving core stays away

And a core that was stopped for good came back into the set as a new member while it stopped.

Ruled out: the disks, and the rule that the last holder goes first (the other 15 slots followed it).

Change: a core peeks first whether a majority would promise, which changes nothing anywhere; the core set is left alone once a core stops, and a stop waits 1.5 s at most for calls that are under way.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -112,9 +112,10 @@
 }
 
 const (
-	probeFor  = 400 * time.Millisecond // for asking who holds a slot
-	ownerFor  = 3 * time.Second        // for what is done at the holder
-	tendEvery = 300 * time.Millisecond // between two looks at which replicas are controlled here
+	probeFor  = 400 * time.Millisecond  // for asking who holds a slot
+	ownerFor  = 3 * time.Second         // for what is done at the holder
+	stopFor   = 1500 * time.Millisecond // for the calls that are under way when this core stops
+	tendEvery = 300 * time.Millisecond  // between two looks at which replicas are controlled here
 )
 
 // NewBoot is a fresh identity for a process.
@@ -229,10 +230,14 @@
 
 // Stop ends cleanly: slots are handed over, then all is let go.
 func (c *Core) Stop(ctx context.Context) error {
+	c.set.Stop()
 	c.own.Stop(ctx)
 	c.members.Leave(ctx)
+	// Why: calls that are under way are short; a connection that was only opened would be waited for longer.
+	within, cancel := context.WithTimeout(ctx, stopFor)
+	defer cancel()
 	for _, s := range c.servers {
-		_ = s.Drain(ctx)
+		_ = s.Drain(within)
 	}
 	return c.Kill()
 }
--- a/internal/state/acceptor/acceptor.go
+++ b/internal/state/acceptor/acceptor.go
@@ -381,6 +381,23 @@
 	})
 }
 
+// heldAgainst says that a hold may be in use that is not the asker's. Why: while
+// one may be, no other holder is promised anything. Every grant was to the holder that is on the disk, so
+// after a restart too only that one may have a hold, and may ask for it again.
+func (t *table) heldAgainst(from state.Core, now time.Duration) bool {
+	return now < time.Duration(t.until.Load()) && !t.pr.Holder.Is(from) && t.pr.Epoch > 0
+}
+
+// Peek says whether a promise would be given, and changes nothing. Why: a promise
+// given in vain outbids the holder, whose renewals are refused here from then on.
+func (a *Acceptor) Peek(ctx context.Context, q state.Ask) (state.Reply, error) {
+	return a.onSlot(ctx, q, func(t *table, r *state.Reply) {
+		if r.OK = !t.heldAgainst(q.From, a.clock.Since()); !r.OK {
+			r.Why = state.WhyHeld
+		}
+	})
+}
+
 // Prepare promises a slot to a holder under an epoch above any promised.
 func (a *Acceptor) Prepare(ctx context.Context, q state.Ask) (state.Reply, error) {
 	return a.onSlot(ctx, q, func(t *table, r *state.Reply) {
@@ -389,9 +406,7 @@
 			r.Why = state.WhyLower
 			return
 		}
-		// Why: while a hold may be in use, no other holder is promised anything. Every grant was to the holder that
-		// is on the disk, so after a restart too only that one may have a hold, and may ask for it again.
-		if now < time.Duration(t.until.Load()) && !t.pr.Holder.Is(q.From) && t.pr.Epoch > 0 {
+		if t.heldAgainst(q.From, now) {
 			r.Why = state.WhyHeld
 			return
 		}
@@ -630,6 +645,7 @@
 
 // Serve answers partners on mux.
 func (a *Acceptor) Serve(mux *wire.Mux) {
+	wire.Handle(mux, "/state/peek", a.Peek)
 	wire.Handle(mux, "/state/prepare", a.Prepare)
 	wire.Handle(mux, "/state/accept", a.Accept)
 	wire.Handle(mux, "/state/renew", a.Renew)
--- a/internal/state/coreset/coreset.go
+++ b/internal/state/coreset/coreset.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"slices"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"drumstall.example/internal/kernel/run"
@@ -46,6 +47,8 @@
 	d     Deps
 	desk  *run.Desk
 	beats int
+
+	stopped atomic.Bool
 }
 
 const (
@@ -96,7 +99,14 @@
 	return k
 }
 
+// Stop leaves the set as it is from now on. Why: a core that is going away must not
+// come back as a new member when the others go on without it.
+func (k *Keeper) Stop() { k.stopped.Store(true) }
+
 func (k *Keeper) onBeat() {
+	if k.stopped.Load() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(k.d.Group.Context(), limit)
 	defer cancel()
 	st := k.d.Acceptor.Standing()
--- a/internal/state/owner/owner.go
+++ b/internal/state/owner/owner.go
@@ -337,10 +337,25 @@
 	return now-s.o.began < state.HoldFor && s.o.d.Acceptor.Promised(s.n).Is(s.o.d.Self())
 }
 
+// free asks whether a majority would promise the slot, and learns the epochs that
+// they have seen.
+func (s *slot) free(set state.CoreSet) bool {
+	q := state.Ask{Set: set.Serial, From: s.o.d.Self(), Slot: s.n}
+	yes, noes, _ := s.o.poll(set, "/state/peek", q, s.o.d.Acceptor.Peek, true)
+	for _, r := range append(noes, yes...) {
+		s.seen = max(s.seen, r.Epoch)
+	}
+	return len(yes) >= set.Quorum()
+}
+
 // take asks a majority for the slot, carries their newest records forward
 // under the new epoch, and only then serves.
 func (s *slot) take(set state.CoreSet) {
 	o := s.o
+	if !s.free(set) {
+		s.waitUntil = o.d.Clock.Since() + time.Duration(100+rand.IntN(200))*time.Millisecond
+		return
+	}
 	s.seen++
 	before := o.d.Clock.Since()
 	q := state.Ask{Set: set.Serial, From: o.d.Self(), Slot: s.n, Epoch: s.seen}
