Nobody is taken into an unattended core set beside a member that may be gone

Ruled out: the filling and the hand-over of slots (all cores agreed on the set that could not find a majority).

Change: while a member has not answered for 0.7 s nobody is taken in beside the others; after 2.5 s its place is given.

--- a/internal/core/roll.go
+++ b/internal/core/roll.go
@@ -48,18 +48,15 @@
 	return min(c.members.HeardFor(v.Name), c.own.HeardFor(v)) > unheardAfter
 }
 
-// goneFor is how long ago a voter was last thought to be there.
+// goneFor says whether a voter has left on purpose, and for how long it has not
+// answered this core.
 func (c *Core) goneFor(v state.Core) (left bool, away time.Duration) {
 	for _, n := range c.members.Nodes() {
-		if n.Role != member.RoleCore || n.Name != v.Name || n.Disk != v.Disk {
-			continue
-		}
-		if n.Thought() {
-			return false, 0
+		if n.Role == member.RoleCore && n.Name == v.Name && n.Disk == v.Disk {
+			left = n.State == member.Left
 		}
-		return n.State == member.Left, min(c.members.HeardFor(v.Name), c.own.HeardFor(v))
 	}
-	return false, min(c.members.HeardFor(v.Name), c.own.HeardFor(v))
+	return left, min(c.members.HeardFor(v.Name), c.own.HeardFor(v))
 }
 
 // others are the live cores but this one.
--- a/internal/sim/fleet/fleet.go
+++ b/internal/sim/fleet/fleet.go
@@ -101,6 +101,7 @@
 	Build    string    // what processes started from now on call their build
 	zero     time.Time // of the record
 	stopped  bool
+	formed   bool
 	seeds    []string
 	settings map[string]stand.ReplicaSettings
 	hosts    map[string]*simnet.Host
@@ -281,14 +282,30 @@
 
 // StartCore starts a core on its machine, with whatever its disk holds.
 func (f *Fleet) StartCore(n *Node) {
-	c, err := core.Start(core.Settings{Name: n.Name, Zone: n.Zone, Addr: n.IP + ":7000", Operator: n.IP + ":7001", Seeds: f.seeds,
-		Folder: "data", Cores: f.D.Cores, Platform: platformAddr}, f.env(n, 0))
+	settings := core.Settings{Name: n.Name, Zone: n.Zone, Addr: n.IP + ":7000", Operator: n.IP + ":7001", Seeds: f.seeds,
+		Folder: "data", Cores: f.D.Cores, Platform: platformAddr}
+	if f.D.Unattended {
+		settings.Cores, settings.Founders, settings.MayFound = 0, f.founders(), !f.formed
+	}
+	c, err := core.Start(settings, f.env(n, 0))
 	if err != nil {
 		f.T.Fatalf("%s: %v", n.Name, err)
 	}
 	n.Core = c
 }
 
+// founders are the cores that form an unattended set.
+func (f *Fleet) founders() []string {
+	var out []string
+	for _, n := range f.Cores[:min(3, len(f.Cores))] {
+		out = append(out, n.IP+":7000")
+	}
+	return out
+}
+
+// Formed says that from now on no start is the first of all.
+func (f *Fleet) Formed() { f.formed = true }
+
 // StartAgent starts the agent of an edge.
 func (f *Fleet) StartAgent(n *Node) {
 	a, err := agent.Start(agent.Settings{Name: n.Name, Zone: n.Zone, Addr: n.IP + ":7000", Feed: n.IP + ":7002", Seeds: f.seeds, Platform: platformAddr}, f.env(n, 1))
@@ -629,3 +646,12 @@
 	}
 	return out
 }
+
+// AddCore prepares a machine for one more core; StartCore starts it.
+func (f *Fleet) AddCore(name, ip, zone string) *Node {
+	n := &Node{Name: name, IP: ip, Zone: zone, FS: vfs.NewCrashableMem(), clock: &clock{zero: time.Now().Add(-time.Hour)}, Logs: ring.New(io.Discard, 500)}
+	f.zones.Store(ip, zone)
+	f.Cores = append(f.Cores, n)
+	f.settle()
+	return n
+}
--- a/internal/state/coreset/coreset.go
+++ b/internal/state/coreset/coreset.go
@@ -54,6 +54,8 @@
 const (
 	// goneAfter is how long a voter must have been away before an unattended set goes on without it.
 	goneAfter = 2500 * time.Millisecond
+	// doubtAfter is how long a voter must not have been heard for nobody to be taken in beside it.
+	doubtAfter = 700 * time.Millisecond
 	// settleBeats is how long a core looks around before it thinks of anybody as gone.
 	settleBeats = 12
 	// lookBeats is how often a voter asks another whether it knows a newer set.
@@ -434,7 +436,7 @@
 			return set, nil
 		}
 		if k.unattended() {
-			return k.admit(set, q.Core), nil
+			return k.admit(set, q.Core)
 		}
 		return k.replace(set, q)
 	})
@@ -477,13 +479,16 @@
 
 // admit takes a core in: in the place of its own past, of a voter that is gone,
 // or beside the others.
-func (k *Keeper) admit(set state.CoreSet, joiner state.Core) state.CoreSet {
+func (k *Keeper) admit(set state.CoreSet, joiner state.Core) (state.CoreSet, error) {
 	out, found := k.lost(set)
 	for _, c := range set.Cores {
 		if c.Name == joiner.Name {
 			out, found = c, true
 		}
 	}
+	if !found && k.doubts(set) {
+		return set, wire.Drop("doubt", "a member may be gone; its place is given when that is sure")
+	}
 	next := state.CoreSet{Serial: set.Serial + 1}
 	for _, c := range set.Cores {
 		if !found || !c.Is(out) {
@@ -491,7 +496,21 @@
 		}
 	}
 	next.Cores = append(next.Cores, joiner)
-	return next
+	return next, nil
+}
+
+// doubts says that a voter is silent and may be gone. Why: a set that grew beside
+// one that is gone would need more of the others for a majority, until it is let go of.
+func (k *Keeper) doubts(set state.CoreSet) bool {
+	for _, c := range set.Cores {
+		if c.Is(k.d.Self()) {
+			continue
+		}
+		if _, away := k.d.Gone(c); away > doubtAfter {
+			return true
+		}
+	}
+	return false
 }
 
 // follow spreads a decided change that its author could not finish.
