--- a/cmd/dsfleet/main.go
+++ b/cmd/dsfleet/main.go
@@ -86,7 +86,6 @@
 	listed  map[string]gen.Listed
 	plat    string
 	patches int
-	inPlan  map[string]bool
 }
 
 func (f *fleet) addr() string {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -87,6 +87,7 @@
 	if s.Lister == nil {
 		s.Lister = inventory.NewLister(env.Net, s.Platform, a.log)
 	}
+	a.watch = inventory.NewWatch(s.Lister, env.Clock, a.log, a.news)
 	a.touch = touch.New(env.Clock, func() time.Duration { return a.watch.HeardFor() })
 	ln, err := env.Net.Listen(s.Addr)
 	if err != nil {
@@ -106,7 +107,7 @@
 	self := member.Node{Name: s.Name, Role: member.RoleAgent, Zone: s.Zone, Addr: s.Addr, Boot: a.boot, Inc: uint64(max(env.Clock.Wall().UnixMilli(), 1)), Build: env.BuildName()}
 	a.members = member.New(a.group, env.Clock, a.log, a.post, a.caller, a.mux, self, s.Seeds, a.touch)
 	a.spread = news.NewSpreader(a.group, a.news, a.log, a.post, a.caller, a.mux, func() string { return s.Addr }, a.members.Partners, a.touch)
-	a.watch = inventory.NewWatch(a.group, s.Lister, env.Clock, a.log, a.news, s.Cadence.List, a.asksPlatform)
+	a.watch.Start(a.group, s.Cadence.List, a.asksPlatform)
 	wire.Handle(a.feedMux, feed.Path, a.exchange)
 	wire.Handle(a.feedMux, feed.UrgentPath, a.takeUrgent)
 	reports := run.NewDesk(a.group, 8, s.Cadence.Report, func() { a.report(a.group.Context()) })
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -169,6 +169,7 @@
 		return nil, err
 	}
 	c.post = wire.NewPost(pc)
+	c.watch = inventory.NewWatch(s.Lister, env.Clock, c.log, c.news)
 	c.touch = touch.New(env.Clock, func() time.Duration { return c.watch.HeardFor() }, c.heardMost)
 	self := member.Node{Name: s.Name, Role: member.RoleCore, Zone: s.Zone, Addr: s.Addr, Boot: c.boot, Disk: c.acc.Disk(),
 		Phase: string(c.acc.Standing().Phase), Inc: uint64(max(env.Clock.Wall().UnixMilli(), 1)), Face: s.Operator, Build: env.BuildName()}
@@ -182,7 +183,7 @@
 		Reports: c.reports, Conf: c.effective, Ask: c.consider, Tell: c.tellShared})
 	c.set = coreset.New(coreset.Deps{Self: c.self, Want: s.Cores, Founders: s.Founders, MayFound: s.MayFound, Target: 2*s.Bounds.Tolerated + 1, Replaces: s.Replaces, Group: c.group, Log: c.log, Caller: c.caller,
 		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf, Gone: c.goneFor}, c.mux)
-	c.watch = inventory.NewWatch(c.group, s.Lister, env.Clock, c.log, c.news, s.Cadence.List, func() bool { return true })
+	c.watch.Start(c.group, s.Cadence.List, func() bool { return true })
 	c.serve()
 	tending := run.NewDesk(c.group, 4, tendEvery, func() { c.tend(c.group.Context()) })
 	c.tendSoon = run.NewNudge(tending, func() { c.tend(c.group.Context()) })
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -99,12 +99,19 @@
 	emptyAt atomic.Int64 // since when it has listed nobody
 }
 
-// NewWatch asks at each interval while active says so; leaving marks go into the news.
-func NewWatch(g *run.Group, lister Lister, clock tick.Clock, log *slog.Logger, t *news.Table, interval time.Duration, active func() bool) *Watch {
+// NewWatch knows nobody; Start begins to ask. Why: others ask a watch how long ago
+// it heard the platform from their own start on.
+func NewWatch(lister Lister, clock tick.Clock, log *slog.Logger, t *news.Table) *Watch {
 	w := &Watch{lister: lister, clock: clock, log: log, news: t}
 	w.heardAt.Store(-1 << 62)
 	empty := []Listed{}
 	w.list.Store(&empty)
+	return w
+}
+
+// Start asks at once and at each interval while active says so; leaving marks go
+// into the news.
+func (w *Watch) Start(g *run.Group, interval time.Duration, active func() bool) {
 	look := func(ctx context.Context) {
 		if active() {
 			w.look(ctx)
@@ -113,7 +120,6 @@
 	// Why: who has just started knows no replica, and need not wait for that.
 	g.Go(look)
 	g.Every(interval, look)
-	return w
 }
 
 // Close lets go of idle connections.
--- a/internal/place/plan/history.go
+++ b/internal/place/plan/history.go
@@ -19,8 +19,6 @@
 	since  time.Duration // since when requests wait for it; below 0: none does
 	vain   time.Duration // since when nothing could be loaded for what will pass; 0 is not
 	passed time.Duration // when it was last loaded without the test
-	said   state.Stamp
-	expect Expect
 	dirty  map[int64]bool
 }
 
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -58,7 +58,6 @@
 type Planner struct {
 	d       Deps
 	desk    *run.Desk
-	worker  *run.Desk
 	items   map[conf.Item]*item
 	minutes *demand.Minutes
 	unit    time.Duration
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -140,13 +140,14 @@
 		s.Lister = inventory.NewLister(env.Net, s.Platform, p.log)
 	}
 	p.edges.Store(unknownEdges)
+	p.watch = inventory.NewWatch(s.Lister, env.Clock, p.log, p.news)
 	p.touch = touch.New(env.Clock, func() time.Duration { return p.watch.HeardFor() })
 	p.agentSeen.Store(-1 << 62)
 	p.agentNew.Store(-1 << 62)
 	p.partners.Store(&[]string{})
 	p.routes = route.NewKeeper(route.Deps{Group: p.group, News: p.news, Clock: env.Clock, Replicas: p.conn, Zone: func() string { return s.Zone },
 		HeardFor: p.touch.For, Edges: func() int { return int(p.edges.Load()) }, Ask: s.Cadence.ProxiesAsk, Deaf: s.Bounds.Drain - deafMargin})
-	p.watch = inventory.NewWatch(p.group, s.Lister, env.Clock, p.log, p.news, s.Cadence.List, func() bool { return p.agentFor() > agentLost })
+	p.watch.Start(p.group, s.Cadence.List, func() bool { return p.agentFor() > agentLost })
 	misses := run.NewDesk(p.group, 4, 0, nil)
 	p.missed = run.NewNudge(misses, p.tellMiss)
 	p.gate = gate.New(p.group, p.routes, s.Cadence.Hold, p.missed.Now)
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -156,6 +156,7 @@
 	call     Call
 	began    time.Time
 	number   int // attempts so far
+	arrived  int // of which so many may have reached a replica
 	outcome  attempt.Outcome
 	reserved bool // a retry is set aside for this request
 }
@@ -248,10 +249,9 @@
 		if a.Replica == nil {
 			return nil, turnedAway(a, w.outcome)
 		}
-		// Why: a retry is only one once an earlier attempt may have reached the service; still every
-		// one counts, since the service cannot tell.
+		// Why: a retry is only one once an earlier attempt may have reached the service, whether or not it ran there.
 		switch {
-		case w.number == 1:
+		case w.arrived == 0:
 		case w.reserved:
 			p.budget.Spend(svc)
 			w.reserved = false
@@ -266,6 +266,9 @@
 		if w.number == 1 {
 			p.budget.First(svc, p.share())
 		}
+		if failure == nil || !failure.Refused {
+			w.arrived++
+		}
 		if failure == nil {
 			a.Replica.Live.First(time.Since(sentAt))
 			a.Begun()
@@ -330,7 +333,7 @@
 func (w *passage) request(r *route.Replica, firstBy time.Time) attempt.Request {
 	c, id := w.call, r.Listed.ID
 	q := attempt.Request{ID: id, Addr: r.Listed.Addr, Item: c.Target.Item, Ticket: c.Ticket, ContentType: c.ContentType, Method: c.Method, Path: c.Path,
-		Host: c.Host, Header: c.Header, Body: c.Body, Number: w.number, Rank: w.p.Conf().Classes[c.Target.Route.Class].Rank, Left: time.Until(c.Deadline),
+		Host: c.Host, Header: c.Header, Body: c.Body, Number: w.arrived + 1, Rank: w.p.Conf().Classes[c.Target.Route.Class].Rank, Left: time.Until(c.Deadline),
 		LastEvent: c.LastEvent, FirstBy: firstBy, Sendable: func() bool { return w.p.routes.Sendable(id) }}
 	// Why: what may run again is only worth passing on whole; a part of it would have to be broken off.
 	q.Whole = c.Target.Route.Service != "" && c.Target.Route.Repeatable && !c.Target.Route.Streaming
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -181,7 +181,6 @@
 	c      Case
 	reps   []*replica
 	series []*demand.Series
-	keeper *pace.Keeper
 	rule   demand.Rule
 	next   map[int]float64 // predictions of this minute
 	nextAt int64
--- a/internal/sim/fleet/runbook_test.go
+++ b/internal/sim/fleet/runbook_test.go
@@ -171,9 +171,8 @@
 				f.StartCore(n)
 			}
 		})
-		out, err := f.book(runbook.Rescue(f.control(), addr, lost), time.Minute)
-		if err != nil {
-			if out, err = f.book(runbook.Rescue(f.control(), addr, lost), time.Minute); err != nil {
+		if _, err := f.book(runbook.Rescue(f.control(), addr, lost), time.Minute); err != nil {
+			if out, err := f.book(runbook.Rescue(f.control(), addr, lost), time.Minute); err != nil {
 				f.T.Errorf("%v\n%s", err, out)
 			}
 		}
--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -60,7 +60,6 @@
 	leftTold    bool // it has told somebody that it is leaving
 	warm        *prefixes
 	served      time.Duration
-	dark        bool
 	refuse, cut atomic.Int64
 	slow        atomic.Int64 // more time before the first piece
 }
