Room for a load of the owner before is kept while the replica carries it out

Ruled out: two controllers; adapters' places. Change: inherited room counts as taken while a report says that an order is being carried out, and nothing is ordered to a replica that carries one out; a report may be several hundred ms old. Test: TestRoomForALoadOfTheOwnerBeforeIsKept fails before (0 MiB count as taken) and passes after.

--- a/internal/place/order/carry.go
+++ b/internal/place/order/carry.go
@@ -196,6 +196,10 @@
 	if now-w.vitalsAt > justNow {
 		return
 	}
+	// Why: what is being carried out may have been ordered by an owner before us, for room that looks free.
+	if w.vitals.Busy && w.traits.OneOrder {
+		return
+	}
 	mib, places := w.there()
 	// Why: tasks that come later have their victims still there; what counts now is what is there now.
 	if mib+l.SizeMib > w.vitals.CapacityMib || verb == backend.LoadAdapter && places+1 > w.vitals.AdapterPlaces {
--- a/internal/place/order/look.go
+++ b/internal/place/order/look.go
@@ -44,7 +44,7 @@
 // doubtFor is for how long after its order a load that no report shows counts
 // as carried out.
 func (w *Ward) doubtFor(l *line) time.Duration {
-	if w.traits.TellsBusy && !l.unsure {
+	if w.traits.TellsBusy && !l.unsure && !l.inherited {
 		return w.traits.ReportLag + doubtMargin
 	}
 	return doubt
@@ -101,7 +101,8 @@
 			continue
 		}
 		// Why: an order whose outcome is not known counts as carried out until a later report denies it.
-		if asked-l.ordered < w.doubtFor(l) || v.Busy && l.State == backend.Loading {
+		// Why: what an owner before us may have ordered stands in the book as room kept, and may be loading just now.
+		if asked-l.ordered < w.doubtFor(l) || v.Busy && (l.State == backend.Loading || l.inherited) {
 			continue
 		}
 		if item.Adapter == "" && (l.State == Leaving || l.State == backend.Loaded) {
--- /dev/null
+++ b/internal/place/order/takeover_test.go
@@ -0,0 +1,58 @@
+package order
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"drumstall.example/internal/backend"
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/inventory"
+	"drumstall.example/internal/kernel/ring"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/news"
+)
+
+// reporting is a replica that says what it is told to say.
+type reporting struct {
+	backend.Client
+	busy  bool
+	items map[conf.Item]backend.Line
+}
+
+func (r *reporting) Vitals(_ context.Context, t backend.Target) (backend.Vitals, error) {
+	return backend.Vitals{ID: t.ID, Incarnation: t.ID, Model: true, CapacityMib: 100, Slots: 4, Busy: r.busy, Items: r.items}, nil
+}
+
+func (r *reporting) Traits() backend.Traits {
+	return backend.Traits{WaitsForRuns: true, TellsBusy: true, OneOrder: true, ReportLag: 100 * time.Millisecond}
+}
+
+// An owner is followed by another while the replica loads what the first one ordered:
+// the room for it is not free until a report says that nothing is being carried out.
+func TestRoomForALoadOfTheOwnerBeforeIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replica := &reporting{busy: true, items: map[conf.Item]backend.Line{}}
+		clk := wall{time.Now().Add(-time.Hour)}
+		w := &Ward{d: Deps{Group: run.NewGroup(t.Context()), Clock: clk, Log: ring.New(io.Discard, 10).Logger(), Replicas: replica,
+			News: news.NewTable(), Conf: conf.Empty}, listed: inventory.Listed{ID: "r", Addr: "10.0.0.1:1", Model: true},
+			book: map[conf.Item]*line{}, held: map[string]bool{}, traits: replica.Traits()}
+		coming := conf.Item{Model: "m"}
+		w.book[coming] = &line{Line: Line{State: Reserved, SizeMib: 80}, ordered: clk.Since(), inherited: true}
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			w.look()
+			if mib, _ := w.there(); mib != 80 {
+				t.Fatalf("the replica carries an order out, and %d MiB count as taken", mib)
+			}
+		}
+		replica.busy = false
+		time.Sleep(100 * time.Millisecond)
+		w.look()
+		if mib, _ := w.there(); mib != 0 {
+			t.Errorf("nothing is carried out any more, and %d MiB count as taken", mib)
+		}
+	})
+}
