A core that has only just come is not taken for one that is gone

Ruled out: the filling itself; the doubt about silent members.

Change: one that is thought to be there is not gone; doubt goes by the last answer, and one never heard has only just come; a core that was let go of while being filled asks for a place again.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -182,7 +182,7 @@
 	c.planner = plan.New(plan.Deps{Group: c.group, Clock: env.Clock, Log: c.log, Self: s.Name, Cadence: s.Cadence, Store: s.Bounds.Store, Owner: c.own, News: c.news,
 		Reports: c.reports, Conf: c.effective, Ask: c.consider, Tell: c.tellShared})
 	c.set = coreset.New(coreset.Deps{Self: c.self, Want: s.Cores, Founders: s.Founders, MayFound: s.MayFound, Target: 2*s.Bounds.Tolerated + 1, Replaces: s.Replaces, Group: c.group, Log: c.log, Caller: c.caller,
-		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf, Gone: c.goneFor}, c.mux)
+		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf, Gone: c.goneFor, Heard: c.heardFor}, c.mux)
 	c.watch.Start(c.group, s.Cadence.List, func() bool { return true })
 	c.serve()
 	tending := run.NewDesk(c.group, 4, tendEvery, func() { c.tend(c.group.Context()) })
--- a/internal/core/roll.go
+++ b/internal/core/roll.go
@@ -45,18 +45,27 @@
 	if v.Is(c.self()) || c.env.Clock.Since()-c.began < unheardAfter {
 		return false
 	}
-	return min(c.members.HeardFor(v.Name), c.own.HeardFor(v)) > unheardAfter
+	return c.heardFor(v) > unheardAfter
 }
 
 // goneFor says whether a voter has left on purpose, and for how long it has not
-// answered this core.
+// answered; 0 while it is thought to be there.
 func (c *Core) goneFor(v state.Core) (left bool, away time.Duration) {
 	for _, n := range c.members.Nodes() {
-		if n.Role == member.RoleCore && n.Name == v.Name && n.Disk == v.Disk {
-			left = n.State == member.Left
+		if n.Role != member.RoleCore || n.Name != v.Name || n.Disk != v.Disk {
+			continue
+		}
+		if n.Thought() {
+			return false, 0
 		}
+		return n.State == member.Left, c.heardFor(v)
 	}
-	return left, min(c.members.HeardFor(v.Name), c.own.HeardFor(v))
+	return false, c.heardFor(v)
+}
+
+// heardFor is how long ago a voter answered this core.
+func (c *Core) heardFor(v state.Core) time.Duration {
+	return min(c.members.HeardFor(v.Name), c.own.HeardFor(v))
 }
 
 // others are the live cores but this one.
--- a/internal/state/coreset/coreset.go
+++ b/internal/state/coreset/coreset.go
@@ -40,6 +40,8 @@
 	Addr func(state.Core) (string, bool)
 	// Gone says whether a voter has left on purpose, and how long it has been away.
 	Gone func(state.Core) (left bool, away time.Duration)
+	// Heard is how long ago a voter answered this core; an hour or more is never.
+	Heard func(state.Core) time.Duration
 }
 
 // Keeper keeps the core set.
@@ -132,6 +134,9 @@
 		k.found(ctx, st, live)
 	case acceptor.Filling:
 		k.fill(ctx, st)
+		if k.unattended() {
+			k.catchUp(ctx, st)
+		}
 	case acceptor.Voter:
 		k.follow(ctx, st)
 		switch {
@@ -161,9 +166,15 @@
 			continue
 		}
 		a, err := wire.Call[None, Adoption](ctx, k.d.Caller, addr, "/state/set", None{})
-		if err == nil && a.Phase == acceptor.Voter && a.Set.Has(c) && a.Set.Serial > st.Set.Serial {
-			_, _ = k.adopt(ctx, a)
+		if err != nil || a.Phase != acceptor.Voter || !a.Set.Has(c) || a.Set.Serial <= st.Set.Serial {
+			return
+		}
+		// Why: a core that was let go of while it was being filled is no member, and asks for a place again.
+		if st.Phase == acceptor.Filling && !a.Set.Has(k.d.Self()) {
+			_ = k.d.Acceptor.Reset(ctx)
+			return
 		}
+		_, _ = k.adopt(ctx, a)
 		return
 	}
 }
@@ -506,7 +517,8 @@
 		if c.Is(k.d.Self()) {
 			continue
 		}
-		if _, away := k.d.Gone(c); away > doubtAfter {
+		// Why: one that was never heard has only just come.
+		if heard := k.d.Heard(c); heard > doubtAfter && heard < time.Hour {
 			return true
 		}
 	}
