Grants are aged by a process's own start only after a start

Ruled out: the wait of a keeper that follows another. Change: only the first time in a life are they aged by the time since its start.

--- a/internal/state/owner/owner.go
+++ b/internal/state/owner/owner.go
@@ -357,6 +357,7 @@
 		return
 	}
 	s.seen++
+	firstTime := s.epoch.Load() == 0
 	before := o.d.Clock.Since()
 	q := state.Ask{Set: set.Serial, From: o.d.Self(), Slot: s.n, Epoch: s.seen}
 	// Why: a majority's promises are enough; a core that is cut off must not hold them up.
@@ -395,8 +396,10 @@
 	s.freeFor.Store(int64(freeFor(yes)))
 	if q.Epoch == 1 || s.ownBefore(yes) {
 		s.orderFrom.Store(int64(wonAt))
-		// Why: what an earlier life of this process did was over when this one began.
-		s.freeFor.Store(int64(max(freeFor(yes), min(wonAt-o.began, state.HoldFor))))
+		// Why: what an earlier life of this process did was over when this one began; what it did itself was not.
+		if firstTime {
+			s.freeFor.Store(int64(max(freeFor(yes), min(wonAt-o.began, state.HoldFor))))
+		}
 	}
 	if err := s.write(recs, true); err != nil {
 		o.d.Log.Info("slot not taken", "slot", s.n, "epoch", q.Epoch, "problem", err)
