A restarted core waits out its earlier life where replicas tell lives apart

Since it was told that an order of its own need not be waited out, it waited for nothing; the design's own replicas name a controller with its life, so for them it is another one.

Ruled out: the aging of grants (FreeFor), the acceptors (they refuse everybody else).

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -110,6 +110,9 @@
 	// WaitsForRuns says that an unload waits for the requests that run, and that
 	// requests for what is being loaded or unloaded are turned away as not run.
 	WaitsForRuns bool
+	// KnowsByName says that a replica knows a controller by its name alone: one that
+	// was restarted is still the same.
+	KnowsByName bool
 	// ReportLag is how old a report may be when it is given.
 	ReportLag time.Duration
 	// ServicesReport says that replicas without models have reports too.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -177,8 +177,12 @@
 	c.news.OnNew(c.onNews)
 	c.spread = news.NewSpreader(c.group, c.news, c.log, c.post, c.caller, c.mux, func() string { return s.Addr }, c.members.Partners, c.touch)
 	c.acc.Serve(c.mux)
+	ownQuarantine := s.Bounds.Lease
+	if c.conn.Traits().KnowsByName {
+		ownQuarantine = 0
+	}
 	c.own = owner.New(owner.Deps{Self: c.self, Group: c.group, Clock: env.Clock, Log: c.log, Caller: c.caller, Acceptor: c.acc,
-		Addr: c.addrOf, Rank: c.voters, Behind: func(v state.Core) { c.set.Behind(v) }, Quarantine: s.Bounds.Lease, Handback: s.Cadence.Handback, OnTake: c.onTake})
+		Addr: c.addrOf, Rank: c.voters, Behind: func(v state.Core) { c.set.Behind(v) }, Quarantine: s.Bounds.Lease, OwnQuarantine: ownQuarantine, Handback: s.Cadence.Handback, OnTake: c.onTake})
 	c.planner = plan.New(plan.Deps{Group: c.group, Clock: env.Clock, Log: c.log, Self: s.Name, Cadence: s.Cadence, Store: s.Bounds.Store, Owner: c.own, News: c.news,
 		Reports: c.reports, Conf: c.effective, Ask: c.consider, Tell: c.tellShared})
 	c.set = coreset.New(coreset.Deps{Self: c.self, Want: s.Cores, Founders: s.Founders, MayFound: s.MayFound, Target: 2*s.Bounds.Tolerated + 1, Replaces: s.Replaces, Group: c.group, Log: c.log, Caller: c.caller,
--- a/internal/state/owner/owner.go
+++ b/internal/state/owner/owner.go
@@ -45,6 +45,9 @@
 	// Quarantine is how long a new owner gives no orders: what the old one sent
 	// may still be on its way.
 	Quarantine time.Duration
+	// OwnQuarantine is how long after its start a core gives no orders for slots that
+	// its earlier life held; 0 where replicas know a controller by its name alone.
+	OwnQuarantine time.Duration
 	// Handback is how long a slot is kept that another core is preferred for.
 	Handback time.Duration
 	// OnTake is called in the slot's desk when a slot has been taken.
@@ -396,6 +399,9 @@
 	s.freeFor.Store(int64(freeFor(yes)))
 	if q.Epoch == 1 || s.ownBefore(yes) {
 		s.orderFrom.Store(int64(wonAt))
+		if q.Epoch > 1 {
+			s.orderFrom.Store(int64(max(wonAt, o.began+o.d.OwnQuarantine)))
+		}
 		// Why: what an earlier life of this process did was over when this one began; what it did itself was not.
 		if firstTime {
 			s.freeFor.Store(int64(max(freeFor(yes), min(wonAt-o.began, state.HoldFor))))
@@ -428,8 +434,8 @@
 
 // ownBefore says that this core was the last to hold the slot. Why: whoever holds
 // one has first written the whole table to a majority, one of which has answered; a
-// promise alone may have been given in vain. What this core ordered in an earlier life is its own, under its
-// own name, and need not be waited out.
+// promise alone may have been given in vain. What this life ordered need not be waited out, and what an
+// earlier one ordered for OwnQuarantine only.
 func (s *slot) ownBefore(yes []state.Reply) bool {
 	var last state.Reply
 	for _, r := range yes {
--- /dev/null
+++ b/internal/state/owner/owner_test.go
@@ -0,0 +1,123 @@
+package owner
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"drumstall.example/internal/kernel/ring"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/state"
+	"drumstall.example/internal/state/acceptor"
+)
+
+const testKey = "replica/m-1"
+
+type clock struct{ zero time.Time }
+
+func (c clock) Since() time.Duration { return time.Since(c.zero) }
+func (c clock) Wall() time.Time      { return time.Now() }
+
+// life is one run of the process of the only core of a set.
+type life struct {
+	group    *run.Group
+	acceptor *acceptor.Acceptor
+	owner    *Owner
+}
+
+func begin(t *testing.T, fs vfs.FS, quarantine, ownQuarantine time.Duration) life {
+	t.Helper()
+	group := run.NewGroup(t.Context())
+	log := ring.New(io.Discard, 100).Logger()
+	clk := clock{time.Now().Add(-time.Hour)}
+	acc, err := acceptor.Open(group, "d", acceptor.Whose{Fleet: "f", Node: "a"}, fs, clk, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := state.Core{Name: "a", Disk: acc.Disk()}
+	set := state.CoreSet{Serial: 1, Cores: []state.Core{self}}
+	if _, err := acc.SetStanding(t.Context(), func(acceptor.Standing) (acceptor.Standing, bool) {
+		return acceptor.Standing{Phase: acceptor.Voter, Set: set}, true
+	}); err != nil {
+		t.Fatal(err)
+	}
+	owner := New(Deps{
+		Self: func() state.Core { return self }, Group: group, Clock: clk, Log: log, Acceptor: acc,
+		Rank:   func(int) []state.Core { return set.Cores },
+		Behind: func(state.Core) {}, Quarantine: quarantine, OwnQuarantine: ownQuarantine, Handback: time.Second,
+	})
+	return life{group: group, acceptor: acc, owner: owner}
+}
+
+func (l life) end() {
+	l.group.Stop()
+	_ = l.acceptor.Close()
+}
+
+// until waits in steps of 10 ms for a condition and tells how long it took.
+func until(t *testing.T, limit time.Duration, condition func() bool) time.Duration {
+	t.Helper()
+	for began := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		took := time.Since(began)
+		if condition() {
+			return took
+		}
+		if took > limit {
+			t.Fatalf("nothing happened in %v", limit)
+		}
+	}
+}
+
+func (l life) mayOrder() bool {
+	_, _, ok := l.owner.MayOrder(testKey)
+	return ok
+}
+
+// Where replicas tell the lives of a controller apart, a core that was restarted
+// waits out what its earlier life may have ordered; where they go by its name, it
+// goes on at once.
+func TestARestartedCoreWaitsOutItsEarlierLife(t *testing.T) {
+	const lease = 3 * time.Second
+	for _, own := range []time.Duration{0, lease} {
+		synctest.Test(t, func(t *testing.T) {
+			fs := vfs.NewMem()
+			l := begin(t, fs, lease, own)
+			until(t, 5*time.Second, l.mayOrder)
+			l.end()
+			l = begin(t, fs, lease, own)
+			defer l.end()
+			took := until(t, 10*time.Second, l.mayOrder)
+			if own > 0 && took < own {
+				t.Errorf("orders %v after its earlier life, %v are to be waited out", took, own)
+			}
+			if own == 0 && took > time.Second {
+				t.Errorf("first order only %v after the start", took)
+			}
+		})
+	}
+}
+
+// A slot that was lost and taken again in one life was free only in between, however
+// long the process has run: what it granted itself just before is still on its way.
+func TestASlotRetakenInOneLifeWasNotFreeSinceTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := begin(t, vfs.NewMem(), state.HoldFor, 0)
+		defer l.end()
+		holds := func() bool { return l.owner.Holds(testKey) }
+		until(t, 5*time.Second, holds)
+		time.Sleep(10 * time.Second)
+		lost := time.Now()
+		s := l.owner.slots[state.SlotOf(testKey)]
+		if err := s.desk.Ask(context.Background(), func() { s.giveUp("test", true) }); err != nil {
+			t.Fatal(err)
+		}
+		until(t, 10*time.Second, holds)
+		if free, gap := l.owner.FreeFor(testKey), time.Since(lost); free > gap {
+			t.Errorf("counted free for %v, given up only %v before", free, gap)
+		}
+	})
+}
