Routing in files by concept; an entry of the news is decoded once

The route table was one file of 760 lines whose rebuild decoded every replica's news and every expectation anew at each beat and at each piece of news. Now an entry is decoded when it changes, the table, the choice, the reports, what is kept of a replica and what is pressed stand in files of their own, and the warm share of a prompt is looked up once in a choice.

Tests of routing, of the remedies and the simulations of edges, marks, crashes, warmth and planned work pass.

--- /dev/null
+++ b/internal/route/choose.go
@@ -0,0 +1,149 @@
+package route
+
+import (
+	"encoding/binary"
+	"time"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/inventory"
+	"drumstall.example/internal/kernel/share"
+	"drumstall.example/internal/place/judge"
+)
+
+// Load is how many requests a replica has, as far as is known here.
+func (r *Replica) Load() int { return r.Elsewher + int(r.Live.Inflight.Load()) }
+
+// candidates are the replicas that can serve a request.
+type candidates struct {
+	answering []judge.Replica // those with a free place that answer
+	quiet     []judge.Replica // those with a free place that were last heard of by their silence
+	held      int             // those that hold the item, with a free place or not
+	places    int             // of all those
+	serve     time.Duration   // sum of the time that each takes to serve one request
+}
+
+// Choose ranks the replicas that can serve now. held says whether any holds
+// the item at all, with a free place or not; serve is the mean time between two
+// places that come free there.
+func (k *Keeper) Choose(t Target) (best *Replica, held int, serve time.Duration) {
+	if k.Deaf() {
+		return nil, 0, 0
+	}
+	s, now := k.Now(), k.clock.Since()
+	c := k.candidates(t, s, now)
+	if c.held == 0 {
+		return nil, 0, 0
+	}
+	serve = c.serve / time.Duration(max(c.places, 1))
+	facts := c.answering
+	if len(facts) == 0 {
+		facts = c.quiet
+	}
+	// Why: a service keeps nothing warm; a home there would send everybody to one replica, whatever its zone.
+	if len(facts) > 0 && t.Route.Kind == "model" {
+		facts = k.warmest(t, s, facts, now)
+	}
+	i := judge.Best(s.Conf.Weights, facts)
+	if i < 0 {
+		return nil, c.held, serve
+	}
+	return s.Replicas[facts[i].Name], c.held, serve
+}
+
+// candidates finds who can serve a request now.
+func (k *Keeper) candidates(t Target, s *Snapshot, now time.Duration) candidates {
+	var c candidates
+	item, zone := t.Item.String(), k.d.Zone()
+	for id, r := range s.Replicas {
+		if !k.serves(t, item, id, r, now) {
+			continue
+		}
+		c.held++
+		c.places += r.Slots
+		c.serve += r.ServeFor
+		mine := int(r.Live.Inflight.Load())
+		// Why: one that has just refused is fuller than its report says, and would refuse the next one too.
+		if mine >= r.Room || r.over(now) {
+			r.Live.look.Store(true)
+			continue
+		}
+		f := judge.Replica{Name: id, Inflight: r.Elsewher + mine, Slots: r.Slots, ServeFor: r.ServeFor, SameZone: r.Listed.Zone == zone}
+		// Why: silence is no proof. It only ranks a replica behind all that answer, until a report that was asked for
+		// later comes.
+		if !r.answers(now) || id == t.Avoid {
+			c.quiet = append(c.quiet, f)
+			continue
+		}
+		c.answering = append(c.answering, f)
+	}
+	return c
+}
+
+// warmest adds how much of the prompt is warm at each replica and how long its
+// reading would take there, and leaves out those that have enough prompts to read.
+func (k *Keeper) warmest(t Target, s *Snapshot, facts []judge.Replica, now time.Duration) []judge.Replica {
+	isTold := s.Replicas[facts[0].Name].Told
+	// Why: many calls have one replica to go to; the memory of prompts is not asked for those.
+	if len(facts) == 1 && !isTold {
+		return facts
+	}
+	warm, home := k.warmth.warm(t.Prompt), binary.LittleEndian.AppendUint64(nil, t.Prompt.home())
+	out := facts[:0]
+	for _, f := range facts {
+		f.Warm, f.Home = warm[f.Name], float64(share.Draw(home, f.Name)>>11)/(1<<53)
+		if r := s.Replicas[f.Name]; r.Told {
+			uncached := t.Prompt.uncached(f.Warm)
+			if k.swamped(r, uncached, t.Route.GapTarget, now) {
+				continue
+			}
+			f.Wait = k.wait(r, uncached, now)
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
+// Others says whether another replica that answers holds what a request needs.
+func (k *Keeper) Others(t Target, not string) bool {
+	s, now, item := k.Now(), k.clock.Since(), t.Item.String()
+	for id, r := range s.Replicas {
+		if id != not && k.serves(t, item, id, r, now) && r.answers(now) && int(r.Live.Inflight.Load()) < r.Room {
+			return true
+		}
+	}
+	return false
+}
+
+// serves says whether a replica holds the item that a request needs and may be sent to.
+func (k *Keeper) serves(t Target, item, id string, r *Replica, now time.Duration) bool {
+	isModel := t.Route.Kind == "model"
+	switch {
+	case r.Listed.Model != isModel, isModel && !r.holds(t, item):
+		return false
+	case r.Listed.Leaving, now-r.Heard > dark, now-time.Duration(r.Live.refused.Load()) < refusedFor:
+		return false
+	case !t.selects(r):
+		return false
+	case isModel && r.Told && r.Live.lacks(item, now):
+		return false
+	}
+	return !inventory.Marked(k.news, id)
+}
+
+// holds says whether a replica holds the model that a request needs, and its adapter.
+func (r *Replica) holds(t Target, item string) bool {
+	return r.Ready[item] && (t.Item.Adapter == "" || r.Ready[t.Item.Model])
+}
+
+// selects says whether a replica is of the service, or has the labels, that the route names.
+func (t Target) selects(r *Replica) bool {
+	if t.Route.Service != "" && r.Listed.Labels[conf.ServiceLabel] == t.Route.Service {
+		return true
+	}
+	if t.Route.Kind == "model" && t.Route.Service == "" {
+		return true
+	}
+	return t.Route.Selector.Matches(labels.Set(r.Listed.Labels))
+}
--- a/internal/route/warmth.go
+++ b/internal/route/warmth.go
@@ -61,6 +61,9 @@
 	return p
 }
 
+// uncached is how many tokens of a prompt are to be read where part of it is warm.
+func (p Prompt) uncached(warm float64) int { return int(float64(p.size) * (1 - warm)) }
+
 // home is the digest that decides where a prompt goes that is warm nowhere. Why:
 // the end of a prompt is the caller's own and its beginning is everybody's; those that share the greater
 // part should meet, and those that share only the beginning should not.
