A new core is filled from a majority, beside one that is gone without a word

The core that took the place of one that was gone asked the old members one after the other within 2 s; the gone one, unknown to it, was called at its last address and used all of it. It was never filled, and the closing loss of a disk left one core of three with the state.

Change: members are asked side by side with 0.9 s a call, a majority is enough; sets are spread side by side too.

--- a/internal/sim/fleet/unattended_test.go
+++ b/internal/sim/fleet/unattended_test.go
@@ -109,3 +109,20 @@
 		f.voting("the one that was stopped")
 	})
 }
+
+// A core that joins while the one it replaces is silent is filled from the others
+// at once: nothing answers at the old address, not even a refusal.
+func TestANewMemberIsFilledBesideASilentOne(t *testing.T) {
+	Seeds(t, 4, unattended, func(f *Fleet) {
+		f.voting("the first set")
+		f.Formed()
+		f.Traffic(0.5)
+		gone := f.Cores[f.Rnd.IntN(len(f.Cores))]
+		f.KillCore(gone, false)
+		extra := f.AddCore("core-extra", "10.1.30.1", gone.Zone)
+		f.Between([]string{gone.IP}, append(IPs(f.Cores), IPs(f.Edges)...), true)
+		time.Sleep(5 * time.Second)
+		f.StartCore(extra)
+		f.Until(5*time.Second, "the new member votes", func() bool { return extra.Core.Phase() == acceptor.Voter })
+	})
+}
--- a/internal/state/coreset/coreset.go
+++ b/internal/state/coreset/coreset.go
@@ -20,7 +20,11 @@
 // Key is where a change of the core set is decided.
 const Key = "coreset"
 
-const limit = 2 * time.Second
+const (
+	limit = 2 * time.Second // of one look at the set
+	// callLimit is how long one message to another core may take.
+	callLimit = 900 * time.Millisecond
+)
 
 // Deps is what the slice needs from the rest of the core.
 type Deps struct {
@@ -161,11 +165,10 @@
 		return
 	}
 	for c := range k.d.Live() {
-		addr, ok := k.d.Addr(c)
-		if !ok || c.Is(k.d.Self()) {
+		if _, ok := k.d.Addr(c); !ok || c.Is(k.d.Self()) {
 			continue
 		}
-		a, err := wire.Call[None, Adoption](ctx, k.d.Caller, addr, "/state/set", None{})
+		a, err := ask[None, Adoption](ctx, k, c, "/state/set", None{})
 		if err != nil || a.Phase != acceptor.Voter || !a.Set.Has(c) || a.Set.Serial <= st.Set.Serial {
 			return
 		}
@@ -247,11 +250,7 @@
 // lookForUs adopts a formed set that counts us as a member: our formation
 // became firm elsewhere, or our joining was agreed.
 func (k *Keeper) lookForUs(ctx context.Context, c state.Core) bool {
-	addr, ok := k.d.Addr(c)
-	if !ok {
-		return false
-	}
-	a, err := wire.Call[None, Adoption](ctx, k.d.Caller, addr, "/state/set", None{})
+	a, err := ask[None, Adoption](ctx, k, c, "/state/set", None{})
 	if err != nil || !a.Set.Has(k.d.Self()) {
 		return false
 	}
@@ -434,7 +433,7 @@
 	if !k.d.Owner.Holds(Key) {
 		for c := range k.d.Live() {
 			if addr, ok := k.d.Addr(c); ok && !c.Is(k.d.Self()) {
-				a, err := wire.Call[None, map[int]uint64](ctx, k.d.Caller, addr, "/state/held", None{})
+				a, err := ask[None, map[int]uint64](ctx, k, c, "/state/held", None{})
 				if _, holds := a[state.SlotOf(Key)]; err == nil && holds {
 					return wire.Call[Joining, None](ctx, k.d.Caller, addr, "/state/join", q)
 				}
@@ -546,19 +545,23 @@
 		old = k.d.Acceptor.Standing().Old
 	}
 	a := Adoption{Set: next, Old: old}
-	for _, c := range append(append([]state.Core{}, old.Cores...), next.Cores...) {
-		if c.Is(k.d.Self()) {
+	to := append(append([]state.Core{}, old.Cores...), next.Cores...)
+	// Why: a voter that is gone without a word must not keep the others from being told.
+	told := run.Fan(k.d.Group, len(to), func(ctx context.Context, i int) bool {
+		if to[i].Is(k.d.Self()) {
 			_, _ = k.adopt(ctx, a)
 		} else {
-			k.tell(ctx, c, a)
+			k.tell(ctx, to[i], a)
 		}
+		return true
+	})
+	for range to {
+		<-told
 	}
 }
 
 func (k *Keeper) tell(ctx context.Context, c state.Core, a Adoption) {
-	if addr, ok := k.d.Addr(c); ok {
-		_, _ = wire.Call[Adoption, None](ctx, k.d.Caller, addr, "/state/adopt", a)
-	}
+	_, _ = ask[Adoption, None](ctx, k, c, "/state/adopt", a)
 }
 
 // Rescue makes this core the only voter, after an operator has said that the
@@ -627,24 +630,10 @@
 // fill reads every slot from a majority of the old set, each of which already
 // refuses the old serial, and only then votes.
 func (k *Keeper) fill(ctx context.Context, st acceptor.Standing) {
-	self := k.d.Self()
 	for slot := range state.Slots {
-		q := state.Ask{Set: st.Set.Serial, From: self, Slot: slot}
-		var replies []state.Reply
-		for _, c := range st.Old.Cores {
-			addr, ok := k.d.Addr(c)
-			if !ok || c.Is(self) {
-				continue
-			}
-			r, err := wire.Call[state.Ask, state.Reply](ctx, k.d.Caller, addr, "/state/dump", q)
-			if err == nil && r.OK {
-				replies = append(replies, r)
-			} else if err == nil && r.Why == state.WhyBehind {
-				k.tell(ctx, c, Adoption{Set: st.Set, Old: st.Old})
-			} else if err == nil && r.Why == state.WhySet {
-				_ = k.lookForUs(ctx, c)
-				return
-			}
+		replies, outdated := k.dumps(ctx, st, slot)
+		if outdated {
+			return
 		}
 		if len(replies) < st.Old.Quorum() {
 			k.d.Log.Info("filling waits for a majority", "slot", slot, "have", len(replies))
@@ -664,3 +653,48 @@
 	})
 	k.d.Log.Info("filled; votes from now on", "set", st.Set.Serial)
 }
+
+// dumps asks the voters of the old set side by side for a slot, until a majority has
+// given it. Why: one of them may be gone without a word, and a call to it takes its whole time.
+// outdated says that one of them knows a newer set, which has been asked for.
+func (k *Keeper) dumps(ctx context.Context, st acceptor.Standing, slot int) (replies []state.Reply, outdated bool) {
+	type answer struct {
+		from  state.Core
+		reply state.Reply
+		err   error
+	}
+	q := state.Ask{Set: st.Set.Serial, From: k.d.Self(), Slot: slot}
+	ch := run.Fan(k.d.Group, len(st.Old.Cores), func(ctx context.Context, i int) answer {
+		r, err := ask[state.Ask, state.Reply](ctx, k, st.Old.Cores[i], "/state/dump", q)
+		return answer{st.Old.Cores[i], r, err}
+	})
+	for range st.Old.Cores {
+		a := <-ch
+		switch {
+		case a.err != nil:
+		case a.reply.OK:
+			replies = append(replies, a.reply)
+		case a.reply.Why == state.WhyBehind:
+			k.tell(ctx, a.from, Adoption{Set: st.Set, Old: st.Old})
+		case a.reply.Why == state.WhySet:
+			_ = k.lookForUs(ctx, a.from)
+			return nil, true
+		}
+		if len(replies) >= st.Old.Quorum() {
+			break
+		}
+	}
+	return replies, false
+}
+
+// ask sends one message to another core and waits for its answer for callLimit at most.
+func ask[Q, R any](ctx context.Context, k *Keeper, c state.Core, path string, q Q) (R, error) {
+	addr, ok := k.d.Addr(c)
+	if !ok || c.Is(k.d.Self()) {
+		var none R
+		return none, wire.ErrUnreachable
+	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	return wire.Call[Q, R](ctx, k.d.Caller, addr, path, q)
+}
