owner: one file per concept, and leases, voters and intervals by their names

owner.go keeps the dependencies, the constructor and what others ask of the leases; slot.go holds the state machine of one slot, take.go how it is won, write.go reads and writes, renew.go, repair.go and poll.go the talk with the voters. take, renew and repair are cut into functions that fit on a screen, and the three ways to reach a voter are one. Behaviour, messages, paths and log keys are unchanged.

--- /dev/null
+++ b/internal/state/owner/take.go
@@ -0,0 +1,133 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"drumstall.example/internal/state"
+	"drumstall.example/internal/state/acceptor"
+)
+
+// take asks a majority for the slot, carries their newest records forward
+// under the new epoch, and only then serves.
+func (s *slot) take(set state.CoreSet) {
+	o := s.o
+	if !s.free(set) {
+		s.tryAgainIn(100, 200)
+		return
+	}
+	s.seen++
+	before := o.d.Clock.Since()
+	q := state.Ask{Set: set.Serial, From: o.d.Self(), Slot: s.n, Epoch: s.seen}
+	yes, ok := s.prepare(set, q)
+	if !ok {
+		return
+	}
+	firstTime := s.epoch.Load() == 0
+	recs, pr := acceptor.Merge(yes)
+	s.table = map[string]state.Record{}
+	s.version = pr.Serial + 1
+	s.epoch.Store(q.Epoch)
+	s.strayed = 0
+	s.owes = map[string]bool{}
+	for i := range recs {
+		recs[i].Stamp = state.Stamp{Epoch: q.Epoch, Serial: recs[i].Stamp.Serial}
+	}
+	s.until.Store(int64(before + state.HoldFor - state.HoldMargin))
+	s.quarantine(q.Epoch, yes, firstTime)
+	if err := s.write(recs, true); err != nil {
+		o.d.Log.Info("slot not taken", "slot", s.n, "epoch", q.Epoch, "problem", err)
+		s.giveUp("table not kept", true)
+		s.table = nil
+		return
+	}
+	o.d.Log.Info("slot taken", "slot", s.n, "epoch", q.Epoch, "records", len(recs))
+	if o.d.OnTake != nil {
+		o.d.OnTake(s.n, recs)
+	}
+}
+
+// prepare asks for a majority's promises under the epoch of q. If too few are
+// given it lets go of them and has the slot wait.
+func (s *slot) prepare(set state.CoreSet, q state.Ask) (yes []state.Reply, ok bool) {
+	o := s.o
+	// Why: a majority's promises are enough; a core that is cut off must not hold them up.
+	yes, noes, _ := o.poll(set, "/state/prepare", q, o.d.Acceptor.Prepare, true)
+	held := false
+	for _, n := range noes {
+		s.seen = max(s.seen, n.Epoch)
+		held = held || n.Why == state.WhyHeld
+	}
+	if len(yes) >= set.Quorum() {
+		return yes, true
+	}
+	if len(yes) > 0 {
+		// Why: what was granted in vain is in the next candidate's way; nobody need wait for it to be told.
+		o.d.Group.Go(func(context.Context) { o.poll(set, "/state/release", q, o.d.Acceptor.Release, false) })
+	}
+	if held {
+		s.tryAgainIn(200, 200)
+	} else {
+		s.tryAgainIn(100, 300)
+	}
+	return nil, false
+}
+
+// quarantine sets from when on orders may be sent under an epoch that has just
+// been won, and how long the slot had been free. firstTime: this life of the
+// core had not held the slot before.
+func (s *slot) quarantine(epoch uint64, yes []state.Reply, firstTime bool) {
+	o := s.o
+	// Why: whoever held the slot before may have orders on the way; a first owner has none to wait out.
+	wonAt := o.d.Clock.Since()
+	s.orderFrom.Store(int64(wonAt + o.d.Quarantine - freeFor(yes)))
+	s.freeFor.Store(int64(freeFor(yes)))
+	if epoch == 1 || s.ownBefore(yes) {
+		s.orderFrom.Store(int64(wonAt))
+		if epoch > 1 {
+			s.orderFrom.Store(int64(max(wonAt, o.began+o.d.OwnQuarantine)))
+		}
+		// Why: what an earlier life of this process did was over when this one began; what it did itself was not.
+		if firstTime {
+			s.freeFor.Store(int64(max(freeFor(yes), min(wonAt-o.began, state.HoldFor))))
+		}
+	}
+}
+
+// free asks whether a majority would promise the slot, and learns the epochs that
+// they have seen.
+func (s *slot) free(set state.CoreSet) bool {
+	q := state.Ask{Set: set.Serial, From: s.o.d.Self(), Slot: s.n}
+	yes, noes, _ := s.o.poll(set, "/state/peek", q, s.o.d.Acceptor.Peek, true)
+	for _, r := range append(noes, yes...) {
+		s.seen = max(s.seen, r.Epoch)
+	}
+	return len(yes) >= set.Quorum()
+}
+
+// freeFor is how long nobody has held the slot for sure. Why: who held it last
+// needed grants from a majority, one of which is among those that answered; its lease ended before
+// the last of theirs, and with the lease its orders.
+func freeFor(yes []state.Reply) time.Duration {
+	free := time.Duration(-1)
+	for _, r := range yes {
+		if d := time.Duration(r.FreeMs) * time.Millisecond; free < 0 || d < free {
+			free = d
+		}
+	}
+	return max(0, free)
+}
+
+// ownBefore says that this core was the last to hold the slot. Why: whoever holds
+// one has first written the whole table to a majority, one of which has answered; a
+// promise alone may have been given in vain. What this life ordered need not be waited out, and what an
+// earlier one ordered for OwnQuarantine only.
+func (s *slot) ownBefore(yes []state.Reply) bool {
+	var last state.Reply
+	for _, r := range yes {
+		if r.Full > last.Full {
+			last = r
+		}
+	}
+	return last.Full > 0 && last.FullBy.Name == s.o.d.Self().Name
+}
--- /dev/null
+++ b/internal/state/owner/write.go
@@ -0,0 +1,98 @@
+package owner
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"drumstall.example/internal/state"
+)
+
+// Get reads a key under the lease. It gives state.ErrNotOwner without one, and
+// state.ErrNoQuorum when ctx ended first.
+func (o *Owner) Get(ctx context.Context, key string) (state.Record, bool, error) {
+	s := o.slots[state.SlotOf(key)]
+	var rec state.Record
+	var found, held bool
+	err := s.desk.Ask(ctx, func() {
+		rec, found = s.table[key]
+		// Why: the lease is looked at after the read, so a late tick cannot give out a value of the past.
+		held = s.held()
+	})
+	if err != nil {
+		return rec, false, errors.Wrap(state.ErrNoQuorum, err.Error())
+	}
+	if !held {
+		return state.Record{}, false, state.ErrNotOwner
+	}
+	return rec, found && !rec.Gone, nil
+}
+
+// Update changes a key by f, one change at a time, on a majority of disks.
+// f's own error is handed back and nothing is kept; state.ErrNotOwner and
+// state.ErrNoQuorum say that nothing was kept, state.ErrUnknown that it may have been.
+func (o *Owner) Update(ctx context.Context, key string, f func(old state.Record, found bool) ([]byte, error)) (state.Record, error) {
+	s := o.slots[state.SlotOf(key)]
+	var rec state.Record
+	var failure error
+	err := s.desk.Ask(ctx, func() {
+		// Why: a caller that has gone was told "nothing kept"; its change must not happen later.
+		if ctx.Err() != nil {
+			failure = errors.Wrap(state.ErrNoQuorum, "caller gave up waiting")
+			return
+		}
+		if !s.held() {
+			failure = state.ErrNotOwner
+			return
+		}
+		old, found := s.table[key]
+		value, err := f(old, found && !old.Gone)
+		if err != nil {
+			failure = err
+			return
+		}
+		rec = state.Record{Key: key, Stamp: state.Stamp{Epoch: s.epoch.Load(), Serial: s.version + 1}, Value: value}
+		failure = s.write([]state.Record{rec}, false)
+	})
+	// Why: a command that was given up on has not run and will not, so nothing was kept, and that can be said.
+	if err != nil {
+		return rec, errors.Wrap(state.ErrNoQuorum, err.Error())
+	}
+	return rec, failure
+}
+
+// write sends records to every voter and returns when a majority synced them.
+func (s *slot) write(recs []state.Record, full bool) error {
+	o := s.o
+	set := o.d.Acceptor.Standing().Set
+	at := s.version
+	for _, r := range recs {
+		at = max(at, r.Stamp.Serial)
+	}
+	q := state.Ask{Set: set.Serial, From: o.d.Self(), Slot: s.n, Epoch: s.epoch.Load(), At: at, Full: full, Records: recs}
+	yes, noes, missed := o.poll(set, "/state/accept", q, o.d.Acceptor.Accept, true)
+	for _, c := range missed {
+		s.owes[c.Name] = true
+	}
+	if len(yes) < set.Quorum() {
+		for _, n := range noes {
+			s.seen = max(s.seen, n.Epoch)
+		}
+		// Why: a majority said no and the rest are too few to keep it: surely not kept. Else nobody can know.
+		surely := len(yes) == 0 && len(noes) >= set.Quorum()
+		s.giveUp("write found no majority", false)
+		if surely {
+			return state.ErrNoQuorum
+		}
+		return state.ErrUnknown
+	}
+	s.version = at
+	for _, r := range recs {
+		s.table[r.Key] = r
+	}
+	if !s.held() {
+		// Why: it is kept, but another may have taken over since; only a new look can tell.
+		return state.ErrUnknown
+	}
+	return nil
+}
