coreset: one file per concept

coreset.go keeps the keeper, its dependencies and its round; messages.go, founding.go, admission.go, change.go, catchup.go, trim.go and rescue.go hold what each is named for. Two remedies follow their code. Behaviour, messages, paths, keys and log keys are unchanged.

--- /dev/null
+++ b/internal/state/coreset/change.go
@@ -0,0 +1,97 @@
+package coreset
+
+import (
+	"context"
+
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/state"
+	"drumstall.example/internal/state/acceptor"
+)
+
+// decide changes the set through a majority of the old one and spreads it.
+func (k *Keeper) decide(ctx context.Context, change func(set state.CoreSet) (state.CoreSet, error)) error {
+	var next state.CoreSet
+	_, err := k.d.Owner.Update(ctx, Key, func(old state.Record, found bool) ([]byte, error) {
+		set := k.d.Acceptor.Standing().Set
+		if found {
+			var kept state.CoreSet
+			if err := wire.Unpack(old.Value, &kept); err == nil && kept.Serial > set.Serial {
+				return nil, wire.Drop("busy", "a change is under way")
+			}
+		}
+		var err error
+		if next, err = change(set); err != nil {
+			return nil, err
+		}
+		return wire.Pack(next), nil
+	})
+	if err != nil {
+		return err
+	}
+	k.spread(ctx, next)
+	return nil
+}
+
+// follow spreads a decided change that its author could not finish.
+func (k *Keeper) follow(ctx context.Context, st acceptor.Standing) {
+	if !k.d.Owner.Holds(Key) {
+		return
+	}
+	rec, found, err := k.d.Owner.Get(ctx, Key)
+	if err != nil || !found {
+		return
+	}
+	var set state.CoreSet
+	if wire.Unpack(rec.Value, &set) == nil && set.Serial > st.Set.Serial {
+		k.spread(ctx, set)
+	}
+}
+
+// spread hands a decided set to the voters of the old one and to its own.
+func (k *Keeper) spread(ctx context.Context, next state.CoreSet) {
+	old := k.d.Acceptor.Standing().Set
+	if old.Serial >= next.Serial {
+		old = k.d.Acceptor.Standing().Old
+	}
+	a := Adoption{Set: next, Old: old}
+	for _, c := range append(append([]state.Core{}, old.Cores...), next.Cores...) {
+		if c.Is(k.d.Self()) {
+			_, _ = k.adopt(ctx, a)
+		} else {
+			k.tell(ctx, c, a)
+		}
+	}
+}
+
+// tell hands a set to one core; whoever misses it is told again when it is behind.
+func (k *Keeper) tell(ctx context.Context, c state.Core, a Adoption) {
+	_, _ = call[Adoption, None](ctx, k, c, "/state/adopt", a)
+}
+
+// adopt takes a newer set: a voter goes on voting under it, any other core is
+// filled first and takes only a set that counts it in.
+func (k *Keeper) adopt(ctx context.Context, a Adoption) (None, error) {
+	_, err := k.d.Acceptor.SetStanding(ctx, func(st acceptor.Standing) (acceptor.Standing, bool) {
+		if a.Set.Serial <= st.Set.Serial || len(a.Set.Cores) == 0 {
+			return st, false
+		}
+		if st.Phase == acceptor.Empty || st.Phase == acceptor.Pending || st.Phase == acceptor.Filling {
+			if !a.Set.Has(k.d.Self()) {
+				return st, false
+			}
+			return acceptor.Standing{Phase: acceptor.Filling, Set: a.Set, Old: a.Old}, true
+		}
+		return acceptor.Standing{Phase: acceptor.Voter, Set: a.Set, Old: st.Set}, true
+	})
+	return None{}, err
+}
+
+// Behind hands our set to a voter that knows an older one; it does not wait for that.
+func (k *Keeper) Behind(c state.Core) {
+	_ = k.desk.Tell(func() {
+		ctx, cancel := context.WithTimeout(k.d.Group.Context(), limit)
+		defer cancel()
+		st := k.d.Acceptor.Standing()
+		k.tell(ctx, c, Adoption{Set: st.Set, Old: st.Old})
+	})
+}
--- /dev/null
+++ b/internal/state/coreset/founding.go
@@ -0,0 +1,169 @@
+package coreset
+
+import (
+	"context"
+	"slices"
+	"sort"
+
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/state"
+	"drumstall.example/internal/state/acceptor"
+)
+
+// found offers the first set to all founders, if this core is the one to do so.
+func (k *Keeper) found(ctx context.Context, st acceptor.Standing, live map[state.Core]acceptor.Phase) {
+	cores, ready := k.founders(st, live)
+	if !ready {
+		return
+	}
+	sort.Slice(cores, func(i, j int) bool { return cores[i].Name < cores[j].Name })
+	for i := 1; i < len(cores); i++ {
+		if cores[i].Name == cores[i-1].Name {
+			return
+		}
+	}
+	// Why: one founder at a time; the others only agree.
+	if !cores[0].Is(k.d.Self()) {
+		return
+	}
+	set, ok := k.offer(ctx, cores)
+	if !ok {
+		return
+	}
+	// Why: all founders agree on disk before any votes, so two sets can never both be formed.
+	if k.propose(ctx, Formation{Set: set}) {
+		k.propose(ctx, Formation{Set: set, Firm: true})
+	}
+}
+
+// propose sends a formation to its members, and says whether all agreed. The
+// first refusal ends an offer; what is firm goes to all in any case.
+func (k *Keeper) propose(ctx context.Context, f Formation) bool {
+	agreed := true
+	for _, c := range f.Set.Cores {
+		var err error
+		if c.Is(k.d.Self()) {
+			_, err = k.form(ctx, f)
+		} else {
+			_, err = call[Formation, None](ctx, k, c, "/state/form", f)
+		}
+		if err != nil {
+			k.d.Log.Info("formation waits", "for", c.Name, "firm", f.Firm, "problem", err)
+			agreed = false
+			if !f.Firm {
+				break
+			}
+		}
+	}
+	return agreed
+}
+
+// founders are the cores that form the first set, once all of them are there.
+func (k *Keeper) founders(st acceptor.Standing, live map[state.Core]acceptor.Phase) ([]state.Core, bool) {
+	var cores []state.Core
+	if !k.unattended() {
+		for c := range live {
+			cores = append(cores, c)
+		}
+		return cores, len(live) == k.d.Want
+	}
+	// Why: a core that starts empty later must never found a second fleet; one that had agreed to found goes on.
+	if !k.d.MayFound && st.Phase != acceptor.Pending {
+		return nil, false
+	}
+	for c := range live {
+		if slices.Contains(k.d.Founders, c.Addr) {
+			cores = append(cores, c)
+		}
+	}
+	return cores, len(cores) > 0 && len(cores) == len(k.d.Founders)
+}
+
+// offer is the set to be formed from these cores: the one that all have agreed
+// to, or else one under a higher version than any of them has.
+func (k *Keeper) offer(ctx context.Context, cores []state.Core) (state.CoreSet, bool) {
+	set := state.CoreSet{Cores: cores}
+	agreed := false
+	for _, c := range cores {
+		st := k.d.Acceptor.Standing()
+		theirs := Adoption{Set: st.Set, Phase: st.Phase}
+		if !c.Is(k.d.Self()) {
+			var err error
+			if theirs, err = k.askSet(ctx, c); err != nil {
+				return set, false
+			}
+		}
+		// Why: what the others tell of each other may be old; one that votes by now ends all founding.
+		if theirs.Phase != acceptor.Empty && theirs.Phase != acceptor.Pending {
+			return set, false
+		}
+		if n := theirs.Set.Serial; n > set.Serial {
+			set.Serial, agreed = n, alike(theirs.Set, state.CoreSet{Serial: n, Cores: cores})
+		}
+	}
+	if !agreed {
+		set.Serial++
+	}
+	return set, true
+}
+
+// alike says whether two sets are the same.
+func alike(a, b state.CoreSet) bool {
+	if a.Serial != b.Serial || len(a.Cores) != len(b.Cores) {
+		return false
+	}
+	for _, c := range a.Cores {
+		if !b.Has(c) {
+			return false
+		}
+	}
+	return true
+}
+
+// refounds says whether next may take the place of a formation that was agreed
+// to and never became firm: the same machines, of which a minority came back with other disks.
+// Why: a majority of the old set stands here or there as agreed and not voting, so nobody can have been
+// acknowledged anything under it; and under the lower version nobody ever will be.
+func refounds(old, next state.CoreSet) bool {
+	lost := 0
+	for _, c := range old.Cores {
+		if next.Has(c) {
+			continue
+		}
+		anew := false
+		for _, n := range next.Cores {
+			anew = anew || n.Name == c.Name
+		}
+		if !anew {
+			return false
+		}
+		lost++
+	}
+	return next.Serial > old.Serial && len(next.Cores) == len(old.Cores) && lost < old.Quorum()
+}
+
+// form takes what a founder offers or makes firm; a refusal has the code "formation".
+func (k *Keeper) form(ctx context.Context, f Formation) (None, error) {
+	why := ""
+	_, err := k.d.Acceptor.SetStanding(ctx, func(st acceptor.Standing) (acceptor.Standing, bool) {
+		same := alike(st.Set, f.Set)
+		switch {
+		case !f.Set.Has(k.d.Self()) || f.Set.Serial < 1:
+			why = "not a member"
+		case st.Phase == acceptor.Empty && !f.Firm:
+			return acceptor.Standing{Phase: acceptor.Pending, Set: f.Set}, true
+		case st.Phase == acceptor.Pending && same && f.Firm:
+			return acceptor.Standing{Phase: acceptor.Voter, Set: f.Set}, true
+		case st.Phase == acceptor.Pending && !f.Firm && refounds(st.Set, f.Set):
+			return acceptor.Standing{Phase: acceptor.Pending, Set: f.Set}, true
+		case same:
+		default:
+			why = "agreed to another set"
+		}
+		return st, false
+	})
+	if err == nil && why != "" {
+		err = wire.Drop("formation", why)
+	}
+	return None{}, err
+}
--- /dev/null
+++ b/internal/state/coreset/messages.go
@@ -0,0 +1,28 @@
+package coreset
+
+import (
+	"drumstall.example/internal/state"
+	"drumstall.example/internal/state/acceptor"
+)
+
+// Adoption hands over a newer set.
+type Adoption struct {
+	Set   state.CoreSet  `cbor:"1,keyasint"`
+	Old   state.CoreSet  `cbor:"2,keyasint"`
+	Phase acceptor.Phase `cbor:"3,keyasint,omitempty"` // of whoever answers for itself
+}
+
+// Joining asks for a place in the set.
+type Joining struct {
+	Core     state.Core `cbor:"1,keyasint"`
+	Replaces string     `cbor:"2,keyasint"`
+}
+
+// Formation is the first set, offered and then made firm.
+type Formation struct {
+	Set  state.CoreSet `cbor:"1,keyasint"`
+	Firm bool          `cbor:"2,keyasint"`
+}
+
+// None is an empty answer.
+type None struct{}
--- /dev/null
+++ b/internal/state/coreset/trim.go
@@ -0,0 +1,51 @@
+package coreset
+
+import (
+	"context"
+	"time"
+
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/state"
+	"drumstall.example/internal/state/acceptor"
+)
+
+// trim takes a voter that is gone out of a set that is larger than it need be.
+// Why: each voter that does not answer makes a majority harder to find.
+func (k *Keeper) trim(ctx context.Context, st acceptor.Standing) {
+	if !k.d.Owner.Holds(Key) || k.ticks < settleTicks || len(st.Set.Cores) <= k.d.Target {
+		return
+	}
+	lost, found := k.lost(st.Set)
+	if !found {
+		return
+	}
+	next := state.CoreSet{Serial: st.Set.Serial + 1}
+	for _, c := range st.Set.Cores {
+		if !c.Is(lost) {
+			next.Cores = append(next.Cores, c)
+		}
+	}
+	if err := k.decide(ctx, func(set state.CoreSet) (state.CoreSet, error) {
+		if set.Serial != st.Set.Serial {
+			return set, wire.Drop("busy", "the set has changed")
+		}
+		return next, nil
+	}); err == nil {
+		k.d.Log.Info("core set shrinks", "serial", next.Serial, "without", lost.Name)
+	}
+}
+
+// lost is the voter that has been away longest, if one is gone.
+func (k *Keeper) lost(set state.CoreSet) (state.Core, bool) {
+	var lost state.Core
+	longest := time.Duration(0)
+	for _, c := range set.Cores {
+		if c.Is(k.d.Self()) {
+			continue
+		}
+		if left, away := k.d.Gone(c); (left || away > goneAfter) && away > longest {
+			lost, longest = c, away
+		}
+	}
+	return lost, longest > 0
+}
