acceptor: one file per concept

acceptor.go keeps the data folder's life and the health of its disk; standing.go the phase and core set, slot.go a slot's promise, grant.go what the owners ask of it, records.go what is kept of it, disk.go the batches and keys. Writing a whole table, which stood in Accept and in Fill, and taking the error out of a desk, which stood twice, are functions now; grants are of leases. Two remedies follow their code. Behaviour, messages, paths, keys on disk and log keys are unchanged.

--- /dev/null
+++ b/internal/state/acceptor/grant.go
@@ -0,0 +1,117 @@
+package acceptor
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2"
+
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/state"
+)
+
+// Peek says whether a promise would be given, and changes nothing. Why: a promise
+// given in vain outbids the holder, whose renewals are refused here from then on.
+func (a *Acceptor) Peek(ctx context.Context, q state.Ask) (state.Reply, error) {
+	return a.onSlot(ctx, q, func(t *table, r *state.Reply) {
+		if r.OK = !t.heldAgainst(q.From, a.clock.Since()); !r.OK {
+			r.Why = state.WhyHeld
+		}
+	})
+}
+
+// Prepare promises a slot to a holder under an epoch above any promised.
+func (a *Acceptor) Prepare(ctx context.Context, q state.Ask) (state.Reply, error) {
+	return a.onSlot(ctx, q, func(t *table, r *state.Reply) {
+		now := a.clock.Since()
+		if q.Epoch <= t.pr.Epoch || t.over(q.From, q.Epoch) {
+			r.Why = state.WhyLower
+			return
+		}
+		if t.heldAgainst(q.From, now) {
+			r.Why = state.WhyHeld
+			return
+		}
+		next := t.pr
+		next.Epoch, next.Holder = q.Epoch, q.From
+		if err := a.commit(func(b *pebble.Batch) error { return b.Set(keyPromise(q.Slot), wire.Pack(next), nil) }); err != nil {
+			r.Why = state.WhySick
+			return
+		}
+		recs, err := a.records(q.Slot)
+		if err != nil {
+			r.Why = state.WhySick
+			return
+		}
+		r.FullBy = t.pr.FullBy
+		r.FreeMs = max(0, (now - time.Duration(t.until.Load())).Milliseconds())
+		t.keep(next)
+		t.anew = false
+		t.grant(a.clock.Since() + state.HoldFor)
+		r.OK, r.Records, r.Full, r.Serial = true, recs, next.Full, next.Serial
+	})
+}
+
+// Renew prolongs leases; slots promised to others are named as lost. The refusal
+// has one of the state.Why codes when this core may not vote.
+func (a *Acceptor) Renew(ctx context.Context, q state.Renewal) (state.Renewed, error) {
+	out := state.Renewed{Lost: map[int]uint64{}}
+	head, ok := a.vote(q.Set)
+	out.Set = head.Set
+	if !ok {
+		return out, wire.Drop(head.Why, "renewal")
+	}
+	for slot, epoch := range q.Epochs {
+		r, err := a.onSlot(ctx, state.Ask{Set: q.Set, From: q.From, Slot: slot, Epoch: epoch}, func(t *table, r *state.Reply) {
+			if epoch < t.pr.Epoch || epoch == t.pr.Epoch && !t.pr.Holder.Is(q.From) || t.over(q.From, epoch) {
+				return
+			}
+			if epoch > t.pr.Epoch {
+				next := t.pr
+				next.Epoch, next.Holder, next.Serial = epoch, q.From, 0
+				if err := a.commit(func(b *pebble.Batch) error { return b.Set(keyPromise(slot), wire.Pack(next), nil) }); err != nil {
+					return
+				}
+				t.keep(next)
+			}
+			t.anew = false
+			t.grant(a.clock.Since() + state.HoldFor)
+			r.OK = true
+		})
+		switch {
+		case err != nil:
+			return out, err
+		case r.OK:
+			out.Slots = append(out.Slots, slot)
+		case r.Epoch > epoch:
+			out.Lost[slot] = r.Epoch
+		}
+	}
+	return out, nil
+}
+
+// Release ends a lease before its time; the promise stays.
+func (a *Acceptor) Release(ctx context.Context, q state.Ask) (state.Reply, error) {
+	return a.onSlot(ctx, q, func(t *table, r *state.Reply) {
+		if !t.over(q.From, q.Epoch) {
+			t.freed = bid{q.Epoch, q.From}
+		}
+		if q.Epoch == t.pr.Epoch && t.pr.Holder.Is(q.From) && !t.anew {
+			t.grant(a.clock.Since())
+		}
+		r.OK = true
+	})
+}
+
+// Promised is whom the slot was promised last.
+func (a *Acceptor) Promised(slot int) state.Core {
+	if c := a.slots[slot].last.Load(); c != nil {
+		return *c
+	}
+	return state.Core{}
+}
+
+// Lapsed is how long no lease of the slot has been granted here; 0 while one is.
+func (a *Acceptor) Lapsed(slot int) time.Duration {
+	return max(0, a.clock.Since()-time.Duration(a.slots[slot].until.Load()))
+}
--- /dev/null
+++ b/internal/state/acceptor/records.go
@@ -0,0 +1,190 @@
+package acceptor
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/pkg/errors"
+
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/state"
+)
+
+// Accept keeps records from the holder of the highest epoch.
+func (a *Acceptor) Accept(ctx context.Context, q state.Ask) (state.Reply, error) {
+	return a.onSlot(ctx, q, func(t *table, r *state.Reply) {
+		if q.Epoch < t.pr.Epoch || q.Epoch == t.pr.Epoch && !t.pr.Holder.Is(q.From) {
+			r.Why = state.WhyLower
+			return
+		}
+		// Why: a whole table that is older than what came since must not take that away.
+		if q.Full && q.Epoch == t.pr.Full && q.At < t.pr.Serial {
+			r.OK = true
+			return
+		}
+		next := t.pr
+		if q.Epoch > next.Epoch {
+			next.Epoch, next.Holder, next.Serial = q.Epoch, q.From, 0
+		}
+		next.Serial = max(next.Serial, q.At)
+		if q.Full {
+			next.Full, next.FullBy = q.Epoch, q.From
+		}
+		err := a.commit(func(b *pebble.Batch) error {
+			write := a.addRecords
+			if q.Full {
+				write = replaceRecords
+			}
+			if err := write(b, q.Slot, q.Records); err != nil {
+				return err
+			}
+			return b.Set(keyPromise(q.Slot), wire.Pack(next), nil)
+		})
+		if err != nil {
+			r.Why = state.WhySick
+			return
+		}
+		t.keep(next)
+		r.OK = true
+	})
+}
+
+// addRecords writes those records that are newer than what is there.
+func (a *Acceptor) addRecords(b *pebble.Batch, slot int, recs []state.Record) error {
+	for _, rec := range recs {
+		k := keyRecord(slot, rec.Key)
+		var old state.Record
+		found, err := a.read(k, &old)
+		if err != nil {
+			return err
+		}
+		if found && !rec.Stamp.Newer(old.Stamp) {
+			continue
+		}
+		if err := b.Set(k, wire.Pack(rec), nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replaceRecords writes a whole table in place of what is there.
+func replaceRecords(b *pebble.Batch, slot int, recs []state.Record) error {
+	o := bounds(slot)
+	if err := b.DeleteRange(o.LowerBound, o.UpperBound, nil); err != nil {
+		return err
+	}
+	for _, rec := range recs {
+		if err := b.Set(keyRecord(slot, rec.Key), wire.Pack(rec), nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Digest sums up the records of a slot.
+func (a *Acceptor) Digest(ctx context.Context, q state.Ask) (state.Reply, error) {
+	return a.onSlot(ctx, q, func(t *table, r *state.Reply) {
+		recs, err := a.records(q.Slot)
+		if err != nil {
+			r.Why = state.WhySick
+			return
+		}
+		r.OK, r.Sum, r.Full = true, Sum(recs), t.pr.Full
+	})
+}
+
+// Dump gives a whole slot to a core that is being filled.
+func (a *Acceptor) Dump(ctx context.Context, q state.Ask) (state.Reply, error) {
+	return a.onSlot(ctx, q, func(t *table, r *state.Reply) {
+		recs, err := a.records(q.Slot)
+		if err != nil {
+			r.Why = state.WhySick
+			return
+		}
+		r.OK, r.Records, r.Full, r.Serial, r.FullBy = true, recs, t.pr.Full, t.pr.Serial, t.pr.FullBy
+	})
+}
+
+// Fill takes a slot as read from a majority, before this core votes; state.ErrSick
+// says that the disk did not keep it.
+func (a *Acceptor) Fill(ctx context.Context, slot int, replies []state.Reply) error {
+	t := a.slots[slot]
+	return inDesk(ctx, t.desk, func() error {
+		recs, pr := Merge(replies)
+		err := a.commit(func(b *pebble.Batch) error {
+			if err := replaceRecords(b, slot, recs); err != nil {
+				return err
+			}
+			return b.Set(keyPromise(slot), wire.Pack(pr), nil)
+		})
+		if err != nil {
+			return err
+		}
+		t.keep(pr)
+		t.anew = true
+		t.grant(a.clock.Since() + state.HoldFor)
+		return nil
+	})
+}
+
+// records reads all records of a slot from the disk.
+func (a *Acceptor) records(slot int) ([]state.Record, error) {
+	it, err := a.db.NewIter(bounds(slot))
+	if err != nil {
+		return nil, err
+	}
+	var out []state.Record
+	for ok := it.First(); ok; ok = it.Next() {
+		var r state.Record
+		if err := wire.Unpack(it.Value(), &r); err != nil {
+			_ = it.Close()
+			return nil, errors.Wrapf(err, "record %q", it.Key())
+		}
+		out = append(out, r)
+	}
+	return out, it.Close()
+}
+
+// Merge is what a majority's answers say of a slot. Records under an epoch
+// older than the newest whole table are leftovers of writes nobody was told of.
+func Merge(replies []state.Reply) ([]state.Record, promise) {
+	var pr promise
+	newest := map[string]state.Record{}
+	for _, r := range replies {
+		if r.Epoch > pr.Epoch {
+			pr.Epoch, pr.Holder = r.Epoch, r.Holder
+		}
+		if r.Full > pr.Full {
+			pr.Full, pr.FullBy = r.Full, r.FullBy
+		}
+		pr.Serial = max(pr.Serial, r.Serial)
+	}
+	for _, r := range replies {
+		for _, rec := range r.Records {
+			if old, found := newest[rec.Key]; rec.Stamp.Epoch >= pr.Full && (!found || rec.Stamp.Newer(old.Stamp)) {
+				newest[rec.Key] = rec
+			}
+		}
+	}
+	out := make([]state.Record, 0, len(newest))
+	for _, rec := range newest {
+		out = append(out, rec)
+		pr.Serial = max(pr.Serial, rec.Stamp.Serial)
+	}
+	return out, pr
+}
+
+// Sum is a digest over records in any order.
+func Sum(recs []state.Record) []byte {
+	var total [sha256.Size]byte
+	for _, r := range recs {
+		one := sha256.Sum256(wire.Pack(r))
+		for i := range total {
+			total[i] ^= one[i]
+		}
+	}
+	return bytes.Clone(total[:])
+}
--- /dev/null
+++ b/internal/state/acceptor/slot.go
@@ -0,0 +1,100 @@
+package acceptor
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/state"
+)
+
+// promise is what is on the disk of a slot besides its records.
+type promise struct {
+	Epoch  uint64     `cbor:"1,keyasint"`
+	Holder state.Core `cbor:"2,keyasint"`
+	Full   uint64     `cbor:"3,keyasint"`           // newest epoch whose whole table is here
+	Serial uint64     `cbor:"4,keyasint"`           // newest version seen in the slot
+	FullBy state.Core `cbor:"5,keyasint,omitempty"` // who wrote the whole table under Full
+}
+
+// table is one slot; it belongs to its desk but for the atomic fields.
+type table struct {
+	desk  *run.Desk
+	pr    promise
+	until atomic.Int64               // lease granted until, on our clock
+	anew  bool                       // since start nobody has been granted: wait a whole lease
+	freed bid                        // let go of last
+	last  atomic.Pointer[state.Core] // pr.Holder, for readers outside the desk
+}
+
+// bid is one try of one core to hold a slot.
+type bid struct {
+	epoch uint64
+	by    state.Core
+}
+
+// keep takes a promise as it is on the disk now.
+func (t *table) keep(pr promise) {
+	t.pr = pr
+	holder := pr.Holder
+	t.last.Store(&holder)
+}
+
+// over says whether a message belongs to a bid that was let go of. Why: messages
+// overtake each other, and a renewal read after its own release would keep
+// everybody out for a whole lease.
+func (t *table) over(from state.Core, epoch uint64) bool {
+	return epoch <= t.freed.epoch && t.freed.by.Is(from)
+}
+
+// heldAgainst says that a lease may be in use that is not the asker's. Why: while
+// one may be, no other holder is promised anything. Every grant was to the holder that is on the disk, so
+// after a restart too only that one may have a lease, and may ask for it again.
+func (t *table) heldAgainst(from state.Core, now time.Duration) bool {
+	return now < time.Duration(t.until.Load()) && !t.pr.Holder.Is(from) && t.pr.Epoch > 0
+}
+
+// grant makes the lease end at a time on our clock.
+func (t *table) grant(until time.Duration) { t.until.Store(int64(until)) }
+
+// forget makes the slot one of which nothing is known.
+func (t *table) forget() {
+	t.keep(promise{})
+	t.anew, t.freed = true, bid{}
+}
+
+// vote checks what every vote needs: to be a voter, under the same core set.
+func (a *Acceptor) vote(set uint64) (state.Reply, bool) {
+	st := a.standing.Load()
+	switch {
+	case a.sick.Load():
+		return state.Reply{Why: state.WhySick, Set: st.Set.Serial}, false
+	case st.Phase != Voter:
+		return state.Reply{Why: state.WhyVoter, Set: st.Set.Serial}, false
+	case set < st.Set.Serial:
+		return state.Reply{Why: state.WhySet, Set: st.Set.Serial}, false
+	case set > st.Set.Serial:
+		return state.Reply{Why: state.WhyBehind, Set: st.Set.Serial}, false
+	}
+	return state.Reply{Set: st.Set.Serial}, true
+}
+
+// onSlot runs f in the desk of a slot if this core may vote under the asker's set.
+func (a *Acceptor) onSlot(ctx context.Context, q state.Ask, f func(t *table, r *state.Reply)) (state.Reply, error) {
+	if q.Slot < 0 || q.Slot >= state.Slots {
+		return state.Reply{}, wire.Drop("bad", fmt.Sprintf("slot %d", q.Slot))
+	}
+	t := a.slots[q.Slot]
+	// Why: a stalled disk must not hold up who asked; what it syncs later counts all the same.
+	return run.AskFor(ctx, t.desk, func() state.Reply {
+		r, ok := a.vote(q.Set)
+		if ok {
+			f(t, &r)
+		}
+		r.Epoch, r.Holder = t.pr.Epoch, t.pr.Holder
+		return r
+	})
+}
--- /dev/null
+++ b/internal/state/acceptor/standing.go
@@ -0,0 +1,105 @@
+package acceptor
+
+import (
+	"context"
+
+	"github.com/cockroachdb/pebble/v2"
+
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/state"
+)
+
+// Phase is how far a core has come towards voting.
+type Phase string
+
+// Phases: nothing known; agreed to a first formation; being filled; a voter.
+const (
+	Empty   Phase = "empty"
+	Pending Phase = "pending"
+	Filling Phase = "filling"
+	Voter   Phase = "voter"
+)
+
+// Standing is the part of an acceptor that is not about slots.
+type Standing struct {
+	Phase Phase         `cbor:"1,keyasint"`
+	Set   state.CoreSet `cbor:"2,keyasint"`
+	Old   state.CoreSet `cbor:"3,keyasint"` // while filling: whom to be filled from
+}
+
+// Standing is a copy of the phase and the core set.
+func (a *Acceptor) Standing() Standing { return *a.standing.Load() }
+
+// SetStanding changes phase and core set through f, one change at a time and
+// synced before it returns. state.ErrSick says that it may not have been kept, and
+// an ended ctx that it may yet be.
+func (a *Acceptor) SetStanding(ctx context.Context, f func(Standing) (Standing, bool)) (Standing, error) {
+	type answer struct {
+		st  Standing
+		err error
+	}
+	out, err := run.AskFor(ctx, a.setDesk, func() answer {
+		now, change := f(*a.standing.Load())
+		if change {
+			if err := a.commit(func(b *pebble.Batch) error { return b.Set(keyStanding, wire.Pack(now), nil) }); err != nil {
+				return answer{err: err}
+			}
+			a.standing.Store(&now)
+		}
+		return answer{st: now}
+	})
+	if err == nil {
+		err = out.err
+	}
+	return out.st, err
+}
+
+// Reset forgets everything and goes on as an empty core with an identity of its
+// own. Why: a voter that the core set has gone on without may only come back as a
+// new member, filled by the others.
+func (a *Acceptor) Reset(ctx context.Context) error {
+	disk, err := newDisk()
+	if err != nil {
+		return err
+	}
+	err = inDesk(ctx, a.setDesk, func() error {
+		st := Standing{Phase: Empty}
+		a.standing.Store(&st)
+		return a.commit(func(b *pebble.Batch) error {
+			for _, family := range []string{"p", "r"} {
+				if err := b.DeleteRange([]byte(family+"/"), []byte(family+"0"), nil); err != nil {
+					return err
+				}
+			}
+			if err := b.Set(keyDisk, wire.Pack(disk), nil); err != nil {
+				return err
+			}
+			return b.Set(keyStanding, wire.Pack(st), nil)
+		})
+	})
+	if err != nil {
+		return err
+	}
+	for _, t := range a.slots {
+		err := inDesk(ctx, t.desk, func() error {
+			t.forget()
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	a.disk.Store(&disk)
+	return nil
+}
+
+// inDesk runs f in a desk and gives its error. An ended ctx is given at once; f may
+// run all the same then.
+func inDesk(ctx context.Context, d *run.Desk, f func() error) error {
+	failure, err := run.AskFor(ctx, d, f)
+	if err != nil {
+		return err
+	}
+	return failure
+}
