member: one file per concept, peers and intervals by their names

The round is cut into the ageing of probes and that of opinions. Behaviour, messages, paths and log keys are unchanged.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -106,7 +106,7 @@
 	a.post = wire.NewPost(pc)
 	self := member.Node{Name: s.Name, Role: member.RoleAgent, Zone: s.Zone, Addr: s.Addr, Boot: a.boot, Inc: uint64(max(env.Clock.Wall().UnixMilli(), 1)), Build: env.BuildName()}
 	a.members = member.New(a.group, env.Clock, a.log, a.post, a.caller, a.mux, self, s.Seeds, a.touch)
-	a.spread = news.NewSpreader(a.group, a.news, a.log, a.post, a.caller, a.mux, func() string { return s.Addr }, a.members.Partners, a.touch)
+	a.spread = news.NewSpreader(a.group, a.news, a.log, a.post, a.caller, a.mux, func() string { return s.Addr }, a.members.Peers, a.touch)
 	a.watch.Start(a.group, s.Cadence.List, a.asksPlatform)
 	wire.Handle(a.feedMux, feed.Path, a.exchange)
 	wire.Handle(a.feedMux, feed.UrgentPath, a.takeUrgent)
@@ -220,7 +220,7 @@
 	}
 	d := feed.Down{AgentBoot: a.boot, Confirmed: a.confirmed.Load(), Conf: a.news.StampOf(conf.Key), HeardMs: min(a.touch.For().Milliseconds()+1, 1<<40),
 		Edges: len(a.members.Live(member.RoleAgent)), Agent: a.s.Name, Zone: a.s.Zone}
-	partners := a.members.Partners()
+	partners := a.members.Peers()
 	d.Partners = partners[:min(len(partners), maxPartners)]
 	cursor := up.Cursor
 	if up.AgentBoot != a.boot {
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -75,7 +75,7 @@
 	// Why: who has it before the answer needs no luck to have it in time; the rest get it by gossip.
 	push, cancel := context.WithTimeout(ctx, 700*time.Millisecond)
 	defer cancel()
-	c.spread.Push(push, c.members.Partners(), e)
+	c.spread.Push(push, c.members.Peers(), e)
 	return out, nil
 }
 
--- /dev/null
+++ b/internal/member/merge.go
@@ -0,0 +1,90 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"drumstall.example/internal/kernel/wire"
+)
+
+// roll is the whole table as it is told to others.
+func (t *Table) roll() Roll {
+	r := Roll{}
+	if !t.yielded {
+		r.Nodes = append(r.Nodes, t.self)
+	}
+	for _, e := range t.nodes {
+		r.Nodes = append(r.Nodes, e.node)
+	}
+	return r
+}
+
+// mergeAll takes what others say of nodes.
+func (t *Table) mergeAll(nodes []Node) {
+	changed := false
+	for _, n := range nodes {
+		changed = t.merge(n) || changed
+	}
+	if changed {
+		t.publish()
+	}
+}
+
+// merge takes one opinion, and says whether it changed the table.
+func (t *Table) merge(n Node) bool {
+	if n.Name == "" || n.Addr == "" || n.State > Left {
+		t.post.Bad()
+		return false
+	}
+	if n.Name == t.self.Name {
+		t.aboutSelf(n)
+		return false
+	}
+	old := t.nodes[n.Name]
+	if old == nil {
+		if len(t.nodes) >= maxNodes || !n.Thought() {
+			return false
+		}
+		t.nodes[n.Name] = &entry{node: n, since: t.clock.Since(), tell: retell}
+		return true
+	}
+	if n.Inc < old.node.Inc || n.Inc == old.node.Inc && n.State <= old.node.State {
+		return false
+	}
+	if old.node.State != n.State {
+		old.since = t.clock.Since()
+		t.log.Info("member", "name", n.Name, "state", n.State.String(), "inc", n.Inc)
+	}
+	old.node, old.tell = n, retell
+	return true
+}
+
+// aboutSelf answers what others say of this node.
+func (t *Table) aboutSelf(n Node) {
+	if n.Inc < t.self.Inc || t.self.State == Left || n.Boot == t.self.Boot && n.State == Alive {
+		return
+	}
+	if n.Boot == t.self.Boot || n.Addr == t.self.Addr {
+		t.self.Inc = n.Inc + 1
+		t.publish()
+		return
+	}
+	// Why: another process goes by our name. If it answers, it has replaced us; if not, it is our past.
+	t.self.Inc = max(t.self.Inc, n.Inc)
+	t.group.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		w, err := wire.Call[none, Who](ctx, t.caller, n.Addr, "/member/who", none{})
+		_ = t.desk.Tell(func() {
+			if err == nil && w.Name == t.self.Name && w.Boot != t.self.Boot {
+				if !t.yielded {
+					t.log.Error("another process has taken this node's name", "addr", n.Addr)
+				}
+				t.yielded = true
+			} else {
+				t.self.Inc++
+			}
+			t.publish()
+		})
+	})
+}
--- /dev/null
+++ b/internal/member/messages.go
@@ -0,0 +1,96 @@
+package member
+
+import (
+	"maps"
+	"sort"
+
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/member/touch"
+)
+
+// note is one datagram: a probe, its answer, or the wish for a second opinion.
+type note struct {
+	Seq    uint64 `cbor:"1,keyasint"`
+	From   string `cbor:"2,keyasint"` // address to answer to
+	Target string `cbor:"3,keyasint,omitempty"`
+	Name   string `cbor:"4,keyasint,omitempty"` // whom the probe is for
+	Boot   string `cbor:"5,keyasint,omitempty"`
+	Nodes  []Node `cbor:"6,keyasint,omitempty"`
+	// In an answer: how long its sender has been out of touch.
+	Touch touch.Word `cbor:"7,keyasint,omitempty"`
+}
+
+// Roll is a whole table, given and taken.
+type Roll struct {
+	Nodes []Node `cbor:"1,keyasint"`
+}
+
+// none asks for nothing in particular.
+type none struct{}
+
+// Who answers whose process listens at an address.
+type Who struct {
+	Name string `cbor:"1,keyasint"`
+	Boot string `cbor:"2,keyasint"`
+}
+
+// send sends a note with this node's own entry and the newest changes on it.
+func (t *Table) send(addr, kind string, n note) {
+	n.From = t.self.Addr
+	if !t.yielded {
+		n.Nodes = append(n.Nodes, t.self)
+	}
+	// Why: the least told go first, so that a change reaches all in a few intervals.
+	hot := make([]*entry, 0, 8)
+	for _, e := range t.nodes {
+		if e.tell > 0 {
+			hot = append(hot, e)
+		}
+	}
+	sort.Slice(hot, func(i, j int) bool { return hot[i].tell > hot[j].tell })
+	for _, e := range hot[:min(len(hot), updatesAt)] {
+		e.tell--
+		n.Nodes = append(n.Nodes, e.node)
+	}
+	t.post.Send(addr, kind, wire.Pack(n))
+}
+
+// onPing answers a probe that is for this node.
+func (t *Table) onPing(n note) {
+	if n.Name != "" && n.Name != t.self.Name {
+		return
+	}
+	t.send(n.From, "ack", note{Seq: n.Seq, Boot: t.self.Boot, Name: t.self.Name, Touch: t.touch.Word()})
+}
+
+// onAck takes the answer to a probe, or passes it on to whom it was sent for.
+func (t *Table) onAck(n note) {
+	p, found := t.probes[n.Seq]
+	if !found {
+		return
+	}
+	delete(t.probes, n.Seq)
+	if p.relayTo != "" {
+		t.send(p.relayTo, "ack", note{Seq: p.relaySeq, Name: n.Name, Boot: n.Boot})
+		return
+	}
+	t.touch.Told(p.at, n.Touch)
+	e := t.nodes[p.name]
+	// Why: a second opinion is no word between the two of us.
+	if e != nil && e.node.Role == RoleCore && n.Name == p.name && !p.indirect {
+		next := maps.Clone(*t.acked.Load())
+		next[p.name] = max(next[p.name], p.at)
+		t.acked.Store(&next)
+	}
+	if e != nil && e.node.State == Suspect {
+		// Why: it answered, so it lives; only it may raise its incarnation, which our ping makes it do.
+		t.send(e.node.Addr, "ping", note{Name: e.node.Name, Nodes: []Node{e.node}})
+	}
+}
+
+// onAsk probes a third party for a peer.
+func (t *Table) onAsk(n note) {
+	t.seq++
+	t.probes[t.seq] = probe{name: n.Name, addr: n.Target, at: t.clock.Since(), relayTo: n.From, relaySeq: n.Seq}
+	t.send(n.Target, "ping", note{Seq: t.seq, Name: n.Name})
+}
--- /dev/null
+++ b/internal/member/table.go
@@ -0,0 +1,187 @@
+package member
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/tick"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/member/touch"
+)
+
+// entry is one other node.
+type entry struct {
+	node  Node
+	since time.Duration // since when it has its state
+	tell  int           // times it is still to be told
+}
+
+// Table is the one owner of what is known of nodes. Its methods may be called from
+// anywhere; its plain fields belong to its desk.
+type Table struct {
+	desk    *run.Desk
+	group   *run.Group
+	clock   tick.Clock
+	log     *slog.Logger
+	post    *wire.Post
+	caller  *wire.Caller
+	seeds   []string
+	met     []string // whom an earlier process of this node knew
+	self    Node
+	nodes   map[string]*entry
+	probes  map[uint64]probe
+	seq     uint64
+	turn    []string
+	ticks   int
+	yielded bool // another process has taken this node's name
+	snap    atomic.Pointer[[]Node]
+	touch   *touch.Keeper
+	cores   []string                                 // whom a core has still to probe this round
+	acked   atomic.Pointer[map[string]time.Duration] // cores: when the probe was sent that each answered last
+}
+
+// New starts to look for the others, and answers them on post and mux, until g
+// stops. in tells the others how long this node has been out of touch.
+func New(g *run.Group, clock tick.Clock, log *slog.Logger, post *wire.Post, caller *wire.Caller, mux *wire.Mux, self Node, seeds []string, in *touch.Keeper) *Table {
+	t := &Table{group: g, clock: clock, log: log, post: post, caller: caller, seeds: seeds, self: self,
+		nodes: map[string]*entry{}, probes: map[uint64]probe{}, seq: rand.Uint64N(1 << 40), touch: in}
+	t.acked.Store(&map[string]time.Duration{})
+	t.publish()
+	for kind, f := range map[string]func(note){"ping": t.onPing, "ack": t.onAck, "ask": t.onAsk} {
+		post.On(kind, func(body []byte) {
+			var n note
+			if wire.Unpack(body, &n) != nil {
+				post.Bad()
+				return
+			}
+			_ = t.desk.Tell(func() {
+				t.mergeAll(n.Nodes)
+				f(n)
+			})
+		})
+	}
+	wire.Handle(mux, "/member/sync", func(ctx context.Context, q Roll) (Roll, error) {
+		var a Roll
+		err := t.desk.Ask(ctx, func() {
+			t.mergeAll(q.Nodes)
+			a = t.roll()
+		})
+		return a, err
+	})
+	wire.Handle(mux, "/member/who", func(context.Context, none) (Who, error) {
+		return Who{Name: self.Name, Boot: self.Boot}, nil
+	})
+	t.desk = run.NewDesk(g, 1024, interval, t.onTick)
+	// Why: a node that starts knows nobody, and need not wait for that.
+	_ = t.desk.Tell(t.onTick)
+	return t
+}
+
+// SetSelf changes what this node tells of itself.
+func (t *Table) SetSelf(f func(*Node)) {
+	_ = t.desk.Tell(func() {
+		before := t.self
+		f(&t.self)
+		if t.self != before {
+			t.self.Inc++
+			t.publish()
+		}
+	})
+}
+
+// Reseed names other seeds.
+func (t *Table) Reseed(seeds []string) { _ = t.desk.Tell(func() { t.seeds = seeds }) }
+
+// Meet names those whom an earlier process of this node knew. Why: all seeds
+// may be down just now, and a node that starts then must not stay alone.
+func (t *Table) Meet(addrs []string) { _ = t.desk.Tell(func() { t.met = addrs }) }
+
+// Leave tells peers that this node goes on purpose.
+func (t *Table) Leave(ctx context.Context) {
+	_ = t.desk.Ask(ctx, func() {
+		t.self.State = Left
+		t.self.Inc++
+		for _, e := range t.nodes {
+			if e.node.Thought() {
+				t.send(e.node.Addr, "ack", note{})
+			}
+		}
+	})
+}
+
+// Nodes are all known nodes, this one among them, by name.
+func (t *Table) Nodes() []Node { return *t.snap.Load() }
+
+// Live are the nodes of a role thought to be there; "" is any role.
+func (t *Table) Live(role string) []Node {
+	var out []Node
+	for _, n := range t.Nodes() {
+		if n.Thought() && (role == "" || n.Role == role) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Peers are the addresses of the live nodes other than this one.
+func (t *Table) Peers() []string {
+	var out []string
+	for _, n := range t.Live("") {
+		if n.Name != t.self.Name {
+			out = append(out, n.Addr)
+		}
+	}
+	return out
+}
+
+// HeardFor is how long ago a core was asked a probe that it has answered;
+// touch.Never if it never has.
+func (t *Table) HeardFor(core string) time.Duration {
+	at, found := (*t.acked.Load())[core]
+	if !found {
+		return touch.Never
+	}
+	return t.clock.Since() - at
+}
+
+// publish makes what is known now readable from outside the desk.
+func (t *Table) publish() {
+	out := make([]Node, 0, len(t.nodes)+1)
+	if !t.yielded {
+		out = append(out, t.self)
+	}
+	for _, e := range t.nodes {
+		out = append(out, e.node)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	t.snap.Store(&out)
+}
+
+// onTick ages probes and opinions, sends the next probes, and exchanges whole
+// tables now and then.
+func (t *Table) onTick() {
+	t.ticks++
+	now := t.clock.Since()
+	changed := t.ageProbes(now)
+	changed = t.ageNodes(now) || changed
+	if changed {
+		t.publish()
+	}
+	t.probeNext(now)
+	if t.self.Role == RoleCore {
+		// Why: the cores hand over slots by these opinions, so they look at each other more often.
+		t.probeCore(now)
+	}
+	// Why: a node that knows one other knows nobody yet; until it knows a core it asks for whole tables.
+	if t.ticks%syncTicks == 1 || t.ticks < syncTicks || t.someOf(RoleCore).Name == "" {
+		t.sync(t.ticks < syncTicks || rand.IntN(4) == 0)
+	}
+	if t.ticks >= syncTicks && t.someOf(RoleCore).Name != "" {
+		t.met = nil
+	}
+}
