news: one file per concept, peers and intervals by their names

news.go keeps what a fact is and the numbers, table.go what a node knows, digest.go how two tables are compared, spread.go how facts are passed on. Taking an entry in is one locked function, so it unlocks in one place; the answers to other nodes stand apart from the constructor. Partners are peers (one test names the field), beats are intervals. Behaviour, messages, paths and kinds of datagrams are unchanged.

--- /dev/null
+++ b/internal/news/digest.go
@@ -0,0 +1,139 @@
+package news
+
+import (
+	"context"
+	"crypto/sha256"
+	"hash/fnv"
+
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/member/touch"
+	"drumstall.example/internal/state"
+)
+
+// Heads asks for what is newer than these.
+type Heads struct {
+	Bucket []int                  `cbor:"1,keyasint"`
+	Have   map[string]state.Stamp `cbor:"2,keyasint"`
+}
+
+// Gap is what one side lacks and what it would like.
+type Gap struct {
+	Entries []Entry  `cbor:"1,keyasint"`
+	Want    []string `cbor:"2,keyasint"`
+}
+
+// Digest sums up the table by buckets.
+type Digest struct {
+	Sums [][]byte `cbor:"1,keyasint"`
+}
+
+// Diff names the buckets that differ.
+type Diff struct {
+	Bucket []int      `cbor:"1,keyasint"`
+	Touch  touch.Word `cbor:"2,keyasint,omitempty"` // how long who answers has been out of touch
+}
+
+// bucketOf is the part of the table that a key lies in.
+func bucketOf(key string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(key))
+	return int(h.Sum32() % buckets)
+}
+
+// sumOf is what an entry adds to the sum of its bucket.
+func sumOf(e Entry) [sha256.Size]byte {
+	return sha256.Sum256(wire.Pack([]any{e.Key, e.Stamp.Epoch, e.Stamp.Serial}))
+}
+
+// xor adds b to a sum, or takes it out again.
+func xor(a *[sha256.Size]byte, b [sha256.Size]byte) {
+	for i := range a {
+		a[i] ^= b[i]
+	}
+}
+
+// digest sums up the whole table.
+func (t *Table) digest() Digest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := Digest{Sums: make([][]byte, buckets)}
+	for i := range t.sums {
+		d.Sums[i] = append([]byte(nil), t.sums[i][:16]...)
+	}
+	return d
+}
+
+// heads lists the newest stamps in some buckets.
+func (t *Table) heads(bucket []int) Heads {
+	in := map[int]bool{}
+	for _, b := range bucket {
+		in[b] = true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := Heads{Bucket: bucket, Have: map[string]state.Stamp{}}
+	for k, e := range t.m {
+		if in[bucketOf(k)] {
+			h.Have[k] = e.e.Stamp
+		}
+	}
+	return h
+}
+
+// gap compares what another has with what is here, both ways.
+func (t *Table) gap(q Heads) Gap {
+	mine := t.heads(q.Bucket)
+	var g Gap
+	t.mu.Lock()
+	for k, s := range mine.Have {
+		if s.Newer(q.Have[k]) && len(g.Entries) < pullAt {
+			g.Entries = append(g.Entries, t.m[k].e)
+		}
+	}
+	t.mu.Unlock()
+	for k, s := range q.Have {
+		if s.Newer(mine.Have[k]) && len(g.Want) < pullAt {
+			g.Want = append(g.Want, k)
+		}
+	}
+	return g
+}
+
+// pick gives the entries of some keys, up to pullAt.
+func (t *Table) pick(keys []string) bundle {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var b bundle
+	for _, k := range keys[:min(len(keys), pullAt)] {
+		if h := t.m[k]; h != nil {
+			b.Entries = append(b.Entries, h.e)
+		}
+	}
+	return b
+}
+
+// Mend makes a table and a peer's know what either knows. It gives the peer's word
+// on how long it has been out of touch, or 0 where that could not be done.
+func Mend(ctx context.Context, caller *wire.Caller, t *Table, addr, self string) touch.Word {
+	d, err := wire.Call[Digest, Diff](ctx, caller, addr, "/news/digest", t.digest())
+	if err != nil {
+		return 0
+	}
+	if len(d.Bucket) == 0 {
+		return d.Touch
+	}
+	g, err := wire.Call[Heads, Gap](ctx, caller, addr, "/news/gap", t.heads(d.Bucket))
+	if err != nil {
+		return 0
+	}
+	for _, e := range g.Entries {
+		t.Learn(e)
+	}
+	if len(g.Want) > 0 {
+		b := t.pick(g.Want)
+		b.From = self
+		// Why: what it lacks is its own loss; what we lacked is here.
+		_, _ = wire.Call[bundle, Pushed](ctx, caller, addr, "/news/push", b)
+	}
+	return d.Touch
+}
--- /dev/null
+++ b/internal/news/spread.go
@@ -0,0 +1,214 @@
+package news
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/member/touch"
+)
+
+// bundle is some entries on their way.
+type bundle struct {
+	From    string  `cbor:"1,keyasint"` // address to pull from
+	Entries []Entry `cbor:"2,keyasint"`
+}
+
+// Pushed is the answer to a push.
+type Pushed struct {
+	Taken int `cbor:"1,keyasint"`
+}
+
+// Spreader passes a table's news on.
+type Spreader struct {
+	t       *Table
+	g       *run.Group
+	log     *slog.Logger
+	post    *wire.Post
+	caller  *wire.Caller
+	self    func() string
+	peers   func() []string
+	pulling atomic.Int64 // pulls under way
+}
+
+// NewSpreader starts to pass news on and to take it, until g stops. self and peers
+// give addresses as they are now; in is this node's word on how long it has been
+// out of touch.
+func NewSpreader(g *run.Group, t *Table, log *slog.Logger, post *wire.Post, caller *wire.Caller, mux *wire.Mux, self func() string, peers func() []string, in *touch.Keeper) *Spreader {
+	s := &Spreader{t: t, g: g, log: log, post: post, caller: caller, self: self, peers: peers}
+	post.On("news", func(body []byte) {
+		var b bundle
+		if wire.Unpack(body, &b) != nil {
+			post.Bad()
+			return
+		}
+		s.take(b)
+	})
+	s.answer(mux, in)
+	desk := run.NewDesk(g, 16, interval, func() { s.passOn(false) })
+	now := run.NewNudge(desk, func() { s.passOn(true) })
+	own := now.Now
+	t.onOwn.Store(&own)
+	g.Every(digestInterval, s.compare)
+	g.Every(time.Minute, func(context.Context) { t.Purge(purgeAfter) })
+	return s
+}
+
+// answer serves the other nodes' spreaders on mux.
+func (s *Spreader) answer(mux *wire.Mux, in *touch.Keeper) {
+	t := s.t
+	wire.Handle(mux, "/news/push", func(_ context.Context, b bundle) (Pushed, error) {
+		p := Pushed{}
+		for _, e := range b.Entries {
+			if t.Learn(e) {
+				p.Taken++
+			}
+		}
+		return p, nil
+	})
+	wire.Handle(mux, "/news/pull", func(_ context.Context, g Gap) (bundle, error) { return t.pick(g.Want), nil })
+	wire.Handle(mux, "/news/digest", func(_ context.Context, d Digest) (Diff, error) {
+		mine := t.digest()
+		out := Diff{Touch: in.Word()}
+		for i := range mine.Sums {
+			if i >= len(d.Sums) || string(d.Sums[i]) != string(mine.Sums[i]) {
+				out.Bucket = append(out.Bucket, i)
+			}
+		}
+		return out, nil
+	})
+	wire.Handle(mux, "/news/gap", func(_ context.Context, h Heads) (Gap, error) { return t.gap(h), nil })
+}
+
+// some picks up to n peers by chance.
+func (s *Spreader) some(n int) []string {
+	p := slices.Clone(s.peers())
+	rand.Shuffle(len(p), func(i, j int) { p[i], p[j] = p[j], p[i] })
+	return p[:min(n, len(p))]
+}
+
+// passOn sends what is new to a few peers, or in a small fleet what is new
+// here to all of them. At once means that only what was never told goes out.
+func (s *Spreader) passOn(atOnce bool) {
+	all := s.peers()
+	s.t.small.Store(len(all) <= allTold)
+	if len(all) == 0 {
+		return
+	}
+	if len(all) <= allTold {
+		s.send(all, s.due(func(h *held) bool { return !h.told && (!atOnce || h.tell == retellDirect) }))
+	}
+	if atOnce {
+		return
+	}
+	s.send(s.some(fanout), s.due(func(h *held) bool { return h.told || len(all) > allTold }))
+}
+
+// due takes the entries that are to be passed on now.
+func (s *Spreader) due(which func(*held) bool) []Entry {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	var out []Entry
+	for k, h := range s.t.hot {
+		if !which(h) {
+			continue
+		}
+		e := h.e
+		if len(e.Value) > smallBytes {
+			e.Value, e.Head = nil, true
+		}
+		out = append(out, e)
+		if h.tell--; h.tell <= 0 {
+			delete(s.t.hot, k)
+		}
+	}
+	return out
+}
+
+// send sends entries in datagrams of bounded size.
+func (s *Spreader) send(to []string, out []Entry) {
+	for len(out) > 0 {
+		n, size := 0, 64
+		for n < len(out) && (n == 0 || size+len(out[n].Key)+len(out[n].Value)+40 < wire.MaxGram) {
+			size += len(out[n].Key) + len(out[n].Value) + 40
+			n++
+		}
+		body := wire.Pack(bundle{From: s.self(), Entries: out[:n]})
+		for _, p := range to {
+			s.post.Send(p, "news", body)
+		}
+		out = out[n:]
+	}
+}
+
+// take learns what a datagram holds, and pulls what it only names.
+func (s *Spreader) take(b bundle) {
+	var want []string
+	for _, e := range b.Entries {
+		if !e.Head {
+			s.t.Learn(e)
+		} else if e.Stamp.Newer(s.t.StampOf(e.Key)) {
+			want = append(want, e.Key)
+		}
+	}
+	// Why: a few pulls at a time; the digests mend what is left out.
+	if len(want) == 0 || s.pulling.Add(1) > 8 {
+		if len(want) > 0 {
+			s.pulling.Add(-1)
+		}
+		return
+	}
+	if !s.g.Go(func(ctx context.Context) {
+		defer s.pulling.Add(-1)
+		s.pull(ctx, b.From, want)
+	}) {
+		s.pulling.Add(-1)
+	}
+}
+
+// pull asks a peer for the entries of some keys.
+func (s *Spreader) pull(ctx context.Context, addr string, want []string) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	b, err := wire.Call[Gap, bundle](ctx, s.caller, addr, "/news/pull", Gap{Want: want})
+	if err != nil {
+		return
+	}
+	for _, e := range b.Entries {
+		s.t.Learn(e)
+	}
+}
+
+// compare mends gaps with one peer.
+func (s *Spreader) compare(ctx context.Context) {
+	to := s.some(1)
+	if len(to) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, 900*time.Millisecond)
+	defer cancel()
+	s.Mend(ctx, to[0])
+}
+
+// Mend makes both sides know what either knows.
+func (s *Spreader) Mend(ctx context.Context, addr string) { Mend(ctx, s.caller, s.t, addr, s.self()) }
+
+// Push hands entries to nodes at these addresses at once, and returns when each
+// has answered, a second is over or ctx ends; who could not be reached learns them later.
+func (s *Spreader) Push(ctx context.Context, to []string, entries ...Entry) {
+	b := bundle{From: s.self(), Entries: entries}
+	ch := run.Fan(s.g, len(to), func(_ context.Context, i int) bool {
+		one, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		_, err := wire.Call[bundle, Pushed](one, s.caller, to[i], "/news/push", b)
+		return err == nil
+	})
+	for range to {
+		<-ch
+	}
+}
--- a/internal/news/spread_test.go
+++ b/internal/news/spread_test.go
@@ -45,7 +45,7 @@
 			g.Go(func(ctx context.Context) { p.Run(ctx) })
 			posts, l.addrs = append(posts, p), append(l.addrs, ip+":90")
 		}
-		l.s = &Spreader{t: NewTable(), post: posts[0], self: func() string { return "10.0.0.1:90" }, partners: func() []string { return l.addrs }}
+		l.s = &Spreader{t: NewTable(), post: posts[0], self: func() string { return "10.0.0.1:90" }, peers: func() []string { return l.addrs }}
 		l.s.passOn(false)
 		f(l)
 		for _, p := range posts {
