conf: one file per concept

Each kind of object is read by a function of its own. Units and errors are in the doc comments. Behaviour, texts of refusals and what is stored are unchanged.

--- /dev/null
+++ b/internal/conf/effect.go
@@ -0,0 +1,183 @@
+package conf
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"k8s.io/apimachinery/pkg/labels"
+)
+
+// Effect checks all objects together and makes them ready for use. An error is
+// Faults with everything wrong in them.
+func Effect(k Kept) (Effective, error) {
+	if k.Format != "" {
+		return effectFormat(k)
+	}
+	e := bare()
+	var faults Faults
+	limits := json.RawMessage(`{}`)
+	for _, at := range sorted(k.Objects) {
+		kind, name, _ := strings.Cut(at, "/")
+		raw := json.RawMessage(k.Objects[at])
+		if kind == "limits" {
+			if name != limitsName {
+				faults = append(faults, fmt.Sprintf("%s: the only limits are %s", at, limitsName))
+			}
+			limits = raw
+			continue
+		}
+		f, bad := fields(kind, name, raw)
+		faults = append(faults, bad...)
+		if len(bad) > 0 {
+			continue
+		}
+		faults = append(faults, e.put(kind, name, f)...)
+	}
+	var bad []string
+	e.Limits, bad = readLimits(limits)
+	faults = append(faults, bad...)
+	faults = append(faults, e.complete()...)
+	faults = append(faults, e.references()...)
+	if len(faults) > 0 {
+		return Effective{}, faults
+	}
+	return e, nil
+}
+
+// put takes one object; f are its settings, of the types that Table gives them.
+func (e Effective) put(kind, name string, f map[string]any) Faults {
+	switch kind {
+	case "models":
+		m, faults := readModel(name, f)
+		e.Models[name] = m
+		return faults
+	case "groups":
+		s, _ := labels.Parse(f["selector"].(string))
+		e.Groups[name] = s
+	case "drains":
+		s, _ := labels.Parse(f["selector"].(string))
+		e.Drains[name] = s
+	case "claims":
+		e.Claims[name] = Claim{
+			Group: f["group"].(string), Models: f["models"].([]string), Adapters: f["adapters"].([]string), MinCopies: f["minCopies"].(int),
+		}
+	case "classes":
+		e.Classes[name] = Class{Urgent: f["urgent"].(bool), Rank: f["rank"].(int), Weight: f["weight"].(int), Holding: f["holding"].(int)}
+	case "services":
+		e.Services[name] = readService(name, f)
+	case "routes":
+		r, faults := readRoute(name, f)
+		e.Routes[name] = r
+		return faults
+	case "weights":
+		e.Weights[name] = f["weight"].(float64)
+		if _, known := Judges[name]; !known {
+			return Faults{fmt.Sprintf("weights/%s: no such judge; there are %s", name, strings.Join(sorted(Judges), ", "))}
+		}
+	}
+	return nil
+}
+
+// effectFormat reads a configuration that is written in a registered format.
+func effectFormat(k Kept) (Effective, error) {
+	f, found := formats[k.Format]
+	if !found {
+		return Effective{}, Faults{"this program does not read configurations written as " + k.Format}
+	}
+	e := bare()
+	e.Limits, _ = readLimits(json.RawMessage(`{}`))
+	e, err := f.Read(e, k.Submission)
+	if err != nil {
+		return Effective{}, asFaults(err)
+	}
+	if faults := append(e.complete(), e.references()...); len(faults) > 0 {
+		return Effective{}, faults
+	}
+	return e, nil
+}
+
+func readModel(name string, f map[string]any) (Model, Faults) {
+	m := Model{
+		SizeMib: f["sizeMib"].(int), LoadFor: ms(f["loadMs"]), ServeFor: ms(f["serveMs"]), Adapters: map[string]bool{},
+		AdapterMib: f["adapterMib"].(int), Service: f["service"].(string),
+	}
+	var faults Faults
+	for _, a := range f["adapters"].([]string) {
+		if !Plain(a) || m.Adapters[a] {
+			faults = append(faults, fmt.Sprintf("models/%s.adapters: %q is no good name or stands twice", name, a))
+		}
+		m.Adapters[a] = true
+	}
+	return m, faults
+}
+
+func readRoute(name string, f map[string]any) (Route, Faults) {
+	s, _ := labels.Parse(f["selector"].(string))
+	split, err := parseSplit(f["split"].([]string))
+	var faults Faults
+	if err != nil {
+		faults = Faults{fmt.Sprintf("routes/%s.split: %v", name, err)}
+	}
+	return Route{
+		Name: name, Kind: f["kind"].(string), Selector: s, Class: f["class"].(string),
+		Deadline: ms(f["deadlineMs"]), Repeatable: f["repeatable"].(bool), MaxBody: int64(f["maxBodyBytes"].(int)),
+		Host: f["host"].(string), Prefix: f["pathPrefix"].(string), Split: split, Streaming: f["streaming"].(bool),
+		Resumable: f["resumable"].(bool), Attempts: f["attempts"].(int), Target: ms(f["targetMs"]), GapTarget: ms(f["gapTargetMs"]),
+	}, faults
+}
+
+func readService(name string, f map[string]any) Service {
+	s := Service{Selector: OfService(name), MaxConnections: f["maxConnections"].(int), Slots: f["slots"].(int), CapacityMib: f["capacityMib"].(int),
+		AdapterPlaces: f["adapterPlaces"].(int), CacheTokens: f["cacheTokens"].(int), LoadsPerSecond: f["loadsPerSecond"].(float64)}
+	if own := f["selector"].(string); own != "" {
+		s.Selector, _ = labels.Parse(own)
+	}
+	return s
+}
+
+func readLimits(raw json.RawMessage) (Limits, []string) {
+	f, bad := fields("limits", limitsName, raw)
+	if len(bad) > 0 {
+		return Limits{}, bad
+	}
+	return Limits{
+		PaceLoads: f["paceLoads"].(int), RetryAllowance: f["retryAllowance"].(int), Shots: f["shots"].(int),
+		Csf: f["csf"].(float64), DayWeights: f["dayWeights"].([]float64),
+		Unit: ms(f["unitMs"]), Epoch: f["epochUnits"].(int), WarmupMinutes: f["warmupMinutes"].(int), HorizonMinutes: f["horizonMinutes"].(int),
+		PassEvery: time.Duration(f["passMinutes"].(int)) * time.Minute,
+		PassSlack: float64(f["passSlack"].(int)) / 100,
+	}, nil
+}
+
+// ms is a setting in milliseconds.
+func ms(v any) time.Duration { return time.Duration(v.(int)) * time.Millisecond }
+
+// references tells what names something that is not there.
+func (e Effective) references() Faults {
+	var faults Faults
+	for _, name := range sorted(e.Claims) {
+		c := e.Claims[name]
+		if _, found := e.Groups[c.Group]; !found {
+			faults = append(faults, fmt.Sprintf("claims/%s.group: no group %q", name, c.Group))
+		}
+		for _, m := range c.Models {
+			if _, found := e.Models[m]; !found {
+				faults = append(faults, fmt.Sprintf("claims/%s.models: no model %q", name, m))
+			}
+		}
+		for _, a := range c.Adapters {
+			m, ad, _ := strings.Cut(a, "/")
+			if !e.Models[m].Adapters[ad] {
+				faults = append(faults, fmt.Sprintf("claims/%s.adapters: no adapter %q; want MODEL/ADAPTER", name, a))
+			}
+		}
+	}
+	for _, name := range sorted(e.Routes) {
+		if _, found := e.Classes[e.Routes[name].Class]; !found {
+			faults = append(faults, fmt.Sprintf("routes/%s.class: no class %q", name, e.Routes[name].Class))
+		}
+	}
+	return faults
+}
