--- a/internal/check/report.go
+++ b/internal/check/report.go
@@ -6,7 +6,7 @@
 	"sort"
 )
 
-// Class is the figures of one class of visitors.
+// Class is the figures of one class of callers.
 type Class struct {
 	Name     string         `json:"name"`
 	Outcomes map[string]int `json:"outcomes"`
