--- a/internal/runbook/http.go
+++ b/internal/runbook/http.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 )
 
-// HTTP is Control over the operators' face of the cores.
+// HTTP is Control over the operators' interface of the cores.
 type HTTP struct {
 	Client *http.Client
 	Cores  []string
