Merge of the files split by concept

The state, member, news, conf, check, runbook, replay and dsctl packages in one file per concept; behaviour as before.

--- /dev/null
+++ b/internal/state/coreset/catchup.go
@@ -0,0 +1,113 @@
+package coreset
+
+import (
+	"context"
+
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/state"
+	"drumstall.example/internal/state/acceptor"
+)
+
+// catchUp asks another core for its set now and then. Why: one that was away
+// while the set went on without it is told by nobody.
+func (k *Keeper) catchUp(ctx context.Context, st acceptor.Standing) {
+	if k.ticks%lookTicks != 0 {
+		return
+	}
+	for c := range k.d.Live() {
+		if _, ok := k.d.Addr(c); !ok || c.Is(k.d.Self()) {
+			continue
+		}
+		a, err := k.askSet(ctx, c)
+		if err != nil || a.Phase != acceptor.Voter || !a.Set.Has(c) || a.Set.Serial <= st.Set.Serial {
+			return
+		}
+		// Why: a core that was let go of while it was being filled is no member, and asks for a place again.
+		if st.Phase == acceptor.Filling && !a.Set.Has(k.d.Self()) {
+			_ = k.d.Acceptor.Reset(ctx)
+			return
+		}
+		_, _ = k.adopt(ctx, a)
+		return
+	}
+}
+
+// lookForUs adopts a formed set that counts us as a member: our formation
+// became firm elsewhere, or our joining was agreed.
+func (k *Keeper) lookForUs(ctx context.Context, c state.Core) bool {
+	a, err := k.askSet(ctx, c)
+	if err != nil || !a.Set.Has(k.d.Self()) {
+		return false
+	}
+	if st := k.d.Acceptor.Standing(); st.Phase == acceptor.Pending && alike(st.Set, a.Set) {
+		_, err = k.form(ctx, Formation{Set: a.Set, Firm: true})
+	} else {
+		_, err = k.adopt(ctx, a)
+	}
+	return err == nil
+}
+
+// fill reads every slot from a majority of the old set, each of which already
+// refuses the old version, and only then votes.
+func (k *Keeper) fill(ctx context.Context, st acceptor.Standing) {
+	for slot := range state.Slots {
+		replies, current := k.dumps(ctx, st, slot)
+		if !current {
+			return
+		}
+		if len(replies) < st.Old.Quorum() {
+			k.d.Log.Info("filling waits for a majority", "slot", slot, "have", len(replies))
+			return
+		}
+		if err := k.d.Acceptor.Fill(ctx, slot, replies); err != nil {
+			k.d.Log.Error("filling", "slot", slot, "problem", err)
+			return
+		}
+	}
+	_, _ = k.d.Acceptor.SetStanding(ctx, func(now acceptor.Standing) (acceptor.Standing, bool) {
+		if now.Phase != acceptor.Filling || now.Set.Serial != st.Set.Serial {
+			return now, false
+		}
+		now.Phase = acceptor.Voter
+		return now, true
+	})
+	k.d.Log.Info("filled; votes from now on", "set", st.Set.Serial)
+}
+
+// dumps reads one slot from the voters of the old set, side by side, until a
+// majority has given it. Why: one of them may be gone without a word, and a call to it takes its whole time.
+// It tells those that do not know the new set yet; current is false where this core's own set is outdated.
+func (k *Keeper) dumps(ctx context.Context, st acceptor.Standing, slot int) (replies []state.Reply, current bool) {
+	type answer struct {
+		from  state.Core
+		reply state.Reply
+		err   error
+	}
+	q := state.Ask{Set: st.Set.Serial, From: k.d.Self(), Slot: slot}
+	voters := st.Old.Cores
+	answers := run.Fan(k.d.Group, len(voters), func(ctx context.Context, i int) answer {
+		if voters[i].Is(k.d.Self()) {
+			return answer{err: wire.ErrUnreachable}
+		}
+		r, err := call[state.Ask, state.Reply](ctx, k, voters[i], "/state/dump", q)
+		return answer{voters[i], r, err}
+	})
+	for range voters {
+		a := <-answers
+		switch {
+		case a.err != nil:
+		case a.reply.OK:
+			replies = append(replies, a.reply)
+		case a.reply.Why == state.WhyBehind:
+			k.tell(ctx, a.from, Adoption{Set: st.Set, Old: st.Old})
+		case a.reply.Why == state.WhySet:
+			_ = k.lookForUs(ctx, a.from)
+			return nil, false
+		}
+		if len(replies) >= st.Old.Quorum() {
+			break
+		}
+	}
+	return replies, true
+}
