Reports to the cores by difference, and a feed that coalesces what comes together

Cores read what changed; a slot taken later is given all counts. Cores of an earlier version get whole reports.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -66,6 +66,7 @@
 	confirmed atomic.Bool
 	touch     *touch.Keeper
 	latest    atomic.Pointer[dated]
+	reports   reports
 	asked     atomic.Int64 // when the proxy asked last, on our clock
 	urgent    *run.Nudge
 }
@@ -214,7 +215,9 @@
 	if up.Confirmed && !up.Conf.Newer(a.news.StampOf(conf.Key)) {
 		a.confirmed.Store(true)
 	}
-	a.keepReport(up.Report)
+	if !up.NoReport {
+		a.keepReport(up.Report)
+	}
 	if up.AgentBoot == a.boot {
 		a.awaitNews(ctx, up)
 	}
@@ -241,25 +244,3 @@
 		run.WaitOn(ctx, changed, hold)
 	}
 }
-
-// report passes the proxy's report to every core.
-func (a *Agent) report(ctx context.Context) {
-	l := a.latest.Load()
-	if l == nil || a.env.Clock.Since()-l.at > 2*time.Second {
-		return
-	}
-	cores := a.members.Live(member.RoleCore)
-	ch := run.Fan(a.group, len(cores), func(ctx context.Context, i int) bool {
-		one, cancel := context.WithTimeout(ctx, limit)
-		defer cancel()
-		asked := a.env.Clock.Since()
-		got, err := wire.Call[report.Report, report.Taken](one, a.caller, cores[i].Addr, "/place/report", l.r)
-		if err == nil {
-			a.touch.Told(asked, got.Touch)
-		}
-		return err == nil
-	})
-	for range cores {
-		<-ch
-	}
-}
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -42,7 +42,8 @@
 		return none{}, c.planner.Shared(ctx, s)
 	})
 	wire.Handle(c.mux, "/place/report", func(ctx context.Context, r report.Report) (report.Taken, error) {
+		outcome, err := c.planner.Report(ctx, r)
 		// Why: the word is of the moment before; what was learned since is told with the next.
-		return report.Taken{Touch: c.touch.Word()}, c.planner.Report(ctx, r)
+		return report.Taken{Touch: c.touch.Word(), Whole: outcome == report.NoBase, Differences: true}, err
 	})
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -24,10 +24,11 @@
 	Cursor    uint64        `cbor:"3,keyasint"`
 	Entries   []news.Entry  `cbor:"4,keyasint"` // what the agent may not know
 	Report    report.Report `cbor:"5,keyasint"`
-	Confirmed bool          `cbor:"6,keyasint"`           // the proxy serves on a confirmed configuration
-	Conf      state.Stamp   `cbor:"7,keyasint"`           // the one in force there
-	Partners  []string      `cbor:"8,keyasint,omitempty"` // for an agent that is new: whom the one before it knew
-	HoldMs    int           `cbor:"9,keyasint,omitempty"` // how long the answer may be held back until there is something new
+	Confirmed bool          `cbor:"6,keyasint"`            // the proxy serves on a confirmed configuration
+	Conf      state.Stamp   `cbor:"7,keyasint"`            // the one in force there
+	Partners  []string      `cbor:"8,keyasint,omitempty"`  // for an agent that is new: whom the one before it knew
+	HoldMs    int           `cbor:"9,keyasint,omitempty"`  // how long the answer may be held back until there is something new
+	NoReport  bool          `cbor:"10,keyasint,omitempty"` // nothing is said in Report; the one before counts
 }
 
 // Down is what the agent answers.
--- a/internal/place/plan/history.go
+++ b/internal/place/plan/history.go
@@ -80,6 +80,10 @@
 		i.series.Lay(h)
 	}
 	p.loaded[slot] = epoch
+	now := p.d.Clock.Since()
+	for _, r := range p.d.Reports.All() {
+		p.addDemand(r.Report, now, func(it conf.Item) bool { return state.SlotOf(DemandKey(it, 0)) == slot })
+	}
 }
 
 func itemOf(key string) (conf.Item, bool) {
@@ -102,41 +106,50 @@
 	return i
 }
 
-// Report takes an edge's word.
-func (p *Planner) Report(ctx context.Context, r report.Report) error {
-	return p.desk.Ask(ctx, func() {
+// Report takes an edge's word. Why: what only grows is read where it has changed; a
+// slot that this core takes later is given all of it then.
+func (p *Planner) Report(ctx context.Context, r report.Report) (report.Outcome, error) {
+	outcome := report.Kept
+	err := p.desk.Ask(ctx, func() {
 		now := p.d.Clock.Since()
-		if !p.d.Reports.Put(r, now) {
+		if outcome = p.d.Reports.Put(r, now); outcome != report.Kept {
 			return
 		}
-		p.work.add(r, now)
-		cfg := p.d.Conf()
-		minute, fresh := p.clock(cfg).Now(p.d.Clock.Wall(), now)
-		for name, count := range r.Demand {
-			it := conf.ParseItem(name)
-			if _, known := cfg.Models[it.Model]; !known || !p.holds(it) {
-				continue
-			}
-			i := p.item(it)
-			if i == nil {
-				continue
-			}
-			// Why: reports carry running totals, so one lost or come twice changes nothing.
-			from := r.Agent + "/" + r.Boot
-			was, counted := i.seen[from]
-			if count <= was && counted {
-				continue
-			}
-			i.seen[from] = count
-			if fresh {
-				i.series.Add(minute, uint32(min(count-was, 1<<31)))
-				i.dirty[minute/60] = true
-			}
-		}
+		p.work.add(r, p.d.Reports.All()[r.Agent].Report, now)
+		p.addDemand(r, now, func(conf.Item) bool { return true })
 		if len(r.Waiting) > 0 {
 			p.soon.Now()
 		}
 	})
+	return outcome, err
+}
+
+// addDemand counts the requests that a report tells of, for the items that this
+// core plans for and that are wanted.
+func (p *Planner) addDemand(r report.Report, now time.Duration, wanted func(conf.Item) bool) {
+	cfg := p.d.Conf()
+	minute, fresh := p.clock(cfg).Now(p.d.Clock.Wall(), now)
+	from := r.Agent + "/" + r.Boot
+	for name, count := range r.Demand {
+		it := conf.ParseItem(name)
+		if _, known := cfg.Models[it.Model]; !known || !p.holds(it) || !wanted(it) {
+			continue
+		}
+		i := p.item(it)
+		if i == nil {
+			continue
+		}
+		// Why: reports carry running totals, so one lost or come twice changes nothing.
+		was, counted := i.seen[from]
+		if count <= was && counted {
+			continue
+		}
+		i.seen[from] = count
+		if fresh {
+			i.series.Add(minute, uint32(min(count-was, 1<<31)))
+			i.dirty[minute/60] = true
+		}
+	}
 }
 
 // keep writes hours that changed to the control state.
--- a/internal/place/plan/work.go
+++ b/internal/place/plan/work.go
@@ -35,18 +35,19 @@
 	w.at = now
 }
 
-// add takes the counts of a report; they only ever grow under one boot.
-func (w *workRates) add(r report.Report, now time.Duration) {
+// add takes the counts that changed with a report, and all of them as they are
+// now; they only ever grow under one boot.
+func (w *workRates) add(changes, whole report.Report, now time.Duration) {
 	if w.seen == nil {
 		w.seen, w.of = map[string]map[string]uint64{}, map[string]*workRate{}
 	}
-	from := r.Agent + "/" + r.Boot
+	from := whole.Agent + "/" + whole.Boot
 	before, known := w.seen[from]
-	w.seen[from] = r.WorkMs
+	w.seen[from] = whole.WorkMs
 	if !known {
 		return // what came before this core was told is not of the present
 	}
-	for model, count := range r.WorkMs {
+	for model, count := range changes.WorkMs {
 		if count <= before[model] {
 			continue
 		}
--- a/internal/place/report/report.go
+++ b/internal/place/report/report.go
@@ -28,11 +28,16 @@
 	Serving  bool                      `cbor:"10,keyasint"`
 	Pressed  map[string]int            `cbor:"11,keyasint,omitempty"` // item: requests that went where many are, of late
 	WorkMs   map[string]uint64         `cbor:"12,keyasint,omitempty"` // model: replicas' time to read its prompts, so far
+	Base     uint64                    `cbor:"13,keyasint,omitempty"` // serial of the report that this one is the difference from; 0 is a whole one
+	Unacked  []string                  `cbor:"14,keyasint,omitempty"` // replicas that are no longer in Acked, in a difference
 }
 
 // Taken is a core's answer to a report.
 type Taken struct {
 	Touch touch.Word `cbor:"1,keyasint,omitempty"` // how long the core has been out of touch
+	Whole bool       `cbor:"2,keyasint,omitempty"` // the core does not have what the report is the difference from
+	// Differences says that the core reads differences; one of an earlier version does not.
+	Differences bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Dated is a report and when it came, on this core's clock.
@@ -53,11 +58,28 @@
 	return t
 }
 
+// Outcome is what became of a report.
+type Outcome int
+
+const (
+	// Kept says that the report is the newest of its agent now.
+	Kept Outcome = iota
+	// Stale says that one as new was there.
+	Stale
+	// NoBase says that the report is a difference from one that is not there.
+	NoBase
+)
+
 // Put keeps a report if it is newer; its one caller is the planner's desk.
-func (t *Table) Put(r Report, at time.Duration) bool {
+func (t *Table) Put(r Report, at time.Duration) Outcome {
 	old := *t.snap.Load()
-	if was, found := old[r.Agent]; found && was.Boot == r.Boot && was.Serial >= r.Serial {
-		return false
+	was, found := old[r.Agent]
+	if found && was.Boot == r.Boot && was.Serial >= r.Serial {
+		return Stale
+	}
+	whole, ok := r.On(was.Report)
+	if !ok {
+		return NoBase
 	}
 	next := make(map[string]Dated, len(old)+1)
 	for k, v := range old {
@@ -65,9 +87,9 @@
 			next[k] = v
 		}
 	}
-	next[r.Agent] = Dated{r, at}
+	next[r.Agent] = Dated{whole, at}
 	t.snap.Store(&next)
-	return true
+	return Kept
 }
 
 // All is a snapshot that is never changed.
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -16,8 +16,23 @@
 	"drumstall.example/internal/member/touch"
 	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/report"
+	"drumstall.example/internal/route"
 )
 
+// feedState is owned by the feed's loop.
+type feedState struct {
+	agentBoot  string
+	cursor     uint64
+	mine       uint64
+	all        bool
+	first      time.Duration // when an agent was first heard
+	since      time.Duration // when the count of edges was last settled
+	most       int           // the largest count since then
+	answeredAt time.Duration // when the last exchange ended
+	reportedAt time.Duration // when the last report was sent; 0 when the agent may not have it
+	reported   uint64        // version of the table that it told of
+}
+
 // mend gets news from the agent's partners while the agent is away, or so new
 // that it may know nobody yet: a configuration must come into force here all the same.
 func (p *Proxy) mend(ctx context.Context) {
@@ -56,10 +71,14 @@
 	if time.Duration(p.agentSeen.Load()) < time.Duration(p.agentNew.Load())+time.Second {
 		up.Partners = *p.partners.Load()
 	}
-	up.Report, up.HoldMs = p.report(), int(feedHold.Milliseconds())
+	up.HoldMs = int(feedHold.Milliseconds())
 	asked := p.env.Clock.Since()
+	if up.NoReport = !f.reportDue(snap, asked); !up.NoReport {
+		up.Report = p.report()
+	}
 	down, err := wire.Call[feed.Up, feed.Down](ctx, p.caller, p.s.Agent, feed.Path, up)
 	if err != nil {
+		f.reportedAt = 0
 		return
 	}
 	f.mine, f.all = mine, false
@@ -70,6 +89,9 @@
 	if f.agentBoot != "" && f.agentBoot != down.AgentBoot {
 		p.agentNew.Store(int64(asked))
 	}
+	if f.agentBoot != down.AgentBoot {
+		f.reportedAt = 0
+	}
 	f.agentBoot, f.cursor = down.AgentBoot, down.Cursor
 	for _, e := range down.Entries {
 		p.news.Put(e)
@@ -88,6 +110,28 @@
 	if down.Confirmed && !p.confirmed.Load() && !down.Conf.Newer(p.news.StampOf(conf.Key)) {
 		p.confirmed.Store(true)
 	}
+	p.rest(ctx, p.env.Clock.Since())
+}
+
+// reportDue says whether a report goes with an exchange: now and then, and soon
+// after what is in force here has changed, since controllers may wait for that.
+func (f *feedState) reportDue(snap *route.Snapshot, now time.Duration) bool {
+	age := now - f.reportedAt
+	if f.reportedAt != 0 && age < reportEvery && (age < reportGap || snap.Version == f.reported) {
+		return false
+	}
+	f.reportedAt, f.reported = now, snap.Version
+	return true
+}
+
+// rest keeps exchanges apart while much is new. Why: what comes together makes one
+// table; what comes alone is passed on at once.
+func (p *Proxy) rest(ctx context.Context, answered time.Duration) {
+	f := &p.feed
+	if answered-f.answeredAt < feedBusy {
+		run.Wait(ctx, feedBusyGap)
+	}
+	f.answeredAt = p.env.Clock.Since()
 }
 
 // report is this proxy's word to the controllers.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -32,9 +32,15 @@
 
 const (
 	// feedHold is how long the agent may hold an answer back until it has news, and feedGap the least time between two questions.
-	feedHold  = 200 * time.Millisecond
-	feedGap   = 2 * time.Millisecond
-	feedLimit = time.Second
+	feedHold = 200 * time.Millisecond
+	feedGap  = 2 * time.Millisecond
+	// feedBusyGap is the time between two questions while each answer has news that came within feedBusy of the one before.
+	feedBusyGap = 20 * time.Millisecond
+	feedBusy    = 50 * time.Millisecond
+	// reportEvery is how often a report goes to the agent, and reportGap how soon after another when what is in force has changed.
+	reportEvery = 200 * time.Millisecond
+	reportGap   = 50 * time.Millisecond
+	feedLimit   = time.Second
 	// missGap is the least time between two urgent reports.
 	missGap   = 5 * time.Millisecond
 	mendBeat  = 400 * time.Millisecond
@@ -110,15 +116,7 @@
 	cut       atomic.Int64
 	mu        sync.Mutex
 	demand    map[string]uint64
-	feed      struct { // owned by the feed's beat
-		agentBoot string
-		cursor    uint64
-		mine      uint64
-		all       bool
-		first     time.Duration // when an agent was first heard
-		since     time.Duration // when the count of edges was last settled
-		most      int           // the largest count since then
-	}
+	feed      feedState
 }
 
 // Start begins to serve.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -59,26 +59,28 @@
 	Expect   map[string]plan.Expect
 	Coming   map[string]time.Duration // items on their way: when they should be there, on our clock
 	Acked    map[string]state.Stamp
+	Version  uint64 // rises when the configuration or what is told of a replica changes
 }
 
 // Keeper keeps the table.
 type Keeper struct {
-	d      Deps
-	news   *news.Table
-	clock  tick.Clock
-	group  *run.Group
-	desk   *run.Desk
-	snap   atomic.Pointer[Snapshot]
-	lives  map[string]*Live
-	heard  map[string]report
-	told   map[string]told
-	full   map[bool]time.Duration // when a replica was last seen full: of models, of services
-	conf   conf.Effective
-	confAt state.Stamp
-	serial uint64
-	fresh  *run.Nudge
-	onNew  atomic.Pointer[func()]
-	warmth *memory
+	d       Deps
+	news    *news.Table
+	clock   tick.Clock
+	group   *run.Group
+	desk    *run.Desk
+	snap    atomic.Pointer[Snapshot]
+	lives   map[string]*Live
+	heard   map[string]report
+	told    map[string]told
+	version uint64
+	full    map[bool]time.Duration // when a replica was last seen full: of models, of services
+	conf    conf.Effective
+	confAt  state.Stamp
+	serial  uint64
+	fresh   *run.Nudge
+	onNew   atomic.Pointer[func()]
+	warmth  *memory
 
 	predictor Predictor
 
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -49,6 +49,10 @@
 		s.Acked[r.Listed.ID] = e.Stamp
 		s.addComing(t)
 	}
+	if len(s.Replicas) != len(k.Now().Replicas) {
+		k.version++
+	}
+	s.Version = k.version
 	k.forget(s)
 	for _, e := range k.news.List(expectPrefix) {
 		// Why: a refusal is news for a while only.
@@ -74,6 +78,7 @@
 	}
 	if effective, err := conf.Effect(kept); err == nil {
 		k.conf, k.confAt, k.serial = effective, e.Stamp, kept.Serial
+		k.version++
 	}
 }
 
@@ -83,6 +88,9 @@
 	t, found := before[e.Key]
 	if !found || t.stamp != e.Stamp {
 		t = decode(e, now)
+		if t.replica != nil {
+			k.version++
+		}
 	}
 	k.told[e.Key] = t
 	return t
