A copy that has just come, or is pressed for, is not idle

Ruled out: the store's order (by worth), the planner (it asked for the copies at once).

Change: what has just been loaded counts as in use for a second or until its first request, and so do the copies of an item for which four answers or more were held up of late.

--- a/internal/place/order/look.go
+++ b/internal/place/order/look.go
@@ -93,6 +93,9 @@
 		case seen.State != backend.Loaded:
 			l.State = seen.State
 		case l.State != Leaving || !w.taken(item):
+			if l.State == backend.Loading {
+				l.loadedAt = asked
+			}
 			l.State = backend.Loaded
 		}
 	}
--- a/internal/place/order/victims.go
+++ b/internal/place/order/victims.go
@@ -17,7 +17,7 @@
 // not pinned by a claim; and sums up those that may but for being used.
 func (w *Ward) idle(cfg conf.Effective, wanted conf.Item, adapters bool) (order []penalty.Victim, ranked []judge.Ranked, used int) {
 	now := w.d.Clock.Since()
-	waiting := w.d.Reports.Waiting(now)
+	waiting, pressed := w.d.Reports.Waiting(now), w.d.Reports.Pressed(now)
 	others := w.d.Others()
 	facts := map[string]judge.Idle{}
 	var list []judge.Idle
@@ -29,6 +29,9 @@
 			continue
 		}
 		busy, kids := l.inflight > 0 || w.d.Reports.Inflight(w.listed.ID, item.String(), now) > 0 || waiting[item] > 0, 0
+		// Why: a copy of what many press for, and what has only just come, are about to be used; to let go of them takes
+		// the store's time twice.
+		busy = busy || pressed[item] >= pressedFew || l.awaited(now)
 		pen, stays := w.penaltyOf(cfg, item, others, now), false
 		if !adapters {
 			for other, o := range w.book {
@@ -65,6 +68,18 @@
 	return order, ranked, used
 }
 
+const (
+	// pressedFew is how many answers of an item must have been held up lately for its copies to count as in use.
+	pressedFew = 4
+	// awaitedFor is how long what was just loaded counts as in use before its first request.
+	awaitedFor = time.Second
+)
+
+// awaited says that an item has only just been loaded, and that nobody has used it yet.
+func (l *line) awaited(now time.Duration) bool {
+	return l.loadedAt > 0 && l.lastUsed <= l.loadedAt && now-l.loadedAt < awaitedFor
+}
+
 func copies(others []News, not string, item conf.Item) int {
 	n := 0
 	for _, o := range others {
--- a/internal/place/order/ward.go
+++ b/internal/place/order/ward.go
@@ -86,6 +86,7 @@
 	Line
 	ordered  time.Duration // when a load of it was last ordered
 	lastUsed time.Duration
+	loadedAt time.Duration // when a load of it was first seen to have ended; 0 where none was
 	inflight int
 	// inherited: an owner before us may have ordered it.
 	inherited bool
