check: rule 4 and the figures as small types

Both were one long loop; each is a type with a method for each thing that it sees now, as rule 11 is.

--- a/internal/check/configuration.go
+++ b/internal/check/configuration.go
@@ -8,62 +8,88 @@
 // polled is how far apart the proxies are asked what is in force there.
 const polled = 300 * time.Millisecond
 
+// due is a configuration that must be in force at a node by a time.
+type due struct {
+	node    string
+	version uint64
+	by      time.Duration
+}
+
+// forcing is what is known so far of the configurations in force.
+type forcing struct {
+	edges  []string          // that must have one
+	down   map[string]bool   // edges that are not there
+	silent map[string]bool   // edges that serve nobody yet
+	high   map[string]uint64 // edge: highest version seen there
+	waits  []due
+	acks   []Event
+	out    []string
+}
+
 // inForce is rule 4.
 func inForce(es []Event, b Bounds) (n int, out []string) {
-	down := map[string]bool{}
-	high := map[string]uint64{}
-	type due struct {
-		node   string
-		serial uint64
-		by     time.Duration
-	}
-	var waits []due
-	var acks []Event
-	silent := map[string]bool{}
+	f := &forcing{edges: b.Edges, down: map[string]bool{}, silent: map[string]bool{}, high: map[string]uint64{}}
 	for _, e := range es {
-		kept := waits[:0]
-		for _, w := range waits {
-			switch {
-			case high[w.node] >= w.serial || down[w.node] || silent[w.node]:
-			case e.At > w.by:
-				out = append(out, fmt.Sprintf("serial %d is not in force at %s 2 s after its acknowledgement (there: %d)", w.serial, w.node, high[w.node]))
-			default:
-				kept = append(kept, w)
-			}
-		}
-		waits = kept
+		f.overdue(e.At)
 		switch e.Kind {
 		case EdgeDown:
-			down[e.Node] = true
+			f.down[e.Node] = true
 		case EdgeUp:
-			down[e.Node] = false
+			f.down[e.Node] = false
 		case ConfNone:
-			silent[e.Node] = true
+			f.silent[e.Node] = true
 		case ConfAck:
 			n++
-			acks = append(acks, e)
-			for _, node := range b.Edges {
-				if !down[node] {
-					waits = append(waits, due{node, e.Serial, e.At + 2*time.Second + polled})
-				}
-			}
+			f.acked(e)
 		case ConfSeen:
-			// Why: a proxy that served nobody owes nothing for that time, but must begin with what is in force.
-			for _, a := range acks {
-				if silent[e.Node] && e.At-a.At > 2*time.Second+polled && e.Serial < a.Serial {
-					out = append(out, fmt.Sprintf("%s began to serve on serial %d, %v after %d was acknowledged", e.Node, e.Serial, e.At-a.At, a.Serial))
-					break
-				}
-			}
-			silent[e.Node] = false
-			if e.Serial < high[e.Node] {
-				out = append(out, fmt.Sprintf("%s went back from serial %d to %d", e.Node, high[e.Node], e.Serial))
-			}
-			high[e.Node] = max(high[e.Node], e.Serial)
+			f.seen(e)
 		}
 	}
 	looked, more := byAnswers(es)
-	return n + looked, append(out, more...)
+	return n + looked, append(f.out, more...)
+}
+
+func (f *forcing) breach(format string, args ...any) {
+	f.out = append(f.out, fmt.Sprintf(format, args...))
+}
+
+// overdue lets go of what is in force by now, or need not be, and tells of what is late.
+func (f *forcing) overdue(now time.Duration) {
+	kept := f.waits[:0]
+	for _, w := range f.waits {
+		switch {
+		case f.high[w.node] >= w.version || f.down[w.node] || f.silent[w.node]:
+		case now > w.by:
+			f.breach("serial %d is not in force at %s 2 s after its acknowledgement (there: %d)", w.version, w.node, f.high[w.node])
+		default:
+			kept = append(kept, w)
+		}
+	}
+	f.waits = kept
+}
+
+func (f *forcing) acked(e Event) {
+	f.acks = append(f.acks, e)
+	for _, node := range f.edges {
+		if !f.down[node] {
+			f.waits = append(f.waits, due{node, e.Serial, e.At + 2*time.Second + polled})
+		}
+	}
+}
+
+func (f *forcing) seen(e Event) {
+	// Why: a proxy that served nobody owes nothing for that time, but must begin with what is in force.
+	for _, a := range f.acks {
+		if f.silent[e.Node] && e.At-a.At > 2*time.Second+polled && e.Serial < a.Serial {
+			f.breach("%s began to serve on serial %d, %v after %d was acknowledged", e.Node, e.Serial, e.At-a.At, a.Serial)
+			break
+		}
+	}
+	f.silent[e.Node] = false
+	if e.Serial < f.high[e.Node] {
+		f.breach("%s went back from serial %d to %d", e.Node, f.high[e.Node], e.Serial)
+	}
+	f.high[e.Node] = max(f.high[e.Node], e.Serial)
 }
 
 // byAnswers holds the configuration that each answer was given under against what
--- a/internal/check/report.go
+++ b/internal/check/report.go
@@ -39,71 +39,95 @@
 	Count               int
 }
 
-// Figures sums up a run.
+// tally is the sums of a run so far.
+type tally struct {
+	r       Report
+	holders map[string]map[string]bool // item: replicas that hold it
+	classes map[string]*Class
+	first   map[string][]int64 // class: times to the first piece, in ms
+	whole   map[string][]int64 // class: times to the whole answer, in ms
+	why     map[Reason]int
+}
+
+// Figures sums up a run. It sorts the events by time, in place.
 func Figures(events []Event, b Bounds) Report {
-	r := Report{Rules: All(events, b)}
-	holders := map[string]map[string]bool{}
-	classes := map[string]*Class{}
-	first, whole := map[string][]int64{}, map[string][]int64{}
-	why := map[Reason]int{}
+	t := &tally{
+		r: Report{Rules: All(events, b)}, holders: map[string]map[string]bool{}, classes: map[string]*Class{},
+		first: map[string][]int64{}, whole: map[string][]int64{}, why: map[Reason]int{},
+	}
 	for _, e := range events {
-		switch e.Kind {
-		case LoadStart:
-			r.Loads++
-		case LoadDone:
-			if holders[e.Item] == nil {
-				holders[e.Item] = map[string]bool{}
-			}
-			holders[e.Item][e.Replica] = true
-			r.LoadedMib += e.Used
-		case UnloadDone:
-			if e.Item == "" {
-				for _, h := range holders {
-					delete(h, e.Replica)
-				}
-				continue
-			}
-			r.Unloads++
-			delete(holders[e.Item], e.Replica)
-		case RunStart:
-			r.Runs++
-		case Arrived:
-			if e.Shot > 1 {
-				r.Retries++
-			}
-		case Sent:
-			if e.Item == "" {
-				continue
-			}
-			if len(holders[e.Item]) > 0 {
-				r.Hits++
-			} else {
-				r.Misses++
-			}
-		case Answer:
-			c := classes[e.Class]
-			if c == nil {
-				c = &Class{Name: e.Class, Outcomes: map[string]int{}}
-				classes[e.Class] = c
-			}
-			c.Outcomes[e.Outcome]++
-			if e.Outcome == Whole {
-				first[e.Class] = append(first[e.Class], e.FirstMs)
-				whole[e.Class] = append(whole[e.Class], e.TookMs)
-				continue
-			}
-			if e.Outcome == TurnedNo && !e.Retry && e.Status >= 500 {
-				r.NoRetryIn++
+		t.add(e)
+	}
+	return t.report()
+}
+
+// add counts one event.
+func (t *tally) add(e Event) {
+	switch e.Kind {
+	case LoadStart:
+		t.r.Loads++
+	case LoadDone:
+		if t.holders[e.Item] == nil {
+			t.holders[e.Item] = map[string]bool{}
+		}
+		t.holders[e.Item][e.Replica] = true
+		t.r.LoadedMib += e.Used
+	case UnloadDone:
+		if e.Item == "" {
+			for _, h := range t.holders {
+				delete(h, e.Replica)
 			}
-			why[Reason{Class: e.Class, Outcome: e.Outcome, Why: clip(e.Why)}]++
+			return
+		}
+		t.r.Unloads++
+		delete(t.holders[e.Item], e.Replica)
+	case RunStart:
+		t.r.Runs++
+	case Arrived:
+		if e.Shot > 1 {
+			t.r.Retries++
 		}
+	case Sent:
+		if e.Item == "" {
+			return
+		}
+		if len(t.holders[e.Item]) > 0 {
+			t.r.Hits++
+		} else {
+			t.r.Misses++
+		}
+	case Answer:
+		t.answer(e)
+	}
+}
+
+func (t *tally) answer(e Event) {
+	c := t.classes[e.Class]
+	if c == nil {
+		c = &Class{Name: e.Class, Outcomes: map[string]int{}}
+		t.classes[e.Class] = c
+	}
+	c.Outcomes[e.Outcome]++
+	if e.Outcome == Whole {
+		t.first[e.Class] = append(t.first[e.Class], e.FirstMs)
+		t.whole[e.Class] = append(t.whole[e.Class], e.TookMs)
+		return
 	}
-	for name, c := range classes {
-		c.First, c.Whole = spread(first[name]), spread(whole[name])
+	if e.Outcome == TurnedNo && !e.Retry && e.Status >= 500 {
+		t.r.NoRetryIn++
+	}
+	t.why[Reason{Class: e.Class, Outcome: e.Outcome, Why: clip(e.Why)}]++
+}
+
+// report is the whole, classes by name and the commonest reasons first.
+func (t *tally) report() Report {
+	r := t.r
+	for name, c := range t.classes {
+		c.First, c.Whole = spread(t.first[name]), spread(t.whole[name])
 		r.Classes = append(r.Classes, *c)
 	}
 	sort.Slice(r.Classes, func(i, j int) bool { return r.Classes[i].Name < r.Classes[j].Name })
-	for w, n := range why {
+	for w, n := range t.why {
 		w.Count = n
 		r.Why = append(r.Why, w)
 	}
