--- a/internal/conf/objects.go
+++ b/internal/conf/objects.go
@@ -8,6 +8,7 @@
 	"io"
 	"mime"
 
+	"github.com/pkg/errors"
 	metav1 "k8s.io/apimachinery/pkg/apis/meta/v1"
 	yamlutil "k8s.io/apimachinery/pkg/util/yaml"
 	"sigs.k8s.io/yaml"
@@ -27,10 +28,12 @@
 	Spec            json.RawMessage `json:"spec"`
 }
 
+// metadata is the part of an object's that is read.
 type metadata struct {
 	Name string `json:"name"`
 }
 
+// isObjects says whether a submission of this type is Kubernetes-style objects.
 func isObjects(contentType string) bool {
 	t, _, err := mime.ParseMediaType(contentType)
 	return err == nil && (t == "application/yaml" || t == "application/x-yaml" || t == "text/yaml")
@@ -56,23 +59,11 @@
 		if len(bytes.TrimSpace(doc)) == 0 {
 			continue
 		}
-		var o object
-		// Why: strict, so that a misspelt field is a fault and not a default.
-		if err := yaml.UnmarshalStrict(doc, &o); err != nil {
+		o, kind, err := readObject(doc)
+		if err != nil {
 			bad("%v", err)
 			continue
 		}
-		kind, known := ObjectKinds[o.Kind]
-		switch {
-		case o.APIVersion != APIVersion:
-			bad("apiVersion %q: want %s", o.APIVersion, APIVersion)
-			continue
-		case !known:
-			bad("no such kind %q; there are %v", o.Kind, sorted(ObjectKinds))
-			continue
-		case len(o.Spec) == 0:
-			o.Spec = json.RawMessage(`{}`)
-		}
 		at := kind + "/" + o.Metadata.Name
 		if seen[at] {
 			bad("%s is given twice", at)
@@ -88,3 +79,21 @@
 		k.Sent[at] = doc
 	}
 }
+
+// readObject reads one YAML document and tells the kind in our own words.
+func readObject(doc []byte) (o object, kind string, err error) {
+	// Why: strict, so that a misspelt field is a fault and not a default.
+	if err := yaml.UnmarshalStrict(doc, &o); err != nil {
+		return o, "", err
+	}
+	kind, known := ObjectKinds[o.Kind]
+	switch {
+	case o.APIVersion != APIVersion:
+		return o, "", errors.Errorf("apiVersion %q: want %s", o.APIVersion, APIVersion)
+	case !known:
+		return o, "", errors.Errorf("no such kind %q; there are %v", o.Kind, sorted(ObjectKinds))
+	case len(o.Spec) == 0:
+		o.Spec = json.RawMessage(`{}`)
+	}
+	return o, kind, nil
+}
