--- a/internal/member/touch/touch.go
+++ b/internal/member/touch/touch.go
@@ -32,7 +32,7 @@
 	return k
 }
 
-// Told takes a partner's word in the answer to what it was asked at a moment.
+// Told takes a peer's word in the answer to what it was asked at a moment.
 // Why: counted from the question, so an answer that lay unread while this machine
 // stood still tells nothing newer than the question; and an age is only ever passed on, so
 // nodes that hear nobody but each other grow old together.
