A won slot is quarantined before it counts as held

MayOrder could find the slot held while it still went by the quarantine of the time before, as the hold was noted first (found by reading). The quarantine is worked out once and noted first.

--- a/internal/state/owner/take.go
+++ b/internal/state/owner/take.go
@@ -33,8 +33,9 @@
 	for i := range recs {
 		recs[i].Stamp = state.Stamp{Epoch: q.Epoch, Serial: recs[i].Stamp.Serial}
 	}
-	s.until.Store(int64(before + state.HoldFor - state.HoldMargin))
+	// Why: MayOrder must not find the slot held while it still goes by the quarantine of the time before.
 	s.quarantine(q.Epoch, yes, firstTime)
+	s.until.Store(int64(before + state.HoldFor - state.HoldMargin))
 	if err := s.write(recs, true); err != nil {
 		o.d.Log.Info("slot not taken", "slot", s.n, "epoch", q.Epoch, "problem", err)
 		s.giveUp("table not kept", true)
@@ -80,18 +81,19 @@
 	o := s.o
 	// Why: whoever held the slot before may have orders on the way; a first owner has none to wait out.
 	wonAt := o.d.Clock.Since()
-	s.orderFrom.Store(int64(wonAt + o.d.Quarantine - freeFor(yes)))
-	s.freeFor.Store(int64(freeFor(yes)))
-	if epoch == 1 || s.ownBefore(yes) {
-		s.orderFrom.Store(int64(wonAt))
-		if epoch > 1 {
-			s.orderFrom.Store(int64(max(wonAt, o.began+o.d.OwnQuarantine)))
-		}
-		// Why: what an earlier life of this process did was over when this one began; what it did itself was not.
-		if firstTime {
-			s.freeFor.Store(int64(max(freeFor(yes), min(wonAt-o.began, state.HoldFor))))
-		}
+	orderFrom, free := wonAt+o.d.Quarantine-freeFor(yes), freeFor(yes)
+	switch {
+	case epoch == 1:
+		orderFrom = wonAt
+	case s.ownBefore(yes):
+		orderFrom = max(wonAt, o.began+o.d.OwnQuarantine)
+	}
+	// Why: what an earlier life of this process did was over when this one began; what it did itself was not.
+	if firstTime && (epoch == 1 || s.ownBefore(yes)) {
+		free = max(free, min(wonAt-o.began, state.HoldFor))
 	}
+	s.orderFrom.Store(int64(orderFrom))
+	s.freeFor.Store(int64(free))
 }
 
 // free asks whether a majority would promise the slot, and learns the epochs that
