A silent stream is only cut where another replica can go on with it

Change: a silence within an answer, or before its first piece, is borne unless another replica that answers holds what the request needs, attempts are left and a retry is set aside for it.

--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -158,4 +158,8 @@
 }
 
 // Close ends the attempt that is under way.
-func (s *eventStream) Close() error { return s.from.Close() }
+func (s *eventStream) Close() error {
+	err := s.from.Close()
+	s.passage.giveBack()
+	return err
+}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"drumstall.example/internal/attempt"
@@ -158,7 +159,7 @@
 	number   int // attempts so far
 	arrived  int // of which so many may have reached a replica
 	outcome  attempt.Outcome
-	reserved bool // a retry is set aside for this request
+	reserved atomic.Bool // a retry is set aside for this request
 }
 
 // Serve takes a request through admission and attempts to an answer.
@@ -234,9 +235,8 @@
 }
 
 func (w *passage) giveBack() {
-	if w.reserved {
+	if w.reserved.Swap(false) {
 		w.p.budget.Return(service(w.call.Target))
-		w.reserved = false
 	}
 }
 
@@ -252,16 +252,15 @@
 		// Why: a retry is only one once an earlier attempt may have reached the service, whether or not it ran there.
 		switch {
 		case w.arrived == 0:
-		case w.reserved:
+		case w.reserved.Swap(false):
 			p.budget.Spend(svc)
-			w.reserved = false
 		case !p.budget.Retry(svc):
 			a.Done()
 			return nil, gaveUp("the budget for retries is used up", w.outcome)
 		}
 		sentAt := time.Now()
 		firstBy, early := w.firstBy(a.Replica, sentAt)
-		w.reserved = early
+		w.reserved.Store(early)
 		reply, failure := p.sender.Send(ctx, w.request(a.Replica, firstBy))
 		if w.number == 1 {
 			p.budget.First(svc, p.share())
@@ -343,12 +342,29 @@
 		// Why: a pause that is too long is late already; what must be told is a replica that stands still from one
 		// that is slow, and its other answers tell.
 		q.Stall = stallTimes * c.Target.Route.GapTarget
-		q.Alive = func() bool { return w.p.routes.Alive(r) }
+		q.Alive = func() bool { return w.p.routes.Alive(r) || !w.mayGoOn(r) }
 		q.FirstAtLast = time.Now().Add(time.Until(c.FirstBy) / 2)
 	}
 	return q
 }
 
+// mayGoOn says whether another replica could go on with a request that r is silent
+// on, and sets a retry aside for it. Why: silence alone is no reason to end an answer.
+func (w *passage) mayGoOn(r *route.Replica) bool {
+	t := w.call.Target
+	if w.number >= t.Route.Attempts || !w.p.routes.Others(t, r.Listed.ID) {
+		return false
+	}
+	if w.reserved.Load() {
+		return true
+	}
+	if !w.p.budget.Keep(service(t)) {
+		return false
+	}
+	w.reserved.Store(true)
+	return true
+}
+
 // stallTimes the pause that should not occur is what a stream may be silent for
 // before its replica is doubted.
 const stallTimes = 2
