An adapter whose model is there does not wait like a model

Change: loads of adapters have a bound of their own, a time that is learned, the order goes by worth in the time that a load takes, and several adapters of one model may wait.

--- a/internal/place/order/consider.go
+++ b/internal/place/order/consider.go
@@ -38,17 +38,17 @@
 		return Considered{Why: "no fresh report from the replica"}
 	case w.leaving():
 		return Considered{Why: "the replica is leaving"}
-	case w.tasks.Len() >= w.d.Cadence.Tasks:
+	case w.queued(w.quick(item)) >= w.mostTasks(item):
 		return Considered{Why: "enough orders wait already", Soon: true}
 	}
 	if l := w.book[item]; l != nil && l.State != Leaving && l.State != backend.Unloading {
-		return Considered{Taken: true, Why: "on its way or there already", ReadyMs: w.readyMs(model, item.Model)}
+		return Considered{Taken: true, Why: "on its way or there already", ReadyMs: w.readyMs(model, item)}
 	}
 	for i := range w.tasks.Len() {
 		if w.tasks.At(i).item == item {
-			return Considered{Taken: true, Why: "on its way already", ReadyMs: w.readyMs(model, item.Model)}
+			return Considered{Taken: true, Why: "on its way already", ReadyMs: w.readyMs(model, item)}
 		}
-		if w.tasks.At(i).item.Model == item.Model {
+		if w.tasks.At(i).item.Model == item.Model && !(w.quick(item) && w.quick(w.tasks.At(i).item)) {
 			return Considered{Why: "another order about the model waits", Soon: true}
 		}
 	}
@@ -136,7 +136,7 @@
 		out.Victims = append(out.Victims, v.String())
 	}
 	if q.Dry {
-		out.Taken, out.ReadyMs = true, w.readyMs(model, item.Model)
+		out.Taken, out.ReadyMs = true, w.readyMs(model, item)
 		return out
 	}
 	t := &task{item: item, victims: victims, since: w.d.Clock.Since(), begun: w.d.Clock.Since(), worth: q.Penalty, cost: time.Duration(q.CostMs) * time.Millisecond}
@@ -158,7 +158,7 @@
 	w.tasks.PushBack(t)
 	w.publish()
 	w.soon.Now()
-	out.Taken, out.ReadyMs = true, w.readyMs(model, item.Model)
+	out.Taken, out.ReadyMs = true, w.readyMs(model, item)
 	return out
 }
 
--- a/internal/place/order/task.go
+++ b/internal/place/order/task.go
@@ -63,15 +63,21 @@
 	}
 	best := 0
 	for i := 1; i < w.tasks.Len(); i++ {
-		if t := w.tasks.At(i); t.waits() && t.worth > w.tasks.At(best).worth && w.fits(t) {
+		if t := w.tasks.At(i); t.waits() && w.worthOfTime(t) > w.worthOfTime(w.tasks.At(best)) && w.fits(t) {
 			best = i
 		}
 	}
-	if w.tasks.At(best).worth > overtakes*w.tasks.Front().worth {
+	if w.worthOfTime(w.tasks.At(best)) > overtakes*w.worthOfTime(w.tasks.Front()) {
 		w.tasks.PushFront(w.tasks.Remove(best))
 	}
 }
 
+// worthOfTime is what a task is worth by the time that its loads take. Why: an
+// adapter is there in a twentieth of the time that a model takes, and holds the others up by no more.
+func (w *Ward) worthOfTime(t *task) float64 {
+	return t.worth / float64(max(1, w.taskMs(w.d.Conf().Models[t.item.Model], t.item)))
+}
+
 // fits says whether a task finds room with what is there now but for its own
 // victims. Why: one may have been taken on for room that another's victims leave over, and must wait for that one.
 func (w *Ward) fits(t *task) bool {
--- a/internal/place/order/tell.go
+++ b/internal/place/order/tell.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"time"
 
+	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/news"
@@ -22,15 +23,86 @@
 	return int(m.LoadFor.Milliseconds())
 }
 
-func (w *Ward) readyMs(m conf.Model, name string) int {
-	ms := w.loadMs(m, name)
-	return ms + 1500 + w.tasks.Len()*int(m.LoadFor.Milliseconds())
+// readyMs is when an item that is taken on now will probably be there.
+func (w *Ward) readyMs(m conf.Model, item conf.Item) int {
+	if w.quick(item) && w.traits.AdaptersUnpaced {
+		return w.taskMs(m, item) + quickMargin + w.busyMs()
+	}
+	return w.taskMs(m, item) + slowMargin + w.queued(false)*int(m.LoadFor.Milliseconds())
+}
+
+const (
+	// slowMargin, in ms, is what making room and the store's leave take on top of a load of a model.
+	slowMargin = 1500
+	// quickMargin, in ms, is what an adapter takes on top of its load where its model is.
+	quickMargin = 200
+	// adapterMs is how long an adapter takes to load, until it has been seen.
+	adapterMs = 300
+	// quickTasks is how many loads of adapters may wait at one replica.
+	quickTasks = 8
+)
+
+// quick says that a load takes no model from the store: it is an adapter's whose model is there.
+func (w *Ward) quick(item conf.Item) bool {
+	base := w.book[conf.Item{Model: item.Model}]
+	return item.Adapter != "" && base != nil && base.State == backend.Loaded
+}
+
+// queued counts the tasks that are quick, or those that are not.
+func (w *Ward) queued(quick bool) int {
+	n := 0
+	for i := range w.tasks.Len() {
+		if w.quick(w.tasks.At(i).item) == quick {
+			n++
+		}
+	}
+	return n
+}
+
+// mostTasks is how many tasks of the same kind may wait for an item to be taken on.
+func (w *Ward) mostTasks(item conf.Item) int {
+	if w.quick(item) {
+		return quickTasks
+	}
+	return w.d.Cadence.Tasks
+}
+
+// taskMs is how long the loads of an item take, its model's included where that is not there.
+func (w *Ward) taskMs(m conf.Model, item conf.Item) int {
+	if item.Adapter == "" {
+		return w.loadMs(m, item.Model)
+	}
+	own := adapterMs
+	if w.perAdapter > 0 {
+		own = int(w.perAdapter.Milliseconds())
+	}
+	if w.quick(item) {
+		return own
+	}
+	return own + w.loadMs(m, item.Model)
+}
+
+// busyMs is how long the load that is under way still takes.
+func (w *Ward) busyMs() int {
+	if w.tasks.Len() == 0 || w.tasks.Front().phase != loaded {
+		return 0
+	}
+	t := w.tasks.Front()
+	return max(0, w.taskMs(w.d.Conf().Models[t.item.Model], t.item)-int((w.d.Clock.Since()-t.since).Milliseconds()))
 }
 
 func (w *Ward) learn(t *task, now time.Duration) {
 	m := w.d.Conf().Models[t.item.Model]
 	w.d.Log.Info("loaded", "replica", w.listed.ID, "item", t.item.String(), "tookMs", (now - t.since).Milliseconds(), "again", w.held[t.item.Model])
-	if t.item.Adapter != "" || m.SizeMib == 0 {
+	if t.item.Adapter != "" {
+		if took := now - t.since; w.perAdapter == 0 {
+			w.perAdapter = took
+		} else {
+			w.perAdapter += (took - w.perAdapter) / 4
+		}
+		return
+	}
+	if m.SizeMib == 0 {
 		return
 	}
 	seen := &w.perMib
@@ -86,7 +158,7 @@
 		if i > 0 {
 			sofar += 500 * time.Millisecond
 		}
-		load := time.Duration(w.loadMs(models[t.item.Model], t.item.Model)) * time.Millisecond
+		load := time.Duration(w.taskMs(models[t.item.Model], t.item)) * time.Millisecond
 		if t.phase == loaded {
 			load = max(load-(now-t.since), 100*time.Millisecond)
 		}
--- a/internal/place/order/ward.go
+++ b/internal/place/order/ward.go
@@ -96,23 +96,24 @@
 
 // Ward controls one replica.
 type Ward struct {
-	d        Deps
-	listed   inventory.Listed
-	desk     *run.Desk
-	vitals   backend.Vitals
-	vitalsAt time.Duration // when the report we have was asked for
-	known    bool          // a report came since we took over
-	book     map[conf.Item]*line
-	tasks    deque.Deque[*task]
-	epoch    uint64
-	packed   []byte                   // what was published, with etas for what is on its way
-	toldAt   time.Duration            // when the store\'s keeper was last told of a load that may still start
-	etas     map[string]time.Duration // what is on its way: when it will probably be there, as published
-	serial   uint64
-	orders   uint64
-	staying  time.Duration
-	closed   bool
-	perMib   float64 // observed ms per MiB loaded; 0 unknown
+	d          Deps
+	listed     inventory.Listed
+	desk       *run.Desk
+	vitals     backend.Vitals
+	vitalsAt   time.Duration // when the report we have was asked for
+	known      bool          // a report came since we took over
+	book       map[conf.Item]*line
+	tasks      deque.Deque[*task]
+	epoch      uint64
+	packed     []byte                   // what was published, with etas for what is on its way
+	toldAt     time.Duration            // when the store\'s keeper was last told of a load that may still start
+	etas       map[string]time.Duration // what is on its way: when it will probably be there, as published
+	serial     uint64
+	orders     uint64
+	staying    time.Duration
+	closed     bool
+	perMib     float64       // observed ms per MiB loaded; 0 unknown
+	perAdapter time.Duration // how long an adapter takes to load, on average of late; 0 until one was loaded
 	// perMibAgain is the same for models that the replica has held before, and held which they are.
 	perMibAgain float64
 	held        map[string]bool
