--- a/internal/sim/capacity/capacity_test.go
+++ b/internal/sim/capacity/capacity_test.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -110,6 +111,28 @@
 	return r
 }
 
+// countedSince is a later report in which some items were counted.
+func countedSince(base report.Report, items int) report.Report {
+	r := base
+	r.Serial++
+	r.Demand = maps.Clone(base.Demand)
+	for i := range items {
+		r.Demand[itemName(i)]++
+	}
+	return r
+}
+
+// ackedSince is a later report in which the news of some replicas was taken in.
+func ackedSince(base report.Report, replicas int) report.Report {
+	r := base
+	r.Serial++
+	r.Acked = maps.Clone(base.Acked)
+	for i := range replicas {
+		r.Acked[replicaID(i)] = stamp(i + 100000)
+	}
+	return r
+}
+
 func aNode(i int) member.Node {
 	return member.Node{Name: nodeName(i), Role: member.RoleAgent, Zone: zone(i), Addr: fmt.Sprintf("10.2.%d.%d:7000", i/200, i%200), Inc: 1764650000000, Boot: "0123456789abcdef", Build: "5fe69a9"}
 }
@@ -296,6 +319,9 @@
 	fit("report", "replica acked", reps, func(x int) float64 { return size(aReport(1, x, 0, 0)) })
 	fit("report", "item counted", its, func(x int) float64 { return size(aReport(1, 0, x, 0)) })
 	fit("report", "replica in use", reps, func(x int) float64 { return size(aReport(1, 0, 0, x)) })
+	base := aReport(1, 600, 4120, 8)
+	fit("report by difference", "item counted since", []int{1, 4, 16, 64}, func(x int) float64 { return size(countedSince(base, x).Since(base)) })
+	fit("report by difference", "replica acked since", []int{1, 4, 16, 64}, func(x int) float64 { return size(ackedSince(base, x).Since(base)) })
 	fit("replica's news", "item held", []int{2, 10, 20, 40}, func(x int) float64 { return size(replicaNews(1, x)) })
 	fit("roll", "node", nodes, func(x int) float64 { return size(roll(x)) })
 	fit("probe", "node told along", []int{1, 2, 4, 6}, func(x int) float64 {
