--- a/internal/check/planned.go
+++ b/internal/check/planned.go
@@ -67,11 +67,6 @@
 		}
 		w.see(e)
 	}
-	if w.back != nil && len(es) > 0 && es[len(es)-1].At-w.back.at > backFor {
-		if left := w.back.missing(); len(left) > 0 {
-			w.breach("%s never served again after the machines were back at %v", strings.Join(left, ", "), w.back.at)
-		}
-	}
 	// Why: a request that never got an answer was dropped as surely as one whose connection broke.
 	for t, q := range w.sent {
 		if w.during[t] {
