--- a/internal/place/order/hold_test.go
+++ b/internal/place/order/hold_test.go
@@ -22,6 +22,7 @@
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/report"
+	"drumstall.example/internal/sim/simhost"
 	"drumstall.example/internal/sim/simnet"
 	"drumstall.example/internal/stand"
 	"drumstall.example/internal/state"
@@ -29,11 +30,6 @@
 	"drumstall.example/internal/state/owner"
 )
 
-type wall struct{ zero time.Time }
-
-func (c wall) Since() time.Duration { return time.Since(c.zero) }
-func (c wall) Wall() time.Time      { return time.Now() }
-
 // noted is a network that notes when each order begins to leave.
 type noted struct {
 	wire.Net
@@ -73,7 +69,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				fabric := simnet.New(uint64(try), func(string, string) time.Duration { return 60 * time.Millisecond })
 				g, held := run.NewGroup(t.Context()), run.NewGroup(t.Context())
-				clk, log := wall{time.Now().Add(-time.Hour)}, ring.New(io.Discard, 100).Logger()
+				clk, log := simhost.NewClock(), ring.New(io.Discard, 100).Logger()
 				rec := stand.NewRecord(time.Now(), nil)
 				replica, err := stand.StartReplica(stand.ReplicaSettings{ID: "r", Addr: "10.0.0.2:9000", Model: true, CapacityMib: 100_000, Slots: 4, LoadMibPerS: 10_000}, fabric.Host("10.0.0.2"), rec)
 				if err != nil {
--- a/internal/place/order/takeover_test.go
+++ b/internal/place/order/takeover_test.go
@@ -13,6 +13,7 @@
 	"drumstall.example/internal/kernel/ring"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/news"
+	"drumstall.example/internal/sim/simhost"
 )
 
 // reporting is a replica that says what it is told to say.
@@ -35,7 +36,7 @@
 func TestRoomForALoadOfTheOwnerBeforeIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		replica := &reporting{busy: true, items: map[conf.Item]backend.Line{}}
-		clk := wall{time.Now().Add(-time.Hour)}
+		clk := simhost.NewClock()
 		w := &Ward{d: Deps{Group: run.NewGroup(t.Context()), Clock: clk, Log: ring.New(io.Discard, 10).Logger(), Replicas: replica,
 			News: news.NewTable(), Conf: conf.Empty}, listed: inventory.Listed{ID: "r", Addr: "10.0.0.1:1", Model: true},
 			book: map[conf.Item]*line{}, held: map[string]bool{}, traits: replica.Traits()}
--- a/internal/state/acceptor/acceptor_test.go
+++ b/internal/state/acceptor/acceptor_test.go
@@ -20,19 +20,15 @@
 	"drumstall.example/internal/kernel/ring"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/sim/simhost"
 	"drumstall.example/internal/state"
 )
 
-type clock struct{ zero time.Time }
-
-func (c clock) Since() time.Duration { return time.Since(c.zero) }
-func (c clock) Wall() time.Time      { return time.Now() }
-
 var voters = state.CoreSet{Serial: 1, Cores: []state.Core{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
 
 func open(t *testing.T, g *run.Group, fs vfs.FS) *Acceptor {
 	t.Helper()
-	a, err := Open(g, "d", Whose{Fleet: "f", Node: "n"}, fs, clock{time.Now().Add(-time.Hour)}, ring.New(io.Discard, 100).Logger())
+	a, err := Open(g, "d", Whose{Fleet: "f", Node: "n"}, fs, simhost.NewClock(), ring.New(io.Discard, 100).Logger())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -238,7 +234,7 @@
 		g.Stop()
 		_ = a.Close()
 		g = run.NewGroup(t.Context())
-		if _, err := Open(g, "d", Whose{Fleet: "f", Node: "n"}, fs, clock{time.Now()}, ring.New(io.Discard, 9).Logger()); err == nil {
+		if _, err := Open(g, "d", Whose{Fleet: "f", Node: "n"}, fs, simhost.NewClock(), ring.New(io.Discard, 9).Logger()); err == nil {
 			t.Error("a record that cannot be read was passed over")
 		}
 		g.Stop()
@@ -252,7 +248,7 @@
 		start := func(fs vfs.FS, w Whose) error {
 			g := run.NewGroup(t.Context())
 			defer g.Stop()
-			a, err := Open(g, "d", w, fs, clock{time.Now()}, ring.New(io.Discard, 9).Logger())
+			a, err := Open(g, "d", w, fs, simhost.NewClock(), ring.New(io.Discard, 9).Logger())
 			if err == nil {
 				err = a.Close()
 			}
--- a/internal/state/owner/owner_test.go
+++ b/internal/state/owner/owner_test.go
@@ -11,17 +11,13 @@
 
 	"drumstall.example/internal/kernel/ring"
 	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/sim/simhost"
 	"drumstall.example/internal/state"
 	"drumstall.example/internal/state/acceptor"
 )
 
 const testKey = "replica/m-1"
 
-type clock struct{ zero time.Time }
-
-func (c clock) Since() time.Duration { return time.Since(c.zero) }
-func (c clock) Wall() time.Time      { return time.Now() }
-
 // life is one run of the process of the only core of a set.
 type life struct {
 	group    *run.Group
@@ -33,7 +29,7 @@
 	t.Helper()
 	group := run.NewGroup(t.Context())
 	log := ring.New(io.Discard, 100).Logger()
-	clk := clock{time.Now().Add(-time.Hour)}
+	clk := simhost.NewClock()
 	acc, err := acceptor.Open(group, "d", acceptor.Whose{Fleet: "f", Node: "a"}, fs, clk, log)
 	if err != nil {
 		t.Fatal(err)
