--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -42,32 +42,30 @@
 		return
 	}
 	type answer struct {
+		core  int // whose it is, as an index of cores
 		taken bool
-		whole bool
+		whole bool // it was given the whole report
 	}
 	cores := a.members.Live(member.RoleCore)
 	bodies := a.reports.bodies(l.r, cores, now)
-	ch := run.Fan(a.group, len(cores), func(ctx context.Context, i int) answerOf[answer] {
+	ch := run.Fan(a.group, len(cores), func(ctx context.Context, i int) answer {
 		got, err := a.tellReport(ctx, cores[i].Addr, bodies[i].packed)
 		whole := bodies[i].whole
 		if err == nil && got.Whole {
 			whole = true
 			got, err = a.tellReport(ctx, cores[i].Addr, wire.Pack(l.r))
 		}
-		return answerOf[answer]{i, answer{taken: err == nil && !got.Whole && got.Differences, whole: whole}}
+		return answer{core: i, taken: err == nil && !got.Whole && got.Differences, whole: whole}
 	})
 	taken := make(map[string]takenReport, len(cores))
 	for range cores {
 		got := <-ch
-		if got.i >= len(cores) {
-			continue
-		}
-		addr := cores[got.i].Addr
+		addr := cores[got.core].Addr
 		before := a.reports.taken[addr]
 		switch {
-		case !got.a.taken:
+		case !got.taken:
 			continue // Why: whether the core has it, or can read differences, is not known; the whole one settles that.
-		case got.a.whole:
+		case got.whole:
 			before.wholeAt = now
 		}
 		before.report = l.r
@@ -76,12 +74,6 @@
 	a.reports.taken = taken
 }
 
-// answerOf is the answer of one of several that were asked side by side.
-type answerOf[A any] struct {
-	i int
-	a A
-}
-
 // tellReport sends a packed report to one core.
 func (a *Agent) tellReport(ctx context.Context, addr string, packed cbor.RawMessage) (report.Taken, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
