News of a large fleet goes down a tree of cores and agents

Cause: in a fleet of more than 24 nodes every node passed each entry on to three random peers in five rounds: some 1000 datagrams an entry. On the first grown site an agent sent and took 130 datagrams a second, 1 KB each, the largest part of its processor time and of the bytes between zones. Ruled out: fewer rounds of the same gossip (entries then miss some nodes until a digest), and a direct send of each author to all (each agent hears every core in every round). Change: the author tells all cores, a core the agents below it (rendezvous among the cores of the agent's zone that this core has heard itself), an agent one neighbour of its zone. Digests mend the rest, as before. What is known of members is laid out once a change, not at each question. Tests: 70 members on the simulated network (few datagrams, a core dead, a core cut off from the cores); they fail with the gossip before and with a core trusted that is not heard.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member"
+	"drumstall.example/internal/member/fanout"
 	"drumstall.example/internal/member/touch"
 	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/report"
@@ -107,7 +108,7 @@
 	a.post = wire.NewPost(pc)
 	self := member.Node{Name: s.Name, Role: member.RoleAgent, Zone: s.Zone, Addr: s.Addr, Boot: a.boot, Inc: uint64(max(env.Clock.Wall().UnixMilli(), 1)), Build: env.BuildName()}
 	a.members = member.New(a.group, env.Clock, a.log, a.post, a.caller, a.mux, self, s.Seeds, a.touch)
-	a.spread = news.NewSpreader(a.group, a.news, a.log, a.post, a.caller, a.mux, func() string { return s.Addr }, a.members.Peers, a.touch)
+	a.spread = news.NewSpreader(a.group, a.news, a.log, a.post, a.caller, a.mux, func() string { return s.Addr }, a.members.Peers, a.newsTree, a.touch)
 	a.watch.Start(a.group, s.Cadence.List, a.asksPlatform)
 	wire.Handle(a.feedMux, feed.Path, a.exchange)
 	wire.Handle(a.feedMux, feed.UrgentPath, a.takeUrgent)
@@ -127,6 +128,11 @@
 	return a.s.Cadence.ListSpare == 0 || a.touch.For() > a.s.Cadence.ListSpare
 }
 
+// newsTree is whom this agent tells its news in a large fleet.
+func (a *Agent) newsTree() news.Tree {
+	return fanout.View{Self: a.members.Self(), Nodes: a.members.Nodes()}.Tree()
+}
+
 // Reseed names other seeds.
 func (a *Agent) Reseed(seeds []string) { a.members.Reseed(seeds) }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -175,7 +175,7 @@
 		Phase: string(c.acc.Standing().Phase), Inc: uint64(max(env.Clock.Wall().UnixMilli(), 1)), Face: s.Operator, Build: env.BuildName()}
 	c.members = member.New(c.group, env.Clock, c.log, c.post, c.caller, c.mux, self, s.Seeds, c.touch)
 	c.news.OnNew(c.onNews)
-	c.spread = news.NewSpreader(c.group, c.news, c.log, c.post, c.caller, c.mux, func() string { return s.Addr }, c.members.Peers, c.touch)
+	c.spread = news.NewSpreader(c.group, c.news, c.log, c.post, c.caller, c.mux, func() string { return s.Addr }, c.members.Peers, c.newsTree, c.touch)
 	c.acc.Serve(c.mux)
 	ownQuarantine := s.Bounds.Lease
 	if c.conn.Traits().KnowsByName {
--- a/internal/core/roll.go
+++ b/internal/core/roll.go
@@ -6,7 +6,9 @@
 
 	"drumstall.example/internal/kernel/share"
 	"drumstall.example/internal/member"
+	"drumstall.example/internal/member/fanout"
 	"drumstall.example/internal/member/touch"
+	"drumstall.example/internal/news"
 	"drumstall.example/internal/state"
 	"drumstall.example/internal/state/acceptor"
 )
@@ -68,6 +70,11 @@
 	return min(c.members.HeardFor(v.Name), c.own.HeardFor(v))
 }
 
+// newsTree is whom this core tells its news in a large fleet.
+func (c *Core) newsTree() news.Tree {
+	return fanout.View{Self: c.members.Self(), Nodes: c.members.Nodes(), HeardFor: c.members.HeardFor}.Tree()
+}
+
 // others are the live cores but this one.
 func (c *Core) others() []member.Node {
 	var out []member.Node
--- /dev/null
+++ b/internal/member/fanout/fanout.go
@@ -0,0 +1,88 @@
+// Package fanout says whom a node of a large fleet passes news on to, from what it
+// knows of the members. Cores and agents ask it in each round of passing on; it keeps no state.
+package fanout
+
+import (
+	"time"
+
+	"drumstall.example/internal/kernel/share"
+	"drumstall.example/internal/member"
+	"drumstall.example/internal/news"
+)
+
+// HeardWithin is how long ago a core must have answered this core to be left to tell
+// the agents below it. Why: a core that is cut off from the other cores alone is alive to the agents and has
+// nothing new for them.
+const HeardWithin = 2500 * time.Millisecond
+
+// View is what a node knows of the fleet.
+type View struct {
+	Self  member.Node
+	Nodes []member.Node
+	// HeardFor is how long ago another core answered this core's probe; nil on an agent.
+	HeardFor func(core string) time.Duration
+}
+
+// Tree is whom this node tells its news. Each agent is below one core: by rendezvous,
+// one of its zone if there is any.
+func (v View) Tree() news.Tree {
+	tree := news.Tree{IsCore: v.Self.Role == member.RoleCore}
+	for _, n := range v.Nodes {
+		if n.Role == member.RoleCore && n.Thought() && n.Name != v.Self.Name {
+			tree.Cores = append(tree.Cores, n.Addr)
+		}
+	}
+	if tree.IsCore {
+		tree.Below = v.below()
+	} else {
+		tree.Neighbours = v.neighbours()
+	}
+	return tree
+}
+
+// below is the agents that this core tells.
+func (v View) below() []string {
+	tellers := v.tellers()
+	var out []string
+	for _, n := range v.Nodes {
+		if n.Role == member.RoleAgent && n.Thought() && tellerOf(n, tellers) == v.Self.Name {
+			out = append(out, n.Addr)
+		}
+	}
+	return out
+}
+
+// tellers is the cores that have news for the agents below them, this one among them.
+func (v View) tellers() []member.Node {
+	out := []member.Node{v.Self}
+	for _, n := range v.Nodes {
+		if n.Role == member.RoleCore && n.State == member.Alive && n.Name != v.Self.Name && v.HeardFor(n.Name) < HeardWithin {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// tellerOf is the name of the core that tells an agent.
+func tellerOf(agent member.Node, tellers []member.Node) string {
+	key := []byte(agent.Name)
+	best, bestNear, bestDraw := "", false, uint64(0)
+	for _, core := range tellers {
+		near, draw := core.Zone == agent.Zone, share.Draw(key, core.Name)
+		if best == "" || near && !bestNear || near == bestNear && draw > bestDraw {
+			best, bestNear, bestDraw = core.Name, near, draw
+		}
+	}
+	return best
+}
+
+// neighbours is the other live agents of this node's zone.
+func (v View) neighbours() []string {
+	var out []string
+	for _, n := range v.Nodes {
+		if n.Role == member.RoleAgent && n.State == member.Alive && n.Zone == v.Self.Zone && n.Name != v.Self.Name {
+			out = append(out, n.Addr)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/member/fanout/fleet_test.go
@@ -0,0 +1,219 @@
+package fanout
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"drumstall.example/internal/kernel/ring"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/member"
+	"drumstall.example/internal/member/touch"
+	"drumstall.example/internal/news"
+	"drumstall.example/internal/sim/simhost"
+	"drumstall.example/internal/sim/simnet"
+	"drumstall.example/internal/state"
+)
+
+const (
+	coreCount  = 6
+	agentCount = 64
+	zoneCount  = 3
+	newsPort   = ":7000"
+)
+
+// node is a core or an agent without anything but members and news.
+type node struct {
+	name   string
+	ip     string
+	role   string
+	group  *run.Group
+	post   *wire.Post
+	table  *news.Table
+	caller *wire.Caller
+	stop   func()
+}
+
+// simulated is a fleet of such nodes on a simulated network.
+type simulated struct {
+	t      *testing.T
+	fabric *simnet.Fabric
+	group  *run.Group
+	nodes  []*node
+	serial uint64
+}
+
+func start(t *testing.T) *simulated {
+	s := &simulated{t: t, group: run.NewGroup(t.Context()), fabric: simnet.New(1, func(string, string) time.Duration { return time.Millisecond })}
+	seeds := []string{"10.0.0.1" + newsPort, "10.0.0.2" + newsPort, "10.0.0.3" + newsPort}
+	for i := range coreCount {
+		s.startNode(fmt.Sprintf("core-%d", i), fmt.Sprintf("10.0.0.%d", i+1), member.RoleCore, i, seeds)
+	}
+	for i := range agentCount {
+		s.startNode(fmt.Sprintf("agent-%d", i), fmt.Sprintf("10.0.1.%d", i+1), member.RoleAgent, i, seeds)
+	}
+	return s
+}
+
+func (s *simulated) startNode(name, ip, role string, number int, seeds []string) {
+	host := s.fabric.Host(ip)
+	addr := ip + newsPort
+	listener, err := host.Listen(addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	packets, err := host.ListenPacket(addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	clock := simhost.NewClock()
+	n := &node{name: name, ip: ip, role: role, group: s.group.Child(), post: wire.NewPost(packets), table: news.NewTable(), caller: wire.NewCaller(host)}
+	log, mux, in := ring.New(io.Discard, 10).Logger(), wire.NewMux(), touch.New(clock)
+	self := member.Node{Name: name, Role: role, Zone: fmt.Sprintf("zone-%d", number%zoneCount), Addr: addr, Boot: name, Inc: 1}
+	members := member.New(n.group, clock, log, n.post, n.caller, mux, self, seeds, in)
+	tree := func() news.Tree {
+		return View{Self: members.Self(), Nodes: members.Nodes(), HeardFor: members.HeardFor}.Tree()
+	}
+	news.NewSpreader(n.group, n.table, log, n.post, n.caller, mux, func() string { return addr }, members.Peers, tree, in)
+	server := wire.NewServer(listener, mux)
+	n.group.Go(func(ctx context.Context) { n.post.Run(ctx) })
+	n.group.Go(server.Run)
+	n.stop = func() {
+		n.post.Close()
+		server.Close()
+		n.group.Stop()
+		n.caller.Close()
+	}
+	s.nodes = append(s.nodes, n)
+}
+
+func (s *simulated) stop() {
+	for _, n := range s.nodes {
+		n.stop()
+	}
+	s.group.Stop()
+}
+
+// kill ends a node without a word.
+func (s *simulated) kill(name string) {
+	i := slices.IndexFunc(s.nodes, func(n *node) bool { return n.name == name })
+	s.nodes[i].stop()
+	s.nodes = slices.Delete(s.nodes, i, i+1)
+}
+
+// sent counts the datagrams of all nodes.
+func (s *simulated) sent() (count int64) {
+	for _, n := range s.nodes {
+		count += n.post.Sent()
+	}
+	return count
+}
+
+// put enters something new at a node.
+func (s *simulated) put(at string) news.Entry {
+	s.serial++
+	e := news.Entry{Key: fmt.Sprintf("replica/r-%d", s.serial), Stamp: state.Stamp{Epoch: 1, Serial: s.serial}, Value: make([]byte, 300)}
+	s.nodes[slices.IndexFunc(s.nodes, func(n *node) bool { return n.name == at })].table.Put(e)
+	return e
+}
+
+// lacking is the nodes that have not got an entry.
+func (s *simulated) lacking(e news.Entry) (out []string) {
+	for _, n := range s.nodes {
+		if _, found := n.table.Get(e.Key); !found {
+			out = append(out, n.name)
+		}
+	}
+	return out
+}
+
+// arrives checks that an entry put at a node is everywhere within a time.
+func (s *simulated) arrives(when, at string, within time.Duration) {
+	s.t.Helper()
+	e := s.put(at)
+	time.Sleep(within)
+	synctest.Wait()
+	if lack := s.lacking(e); len(lack) > 0 {
+		s.t.Errorf("%s: %v after it was put at %s, %d nodes lack it: %v", when, within, at, len(lack), lack)
+	}
+}
+
+const (
+	// settled is until all nodes know one another.
+	settled = 8 * time.Second
+	// twoRounds and some time on the way is what an entry takes down the tree.
+	twoRounds = 300 * time.Millisecond
+	// mended is within what digests bring what the tree does not.
+	mended = 6 * time.Second
+)
+
+func TestNewsGoesDownTheTree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t)
+		defer s.stop()
+		time.Sleep(settled)
+		s.arrives("at rest", "core-4", twoRounds)
+		s.arrives("at rest", "agent-17", twoRounds+100*time.Millisecond)
+	})
+}
+
+// Each entry was once some 1000 datagrams, and a node of a fleet like this sent and took 130 a second.
+func TestWhatIsNewTakesFewDatagrams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t)
+		defer s.stop()
+		time.Sleep(settled)
+		const span = 4 * time.Second
+		before := s.sent()
+		time.Sleep(span)
+		atRest := s.sent() - before
+		before = s.sent()
+		const entries = 40
+		for i := range entries {
+			s.put(fmt.Sprintf("core-%d", i%coreCount))
+			time.Sleep(span / entries)
+		}
+		each := float64(s.sent()-before-atRest) / entries
+		if most := 2.5 * (coreCount + agentCount); each > most {
+			t.Errorf("an entry takes %.0f datagrams, want at most %.0f", each, most)
+		}
+	})
+}
+
+func TestACoreThatDiesTakesNoAgentsAlong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t)
+		defer s.stop()
+		time.Sleep(settled)
+		s.kill("core-1")
+		s.arrives("just after", "core-4", mended)
+		s.arrives("after suspicion", "core-2", twoRounds)
+	})
+}
+
+func TestACoreCutOffFromTheCoresTakesNoAgentsAlong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t)
+		defer s.stop()
+		time.Sleep(settled)
+		for i := range coreCount {
+			if i != 1 {
+				s.fabric.Cut("10.0.0.2", fmt.Sprintf("10.0.0.%d", i+1), true)
+				s.fabric.Cut(fmt.Sprintf("10.0.0.%d", i+1), "10.0.0.2", true)
+			}
+		}
+		s.arrives("just after", "core-4", mended)
+		// Why: the core itself has no other way than digests; all others are told by the tree again.
+		e := s.put("core-2")
+		time.Sleep(twoRounds)
+		synctest.Wait()
+		if lack := s.lacking(e); len(lack) > 1 || len(lack) == 1 && lack[0] != "core-1" {
+			t.Errorf("%d nodes lack it: %v", len(lack), lack)
+		}
+	})
+}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"sort"
 	"sync/atomic"
 	"time"
 
@@ -39,7 +38,7 @@
 	turn    []string
 	ticks   int
 	yielded bool // another process has taken this node's name
-	snap    atomic.Pointer[[]Node]
+	snap    atomic.Pointer[snapshot]
 	touch   *touch.Keeper
 	cores   []string                                 // whom a core has still to probe this round
 	acked   atomic.Pointer[map[string]time.Duration] // cores: when the probe was sent that each answered last
@@ -114,31 +113,6 @@
 	})
 }
 
-// Nodes are all known nodes, this one among them, by name.
-func (t *Table) Nodes() []Node { return *t.snap.Load() }
-
-// Live are the nodes of a role thought to be there; "" is any role.
-func (t *Table) Live(role string) []Node {
-	var out []Node
-	for _, n := range t.Nodes() {
-		if n.Thought() && (role == "" || n.Role == role) {
-			out = append(out, n)
-		}
-	}
-	return out
-}
-
-// Peers are the addresses of the live nodes other than this one.
-func (t *Table) Peers() []string {
-	var out []string
-	for _, n := range t.Live("") {
-		if n.Name != t.self.Name {
-			out = append(out, n.Addr)
-		}
-	}
-	return out
-}
-
 // HeardFor is how long ago a core was asked a probe that it has answered;
 // touch.Never if it never has.
 func (t *Table) HeardFor(core string) time.Duration {
@@ -149,19 +123,6 @@
 	return t.clock.Since() - at
 }
 
-// publish makes what is known now readable from outside the desk.
-func (t *Table) publish() {
-	out := make([]Node, 0, len(t.nodes)+1)
-	if !t.yielded {
-		out = append(out, t.self)
-	}
-	for _, e := range t.nodes {
-		out = append(out, e.node)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
-	t.snap.Store(&out)
-}
-
 // onTick ages probes and opinions, sends the next probes, and exchanges whole
 // tables now and then.
 func (t *Table) onTick() {
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -22,7 +22,7 @@
 	retell         = 5                      // rounds in which a fact is told
 	smallBytes     = 900                    // a larger value is pulled by who lacks it
 	// allTold is up to how many peers one who has something new tells all of them at once; others pass it
-	// on once more. In a larger fleet it goes from few to few.
+	// on once more. In a larger fleet it goes down a tree, or from few to few where no core is known.
 	allTold      = 24
 	retellDirect = 2
 	retellTold   = 1
@@ -41,6 +41,27 @@
 	Head  bool        `cbor:"5,keyasint,omitempty"` // only a headline: the value has to be pulled
 }
 
+// origin is where a node has an entry from.
+type origin uint8
+
+// The origins of an entry.
+const (
+	own      origin = iota // this node made it
+	fromCore               // a core told it while it passed it down the tree
+	fromPeer               // any other node told it, or it came to mend a gap
+	origins
+)
+
+// rounds is in how many rounds an entry is passed on, by its origin.
+type rounds [origins]int
+
+var (
+	directRounds    = rounds{own: retellDirect, fromCore: retellTold, fromPeer: retellTold}
+	gossipRounds    = rounds{own: retell, fromCore: retell, fromPeer: retell}
+	treeCoreRounds  = rounds{own: retellDirect, fromCore: retellTold, fromPeer: retellDirect}
+	treeAgentRounds = rounds{own: retellDirect, fromCore: retellTold, fromPeer: retellTold}
+)
+
 // lasting says whether a removed key must be remembered for good: a leaving
 // mark counts up from the last one, so forgetting it would make the next look old.
 func lasting(key string) bool { return strings.HasPrefix(key, "mark/") }
--- a/internal/news/spread.go
+++ b/internal/news/spread.go
@@ -33,14 +33,16 @@
 	caller  *wire.Caller
 	self    func() string
 	peers   func() []string
-	pulling atomic.Int64 // pulls under way
+	tree    func() Tree          // nil is a fleet without one
+	known   atomic.Pointer[Tree] // the tree of the last round
+	pulling atomic.Int64         // pulls under way
 }
 
 // NewSpreader starts to pass news on and to take it, until g stops. self and peers
-// give addresses as they are now; in is this node's word on how long it has been
-// out of touch.
-func NewSpreader(g *run.Group, t *Table, log *slog.Logger, post *wire.Post, caller *wire.Caller, mux *wire.Mux, self func() string, peers func() []string, in *touch.Keeper) *Spreader {
-	s := &Spreader{t: t, g: g, log: log, post: post, caller: caller, self: self, peers: peers}
+// give addresses as they are now, and tree whom this node tells in a large fleet; in is
+// this node's word on how long it has been out of touch.
+func NewSpreader(g *run.Group, t *Table, log *slog.Logger, post *wire.Post, caller *wire.Caller, mux *wire.Mux, self func() string, peers func() []string, tree func() Tree, in *touch.Keeper) *Spreader {
+	s := &Spreader{t: t, g: g, log: log, post: post, caller: caller, self: self, peers: peers, tree: tree}
 	post.On("news", func(body []byte) {
 		var b bundle
 		if wire.Unpack(body, &b) != nil {
@@ -92,21 +94,38 @@
 	return p[:min(n, len(p))]
 }
 
-// passOn sends what is new to a few peers, or in a small fleet what is new
-// here to all of them. At once means that only what was never told goes out.
+// passOn sends what is new to whom it is for: in a small fleet to all, in a large
+// one down the tree. At once means that only what was never told goes out.
 func (s *Spreader) passOn(atOnce bool) {
 	all := s.peers()
-	s.t.small.Store(len(all) <= allTold)
+	if len(all) > allTold {
+		s.passOnInLargeFleet(atOnce)
+		return
+	}
+	s.t.rounds.Store(&directRounds)
 	if len(all) == 0 {
 		return
 	}
-	if len(all) <= allTold {
-		s.send(all, s.due(func(h *held) bool { return !h.told && (!atOnce || h.tell == retellDirect) }))
+	s.send(all, s.due(func(h *held) bool { return h.from == own && (!atOnce || h.tell == retellDirect) }))
+	if !atOnce {
+		s.send(s.some(fanout), s.due(func(h *held) bool { return h.from != own }))
 	}
+}
+
+// passOnInLargeFleet sends what is new down the tree, or to a few peers where there is
+// none. Why: in a large fleet nothing goes out between two rounds, or each entry would be a datagram for
+// every node.
+func (s *Spreader) passOnInLargeFleet(atOnce bool) {
 	if atOnce {
 		return
 	}
-	s.send(s.some(fanout), s.due(func(h *held) bool { return h.told || len(all) > allTold }))
+	tree := s.treeNow()
+	if !tree.stands() {
+		s.t.rounds.Store(&gossipRounds)
+		s.send(s.some(fanout), s.due(func(*held) bool { return true }))
+		return
+	}
+	s.passDown(tree)
 }
 
 // due takes the entries that are to be passed on now.
@@ -118,11 +137,7 @@
 		if !which(h) {
 			continue
 		}
-		e := h.e
-		if len(e.Value) > smallBytes {
-			e.Value, e.Head = nil, true
-		}
-		out = append(out, e)
+		out = append(out, headline(h.e))
 		if h.tell--; h.tell <= 0 {
 			delete(s.t.hot, k)
 		}
@@ -130,6 +145,14 @@
 	return out
 }
 
+// headline is an entry as it goes into a datagram: a large value is left out.
+func headline(e Entry) Entry {
+	if len(e.Value) > smallBytes {
+		e.Value, e.Head = nil, true
+	}
+	return e
+}
+
 // send sends entries in datagrams of bounded size.
 func (s *Spreader) send(to []string, out []Entry) {
 	for len(out) > 0 {
@@ -149,9 +172,10 @@
 // take learns what a datagram holds, and pulls what it only names.
 func (s *Spreader) take(b bundle) {
 	var want []string
+	from := s.originOf(b.From)
 	for _, e := range b.Entries {
 		if !e.Head {
-			s.t.Learn(e)
+			s.t.put(e, from)
 		} else if e.Stamp.Newer(s.t.StampOf(e.Key)) {
 			want = append(want, e.Key)
 		}
--- a/internal/news/table.go
+++ b/internal/news/table.go
@@ -15,7 +15,7 @@
 	e    Entry
 	seq  uint64 // grows with each change of the table
 	tell int    // times it is still to be passed on
-	told bool   // a peer told us
+	from origin
 	at   time.Time
 }
 
@@ -31,13 +31,15 @@
 	changed chan struct{}
 	dropped atomic.Int64
 	onNew   []func(Entry)
-	small   atomic.Bool // the fleet is so small that who has something new tells everybody
+	rounds  atomic.Pointer[rounds]
 	onOwn   atomic.Pointer[func()]
 }
 
 // NewTable makes a table that knows nothing.
 func NewTable() *Table {
-	return &Table{m: map[string]*held{}, hot: map[string]*held{}, changed: make(chan struct{})}
+	t := &Table{m: map[string]*held{}, hot: map[string]*held{}, changed: make(chan struct{})}
+	t.rounds.Store(&gossipRounds)
+	return t
 }
 
 // OnNew calls f with every entry that is newer than what was known. Name all
@@ -47,7 +49,7 @@
 // Put takes an entry of this node's own making if it is newer than what is known,
 // and says whether it was; it is passed on at once.
 func (t *Table) Put(e Entry) bool {
-	if !t.put(e, false) {
+	if !t.put(e, own) {
 		return false
 	}
 	if f := t.onOwn.Load(); f != nil {
@@ -57,22 +59,11 @@
 }
 
 // Learn takes an entry that a peer told, and says whether it was newer.
-func (t *Table) Learn(e Entry) bool { return t.put(e, true) }
-
-// tells is in how many rounds a fact is to be passed on.
-func (t *Table) tells(told bool) int {
-	switch {
-	case !t.small.Load():
-		return retell
-	case told:
-		return retellTold
-	}
-	return retellDirect
-}
+func (t *Table) Learn(e Entry) bool { return t.put(e, fromPeer) }
 
 // put takes an entry if it is newer than what is known, and tells who asked for that.
-func (t *Table) put(e Entry, told bool) bool {
-	if !t.enter(e, told) {
+func (t *Table) put(e Entry, from origin) bool {
+	if !t.enter(e, from) {
 		return false
 	}
 	for _, f := range t.onNew {
@@ -82,7 +73,7 @@
 }
 
 // enter changes the table alone.
-func (t *Table) enter(e Entry, told bool) bool {
+func (t *Table) enter(e Entry, from origin) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.m[e.Key]
@@ -101,7 +92,7 @@
 	}
 	xor(&t.sums[b], sumOf(e))
 	t.seq++
-	h := &held{e: e, seq: t.seq, tell: t.tells(told), told: told, at: time.Now()}
+	h := &held{e: e, seq: t.seq, tell: t.rounds.Load()[from], from: from, at: time.Now()}
 	t.m[e.Key], t.hot[e.Key] = h, h
 	close(t.changed)
 	t.changed = make(chan struct{})
--- a/internal/sim/capacity/capacity_test.go
+++ b/internal/sim/capacity/capacity_test.go
@@ -514,7 +514,7 @@
 		pc, _ := net.ListenPacket("udp", "127.0.0.1:0")
 		mux := wire.NewMux()
 		t := newsTable(600, 10, x, nil)
-		news.NewSpreader(g.Child(), t, env.Log.Logger(), wire.NewPost(pc), wire.NewCaller(env.Net), mux, func() string { return "" }, func() []string { return nil }, touch.New(env.Clock))
+		news.NewSpreader(g.Child(), t, env.Log.Logger(), wire.NewPost(pc), wire.NewCaller(env.Net), mux, func() string { return "" }, func() []string { return nil }, nil, touch.New(env.Clock))
 		var d news.Digest
 		for range 64 {
 			d.Sums = append(d.Sums, make([]byte, 16))
