A visitor is a client, and of the proxy's own face a caller

The stand-in's senders are Clients, the design's service is caller, the proxy's setting and flag are callers (examples and docs/interfaces.md say so). Generated code made anew; assertions unchanged. Tests of stand, proxy, relay and the programs pass.

--- a/cmd/dsfleet/fleet.go
+++ b/cmd/dsfleet/fleet.go
@@ -121,7 +121,7 @@
 	if err := f.add(fmt.Sprintf("agent-%d", i+1), "dsagent", "--name", node, "--zone", zone, "--addr", addr, "--feed", feed, "--seeds", seeds, "--platform", f.plat); err != nil {
 		return err
 	}
-	return f.add(fmt.Sprintf("proxy-%d", i+1), "dsproxy", "--name", node, "--zone", zone, "--visitors", f.edges[i].Addr, "--agent", feed, "--platform", f.plat)
+	return f.add(fmt.Sprintf("proxy-%d", i+1), "dsproxy", "--name", node, "--zone", zone, "--callers", f.edges[i].Addr, "--agent", feed, "--platform", f.plat)
 }
 
 // record names the file that a stand-in records in.
--- a/cmd/dsfleet/play.go
+++ b/cmd/dsfleet/play.go
@@ -16,7 +16,7 @@
 )
 
 // serves waits until every edge has a configuration in force.
-func (f *fleet) serves(ctx context.Context, v *stand.Visitors) error {
+func (f *fleet) serves(ctx context.Context, v *stand.Clients) error {
 	for _, e := range f.edges {
 		v.WatchConf(f.group, func() stand.Edge { return e })
 		if err := f.until(ctx, 15*time.Second, e.Name+" serves", func() error {
@@ -33,7 +33,7 @@
 
 // play sends the traffic and takes the steps meanwhile, and reads the
 // configuration back at the end. It gives how many things went wrong.
-func (f *fleet) play(ctx context.Context, s setup.Set, v *stand.Visitors, steps []stand.Step) (wrong int) {
+func (f *fleet) play(ctx context.Context, s setup.Set, v *stand.Clients, steps []stand.Step) (wrong int) {
 	flows := append([]stand.Flow(nil), f.d.Flows...)
 	for i := range flows {
 		flows[i].PerSecond *= float64(s.Int("scale")) / 100
--- a/cmd/dsproxy/main.go
+++ b/cmd/dsproxy/main.go
@@ -16,14 +16,14 @@
 var rows = []setup.Row{
 	{Name: "name", Check: setup.Word, Doc: "name of this machine"},
 	{Name: "zone", Check: setup.Word, Doc: "zone of this machine"},
-	{Name: "visitors", Check: setup.Address, Doc: "IP:PORT for callers, HTTP"},
+	{Name: "callers", Check: setup.Address, Doc: "IP:PORT for callers, HTTP"},
 	{Name: "agent", Check: setup.Address, Doc: "loopback IP:PORT of the agent's feed"},
 	{Name: "platform", Check: setup.Address, Doc: "IP:PORT of the platform, asked only while the agent is away"},
 }
 
 func main() {
 	os.Exit(setup.Program("dsproxy", "traffic of drumstall", rows, func(s setup.Set) (func(context.Context) error, func() bool, error) {
-		p, err := proxy.Start(proxy.Settings{Name: s["name"], Zone: s["zone"], Visitors: s["visitors"], Agent: s["agent"], Platform: s["platform"]},
+		p, err := proxy.Start(proxy.Settings{Name: s["name"], Zone: s["zone"], Callers: s["callers"], Agent: s["agent"], Platform: s["platform"]},
 			core.Env{Net: wire.Host(), Clock: tick.Machine(), Log: ring.New(os.Stderr, 2000)})
 		if err != nil {
 			return nil, nil, err
--- a/design/design.go
+++ b/design/design.go
@@ -9,7 +9,7 @@
 	Title("drumstall")
 	Description("Router and placer for many models.")
 	Server("drumstall", func() {
-		Services("visitor", "operator", "replica", "platform")
+		Services("caller", "operator", "replica", "platform")
 		Host("loopback", func() { URI("http://127.0.0.1:8080") })
 	})
 })
@@ -37,7 +37,7 @@
 	})
 }
 
-var _ = Service("visitor", func() {
+var _ = Service("caller", func() {
 	Description("Requests of callers.")
 	drops("bad", "unknown_target", "too_large", "full", "too_late", "lost")
 	Method("shoot", func() {
--- a/gen/http/cli/drumstall/cli.go
+++ b/gen/http/cli/drumstall/cli.go
@@ -13,10 +13,10 @@
 	"net/http"
 	"os"
 
+	callerc "drumstall.example/gen/http/caller/client"
 	operatorc "drumstall.example/gen/http/operator/client"
 	platformc "drumstall.example/gen/http/platform/client"
 	replicac "drumstall.example/gen/http/replica/client"
-	visitorc "drumstall.example/gen/http/visitor/client"
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
 )
@@ -26,7 +26,7 @@
 //	command (subcommand1|subcommand2|...)
 func UsageCommands() []string {
 	return []string{
-		"visitor (shoot|vitals)",
+		"caller (shoot|vitals)",
 		"operator (put|patch|get|status|explain|rescue|logs)",
 		"replica (vitals|order)",
 		"platform list",
@@ -35,7 +35,7 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "visitor shoot --route \"Eveniet id expedita itaque autem cum.\" --model \"Autem quos omnis quis.\" --adapter \"Reiciendis molestias voluptatem quasi at nulla.\" --deadline-ms 5763505179393071394 --ticket \"Mollitia est a qui.\" --stream \"goa.png\"" + "\n" +
+	return os.Args[0] + " " + "caller shoot --route \"Eveniet id expedita itaque autem cum.\" --model \"Autem quos omnis quis.\" --adapter \"Reiciendis molestias voluptatem quasi at nulla.\" --deadline-ms 5763505179393071394 --ticket \"Mollitia est a qui.\" --stream \"goa.png\"" + "\n" +
 		os.Args[0] + " " + "operator put --if-match \"Aliquam voluptate vero et.\" --content-type \"Eaque eum corrupti.\" --stream \"goa.png\"" + "\n" +
 		os.Args[0] + " " + "replica vitals" + "\n" +
 		os.Args[0] + " " + "platform list" + "\n" +
@@ -52,17 +52,17 @@
 	restore bool,
 ) (goa.Endpoint, any, error) {
 	var (
-		visitorFlags = flag.NewFlagSet("visitor", flag.ContinueOnError)
+		callerFlags = flag.NewFlagSet("caller", flag.ContinueOnError)
 
-		visitorShootFlags          = flag.NewFlagSet("shoot", flag.ExitOnError)
-		visitorShootRouteFlag      = visitorShootFlags.String("route", "REQUIRED", "Name of the route")
-		visitorShootModelFlag      = visitorShootFlags.String("model", "", "")
-		visitorShootAdapterFlag    = visitorShootFlags.String("adapter", "", "")
-		visitorShootDeadlineMsFlag = visitorShootFlags.String("deadline-ms", "", "")
-		visitorShootTicketFlag     = visitorShootFlags.String("ticket", "", "")
-		visitorShootStreamFlag     = visitorShootFlags.String("stream", "REQUIRED", "path to file containing the streamed request body")
+		callerShootFlags          = flag.NewFlagSet("shoot", flag.ExitOnError)
+		callerShootRouteFlag      = callerShootFlags.String("route", "REQUIRED", "Name of the route")
+		callerShootModelFlag      = callerShootFlags.String("model", "", "")
+		callerShootAdapterFlag    = callerShootFlags.String("adapter", "", "")
+		callerShootDeadlineMsFlag = callerShootFlags.String("deadline-ms", "", "")
+		callerShootTicketFlag     = callerShootFlags.String("ticket", "", "")
+		callerShootStreamFlag     = callerShootFlags.String("stream", "REQUIRED", "path to file containing the streamed request body")
 
-		visitorVitalsFlags = flag.NewFlagSet("vitals", flag.ExitOnError)
+		callerVitalsFlags = flag.NewFlagSet("vitals", flag.ExitOnError)
 
 		operatorFlags = flag.NewFlagSet("operator", flag.ContinueOnError)
 
@@ -100,9 +100,9 @@
 
 		platformListFlags = flag.NewFlagSet("list", flag.ExitOnError)
 	)
-	visitorFlags.Usage = visitorUsage
-	visitorShootFlags.Usage = visitorShootUsage
-	visitorVitalsFlags.Usage = visitorVitalsUsage
+	callerFlags.Usage = callerUsage
+	callerShootFlags.Usage = callerShootUsage
+	callerVitalsFlags.Usage = callerVitalsUsage
 
 	operatorFlags.Usage = operatorUsage
 	operatorPutFlags.Usage = operatorPutUsage
@@ -135,8 +135,8 @@
 	{
 		svcn = flag.Arg(0)
 		switch svcn {
-		case "visitor":
-			svcf = visitorFlags
+		case "caller":
+			svcf = callerFlags
 		case "operator":
 			svcf = operatorFlags
 		case "replica":
@@ -158,13 +158,13 @@
 	{
 		epn = svcf.Arg(0)
 		switch svcn {
-		case "visitor":
+		case "caller":
 			switch epn {
 			case "shoot":
-				epf = visitorShootFlags
+				epf = callerShootFlags
 
 			case "vitals":
-				epf = visitorVitalsFlags
+				epf = callerVitalsFlags
 
 			}
 
@@ -230,14 +230,14 @@
 	)
 	{
 		switch svcn {
-		case "visitor":
-			c := visitorc.NewClient(scheme, host, doer, enc, dec, restore)
+		case "caller":
+			c := callerc.NewClient(scheme, host, doer, enc, dec, restore)
 			switch epn {
 			case "shoot":
 				endpoint = c.Shoot()
-				data, err = visitorc.BuildShootPayload(*visitorShootRouteFlag, *visitorShootModelFlag, *visitorShootAdapterFlag, *visitorShootDeadlineMsFlag, *visitorShootTicketFlag)
+				data, err = callerc.BuildShootPayload(*callerShootRouteFlag, *callerShootModelFlag, *callerShootAdapterFlag, *callerShootDeadlineMsFlag, *callerShootTicketFlag)
 				if err == nil {
-					data, err = visitorc.BuildShootStreamPayload(data, *visitorShootStreamFlag)
+					data, err = callerc.BuildShootStreamPayload(data, *callerShootStreamFlag)
 				}
 			case "vitals":
 				endpoint = c.Vitals()
@@ -295,20 +295,20 @@
 	return endpoint, data, nil
 }
 
-// visitorUsage displays the usage of the visitor command and its subcommands.
-func visitorUsage() {
+// callerUsage displays the usage of the caller command and its subcommands.
+func callerUsage() {
 	fmt.Fprintln(os.Stderr, `Requests of callers.`)
-	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] visitor COMMAND [flags]\n\n", os.Args[0])
+	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] caller COMMAND [flags]\n\n", os.Args[0])
 	fmt.Fprintln(os.Stderr, "COMMAND:")
 	fmt.Fprintln(os.Stderr, `    shoot: Send one request over a route; the answer is streamed back as the back end sends it.`)
 	fmt.Fprintln(os.Stderr, `    vitals: Whether this proxy serves.`)
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Additional help:")
-	fmt.Fprintf(os.Stderr, "    %s visitor COMMAND --help\n", os.Args[0])
+	fmt.Fprintf(os.Stderr, "    %s caller COMMAND --help\n", os.Args[0])
 }
-func visitorShootUsage() {
+func callerShootUsage() {
 	// Header with flags
-	fmt.Fprintf(os.Stderr, "%s [flags] visitor shoot", os.Args[0])
+	fmt.Fprintf(os.Stderr, "%s [flags] caller shoot", os.Args[0])
 	fmt.Fprint(os.Stderr, " -route STRING")
 	fmt.Fprint(os.Stderr, " -model STRING")
 	fmt.Fprint(os.Stderr, " -adapter STRING")
@@ -331,12 +331,12 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "visitor shoot --route \"Eveniet id expedita itaque autem cum.\" --model \"Autem quos omnis quis.\" --adapter \"Reiciendis molestias voluptatem quasi at nulla.\" --deadline-ms 5763505179393071394 --ticket \"Mollitia est a qui.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller shoot --route \"Eveniet id expedita itaque autem cum.\" --model \"Autem quos omnis quis.\" --adapter \"Reiciendis molestias voluptatem quasi at nulla.\" --deadline-ms 5763505179393071394 --ticket \"Mollitia est a qui.\" --stream \"goa.png\"")
 }
 
-func visitorVitalsUsage() {
+func callerVitalsUsage() {
 	// Header with flags
-	fmt.Fprintf(os.Stderr, "%s [flags] visitor vitals", os.Args[0])
+	fmt.Fprintf(os.Stderr, "%s [flags] caller vitals", os.Args[0])
 	fmt.Fprintln(os.Stderr)
 
 	// Description
@@ -347,7 +347,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "visitor vitals")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller vitals")
 }
 
 // operatorUsage displays the usage of the operator command and its subcommands.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -67,7 +67,7 @@
 		return a
 	case <-wait.C:
 	case <-ctx.Done():
-		late.Why = "the visitor left"
+		late.Why = "the client left"
 	}
 	if t.Withdraw() {
 		return late
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -63,7 +63,7 @@
 	Empty   time.Time // since when nobody has held what it needs; zero: somebody does
 }
 
-// Class is the holding of one class of visitors.
+// Class is the holding of one class of clients.
 type Class struct {
 	Name  string
 	Conf  conf.Class
--- a/internal/proxy/native.go
+++ b/internal/proxy/native.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	gen "drumstall.example/gen/visitor"
+	gen "drumstall.example/gen/caller"
 	"drumstall.example/internal/attempt"
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/relay"
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,4 +1,4 @@
-// Package proxy puts a dsproxy together: the visitors' face, gate, shots,
+// Package proxy puts a dsproxy together: the callers' face, gate, shots,
 // relay, and the feed from the agent beside it.
 package proxy
 
@@ -13,8 +13,8 @@
 
 	"github.com/pkg/errors"
 
-	"drumstall.example/gen/http/visitor/server"
-	gen "drumstall.example/gen/visitor"
+	gen "drumstall.example/gen/caller"
+	"drumstall.example/gen/http/caller/server"
 	"drumstall.example/internal/attempt"
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/core"
@@ -71,7 +71,7 @@
 type Settings struct {
 	Name     string
 	Zone     string
-	Visitors string // visitors' HTTP
+	Callers  string // callers' HTTP
 	Agent    string // the agent's loopback address
 	Platform string
 	Bounds   bounds.Bounds
@@ -165,10 +165,10 @@
 // listen opens the faces for callers, the design's own among them.
 func (p *Proxy) listen() error {
 	at := map[string]http.Handler{}
-	if p.s.Visitors != "" {
+	if p.s.Callers != "" {
 		mux := face.NewMuxer()
 		server.New(gen.NewEndpoints(p), mux, face.Decoder, face.Encoder, face.Quiet, face.Formatter).Mount(mux)
-		at[p.s.Visitors] = p.lettingGo(relay.WithReadLimit(mux, bodyLimit))
+		at[p.s.Callers] = p.lettingGo(relay.WithReadLimit(mux, bodyLimit))
 	}
 	for addr, f := range p.s.Faces {
 		at[addr] = f(p)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,4 +1,4 @@
-// Package relay passes an answer on piece by piece, at the visitor's pace, and
+// Package relay passes an answer on piece by piece, at the client's pace, and
 // never lets a broken one look whole.
 package relay
 
@@ -11,10 +11,10 @@
 	"time"
 )
 
-// pieceLimit is how long a visitor may take over one piece.
+// pieceLimit is how long a client may take over one piece.
 const pieceLimit = 30 * time.Second
 
-// Stream is the body of an answer to a visitor.
+// Stream is the body of an answer to a client.
 type Stream struct {
 	from io.ReadCloser
 	done func()
@@ -79,7 +79,7 @@
 
 type key struct{}
 
-// WithReadLimit gives the handler a bound on how long the visitor may take to
+// WithReadLimit gives the handler a bound on how long the client may take to
 // send its body, and the means to end the bound.
 func WithReadLimit(h http.Handler, limit time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/sim/fleet/callers_test.go
+++ b/internal/sim/fleet/callers_test.go
@@ -128,7 +128,7 @@
 				}
 				f := New(t, 1, d)
 				defer f.Stop()
-				f.Visitors.Heed = true
+				f.Clients.Heed = true
 				f.Traffic(1)
 				time.Sleep(span)
 				f.Quiet()
--- a/internal/sim/fleet/crowd_test.go
+++ b/internal/sim/fleet/crowd_test.go
@@ -22,7 +22,7 @@
 		spots, fl := f.Spots(), f.D.Flows[1]
 		for i := range 1500 {
 			f.Group.Go(func(ctx context.Context) {
-				f.Visitors.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd", Route: fl.Route, Item: fl.Items[i%3], Prompt: "the same for all"})
+				f.Clients.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd", Route: fl.Route, Item: fl.Items[i%3], Prompt: "the same for all"})
 			})
 		}
 		time.Sleep(20 * time.Second)
@@ -62,7 +62,7 @@
 		for i := range 80 {
 			it := fl.Items[len(fl.Items)-1-i%8]
 			f.Group.Go(func(ctx context.Context) {
-				f.Visitors.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "rare", Route: fl.Route, Item: it, Prompt: "p"})
+				f.Clients.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "rare", Route: fl.Route, Item: it, Prompt: "p"})
 			})
 		}
 		time.Sleep(40 * time.Second)
@@ -111,7 +111,7 @@
 		ask := func(model string, pieces int) <-chan check.Event {
 			got := make(chan check.Event, 1)
 			f.Group.Go(func(ctx context.Context) {
-				got <- f.Visitors.Ask(ctx, spots[0], stand.Request{Class: model, Route: route, Item: conf.Item{Model: model}, Prompt: "p", Pieces: pieces})
+				got <- f.Clients.Ask(ctx, spots[0], stand.Request{Class: model, Route: route, Item: conf.Item{Model: model}, Prompt: "p", Pieces: pieces})
 			})
 			return got
 		}
@@ -148,7 +148,7 @@
 		spots, fl := f.Spots(), f.D.Flows[1]
 		for i := range 300 {
 			f.Group.Go(func(ctx context.Context) {
-				f.Visitors.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd", Route: fl.Route, Item: conf.Item{Model: "model-01"}, Prompt: "same", Pieces: 20})
+				f.Clients.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd", Route: fl.Route, Item: conf.Item{Model: "model-01"}, Prompt: "same", Pieces: 20})
 			})
 		}
 		time.Sleep(15 * time.Second)
@@ -186,7 +186,7 @@
 			for _, fl := range f.D.Flows[1:] {
 				for i := range 30 {
 					f.Group.Go(func(ctx context.Context) {
-						f.Visitors.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd " + fl.Class, Route: fl.Route, Item: conf.Item{Model: "model-03"}, Prompt: "p", Pieces: 40})
+						f.Clients.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd " + fl.Class, Route: fl.Route, Item: conf.Item{Model: "model-03"}, Prompt: "p", Pieces: 40})
 					})
 				}
 			}
--- a/internal/sim/fleet/fleet.go
+++ b/internal/sim/fleet/fleet.go
@@ -55,7 +55,7 @@
 	Edges    []*Node
 	Replicas map[string]*stand.Replica
 	Platform *stand.Platform
-	Visitors *stand.Visitors
+	Clients  *stand.Clients
 	Group    *run.Group
 	Rnd      *Chance
 	Build    string    // what processes started from now on call their build
@@ -140,7 +140,7 @@
 	for _, n := range f.Edges {
 		f.StartEdge(n)
 	}
-	f.Visitors = stand.NewVisitors("v", f.Net.Host("10.8.0.1"), f.Rec)
+	f.Clients = stand.NewClients("v", f.Net.Host("10.8.0.1"), f.Rec)
 	f.opHTTP = &http.Client{Transport: &http.Transport{DialContext: f.Net.Host("10.8.0.2").Dial, DisableKeepAlives: true}}
 	amid(f)
 	f.Until(20*time.Second, "first configuration", func() bool {
@@ -148,7 +148,7 @@
 		return ok
 	})
 	for i := range f.Edges {
-		f.Visitors.WatchConf(f.Group, func() stand.Edge { return f.Spots()[i] })
+		f.Clients.WatchConf(f.Group, func() stand.Edge { return f.Spots()[i] })
 	}
 	f.Until(10*time.Second, "all edges serve", func() bool {
 		for _, n := range f.Edges {
@@ -161,7 +161,7 @@
 	return f
 }
 
-// Spots are the edges as visitors see them.
+// Spots are the edges as clients see them.
 func (f *Fleet) Spots() []stand.Edge {
 	var out []stand.Edge
 	for _, n := range f.Edges {
@@ -254,7 +254,7 @@
 	for i := range flows {
 		flows[i].PerSecond *= scale
 	}
-	f.Visitors.Run(f.Group, ctx, f.Rnd.Uint64(), func() []stand.Edge { return *f.spots.Load() }, flows)
+	f.Clients.Run(f.Group, ctx, f.Rnd.Uint64(), func() []stand.Edge { return *f.spots.Load() }, flows)
 }
 
 // Quiet ends the flows and lets what is under way finish.
@@ -265,7 +265,7 @@
 	}
 	// Why: a run that looks for races need not wait for what was turned away and might run later.
 	if testing.Short() {
-		f.Until(45*time.Second, "an answer to every request", func() bool { return f.Visitors.Out() == 0 })
+		f.Until(45*time.Second, "an answer to every request", func() bool { return f.Clients.Out() == 0 })
 		return
 	}
 	time.Sleep(45 * time.Second)
@@ -281,7 +281,7 @@
 		f.flow()
 	}
 	f.Group.Stop()
-	f.Visitors.Close()
+	f.Clients.Close()
 	for _, n := range f.Edges {
 		f.KillProxy(n)
 		f.KillAgent(n)
--- a/internal/sim/fleet/handover_test.go
+++ b/internal/sim/fleet/handover_test.go
@@ -40,7 +40,7 @@
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(every) {
 		it := fl.Items[f.Rnd.IntN(len(fl.Items))]
 		f.Group.Go(func(ctx context.Context) {
-			f.Visitors.Ask(ctx, spots[f.Rnd.IntN(len(spots))], stand.Request{Class: "press", Route: fl.Route, Item: it, Prompt: "p", Pieces: pieces})
+			f.Clients.Ask(ctx, spots[f.Rnd.IntN(len(spots))], stand.Request{Class: "press", Route: fl.Route, Item: it, Prompt: "p", Pieces: pieces})
 		})
 	}
 }
@@ -207,7 +207,7 @@
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
 		it := fl.Items[f.Rnd.IntN(len(fl.Items))]
 		f.Group.Go(func(ctx context.Context) {
-			f.Visitors.Ask(ctx, spots[f.Rnd.IntN(len(spots))], stand.Request{Class: "churn", Route: fl.Route, Item: it, Prompt: "p"})
+			f.Clients.Ask(ctx, spots[f.Rnd.IntN(len(spots))], stand.Request{Class: "churn", Route: fl.Route, Item: it, Prompt: "p"})
 		})
 	}
 }
--- a/internal/sim/fleet/late_test.go
+++ b/internal/sim/fleet/late_test.go
@@ -20,7 +20,7 @@
 		for range 20 {
 			for i := range 50 {
 				f.Group.Go(func(ctx context.Context) {
-					f.Visitors.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd", Route: fl.Route, Item: conf.Item{Model: "model-03"}, Prompt: "p", Pieces: 60})
+					f.Clients.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd", Route: fl.Route, Item: conf.Item{Model: "model-03"}, Prompt: "p", Pieces: 60})
 				})
 			}
 			time.Sleep(time.Second)
@@ -68,7 +68,7 @@
 		for range 20 {
 			for i := range 2 * len(spots) {
 				f.Group.Go(func(ctx context.Context) {
-					f.Visitors.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd", Route: fl.Route, Item: conf.Item{Model: "model-03"}, Prompt: "p", Pieces: 30})
+					f.Clients.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd", Route: fl.Route, Item: conf.Item{Model: "model-03"}, Prompt: "p", Pieces: 30})
 				})
 			}
 			time.Sleep(time.Second)
--- a/internal/sim/fleet/nemesis_test.go
+++ b/internal/sim/fleet/nemesis_test.go
@@ -182,7 +182,7 @@
 	spots, fl := x.f.Spots(), x.f.D.Flows[1]
 	for i := range n {
 		x.f.Group.Go(func(ctx context.Context) {
-			x.f.Visitors.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd", Route: fl.Route, Item: item(i), Prompt: "the same for all"})
+			x.f.Clients.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd", Route: fl.Route, Item: item(i), Prompt: "the same for all"})
 		})
 	}
 	x.wait(3000)
--- a/internal/sim/fleet/stress_test.go
+++ b/internal/sim/fleet/stress_test.go
@@ -47,7 +47,7 @@
 		for i := range 1000 {
 			it := conf.Item{Model: fl.Items[i%items].Model}
 			f.Group.Go(func(ctx context.Context) {
-				f.Visitors.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd", Route: fl.Route, Item: it, Prompt: "same"})
+				f.Clients.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "crowd", Route: fl.Route, Item: it, Prompt: "same"})
 			})
 		}
 	}
--- a/internal/sim/fleet/warm_test.go
+++ b/internal/sim/fleet/warm_test.go
@@ -86,7 +86,7 @@
 				ask := func(paper int) {
 					prompt, to := stand.Prompt(fl.Route, paper, f.Rnd.IntN(1<<30)), spots[f.Rnd.IntN(len(spots))]
 					f.Group.Go(func(ctx context.Context) {
-						f.Visitors.Ask(ctx, to, stand.Request{Class: "reader", Route: fl.Route, Item: conf.Item{Model: "model-01"}, Prompt: prompt})
+						f.Clients.Ask(ctx, to, stand.Request{Class: "reader", Route: fl.Route, Item: conf.Item{Model: "model-01"}, Prompt: prompt})
 					})
 				}
 				read := func(d time.Duration, crowd bool) (from, to time.Duration) {
--- a/internal/sim/fleet/zone_test.go
+++ b/internal/sim/fleet/zone_test.go
@@ -11,7 +11,7 @@
 )
 
 // A zone is cut off from the platform and from everyone else, but not from its
-// visitors and not from the replicas. Its nodes still hear one another, a core among them,
+// clients and not from the replicas. Its nodes still hear one another, a core among them,
 // and yet none of them can learn of a leaving mark.
 func TestAZoneCutOffSendsNothing(t *testing.T) {
 	Seeds(t, 3, func(seed uint64) stand.Deployment {
@@ -149,7 +149,7 @@
 		fl, answers := f.D.Flows[0], make(chan check.Event, 30)
 		for range cap(answers) {
 			f.Group.Go(func(ctx context.Context) {
-				answers <- f.Visitors.Ask(ctx, f.Spots()[n], stand.Request{Class: "waits", Route: fl.Route, Prompt: "p", Repeatable: true})
+				answers <- f.Clients.Ask(ctx, f.Spots()[n], stand.Request{Class: "waits", Route: fl.Route, Prompt: "p", Repeatable: true})
 			})
 		}
 		time.Sleep(500 * time.Millisecond)
@@ -180,7 +180,7 @@
 		ask := func(n, from int) {
 			for i := range n {
 				f.Group.Go(func(ctx context.Context) {
-					f.Visitors.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "rare", Route: fl.Route, Item: fl.Items[from+i], Prompt: "p", Repeatable: true})
+					f.Clients.Ask(ctx, spots[i%len(spots)], stand.Request{Class: "rare", Route: fl.Route, Item: fl.Items[from+i], Prompt: "p", Repeatable: true})
 				})
 			}
 		}
--- a/internal/stand/answer.go
+++ b/internal/stand/answer.go
@@ -14,7 +14,7 @@
 	"drumstall.example/internal/conf"
 )
 
-// Asked is the body of a stand-in visitor's request.
+// Asked is the body of a stand-in client's request.
 type Asked struct {
 	Prompt     string `json:"prompt"`
 	Repeatable bool   `json:"repeatable"`
--- a/internal/stand/visitor.go
+++ b/internal/stand/client.go
@@ -22,15 +22,15 @@
 	"drumstall.example/internal/kernel/wire"
 )
 
-// Edge is where visitors find a proxy.
+// Edge is where clients find a proxy.
 type Edge struct {
 	Name string
 	Addr string
 	Zone string
 }
 
-// Visitors send the traffic of a deployment and check every answer.
-type Visitors struct {
+// Clients send the traffic of a deployment and check every answer.
+type Clients struct {
 	http   *http.Client
 	rec    *Record
 	name   string
@@ -40,22 +40,22 @@
 	Heed bool
 }
 
-// maxOut bounds the requests under way from one group of visitors.
+// maxOut bounds the requests under way from one group of clients.
 const maxOut = 2000
 
-// NewVisitors dial through n; name keeps their tickets apart from others'.
-func NewVisitors(name string, n wire.Net, rec *Record) *Visitors {
-	return &Visitors{rec: rec, name: name, http: &http.Client{Transport: &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: 64,
+// NewClients dial through n; name keeps their tickets apart from others'.
+func NewClients(name string, n wire.Net, rec *Record) *Clients {
+	return &Clients{rec: rec, name: name, http: &http.Client{Transport: &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: 64,
 		IdleConnTimeout: 2 * time.Second, DisableCompression: true}}}
 }
 
 // Close lets go of idle conns.
-func (v *Visitors) Close() { v.http.CloseIdleConnections() }
+func (v *Clients) Close() { v.http.CloseIdleConnections() }
 
 // Out is how many requests of flows are under way.
-func (v *Visitors) Out() int { return int(v.out.Load()) }
+func (v *Clients) Out() int { return int(v.out.Load()) }
 
-// Request is one question of a visitor.
+// Request is one question of a client.
 type Request struct {
 	Class      string
 	Route      string
@@ -67,7 +67,7 @@
 }
 
 // Ask sends one request and reports how it ended.
-func (v *Visitors) Ask(ctx context.Context, e Edge, q Request) check.Event {
+func (v *Clients) Ask(ctx context.Context, e Edge, q Request) check.Event {
 	ticket := fmt.Sprintf("%s-%d", v.name, v.ticket.Add(1))
 	v.rec.Put(check.Event{Kind: check.Sent, Ticket: ticket, Node: e.Name, Class: q.Class, Repeatable: q.Repeatable, Item: q.Item.String(), Of: q.of})
 	began := time.Now()
@@ -77,7 +77,7 @@
 	return a
 }
 
-func (v *Visitors) ask(ctx context.Context, e Edge, q Request, ticket string, began time.Time) check.Event {
+func (v *Clients) ask(ctx context.Context, e Edge, q Request, ticket string, began time.Time) check.Event {
 	body, _ := json.Marshal(Asked{Prompt: q.Prompt, Repeatable: q.Repeatable, Pieces: q.Pieces})
 	url := "http://" + e.Addr + "/v1/routes/" + q.Route
 	if q.Item.Model != "" {
@@ -187,7 +187,7 @@
 }
 
 // Run sends flows to edges, wherever those are by then, until ctx ends.
-func (v *Visitors) Run(g *run.Group, ctx context.Context, seed uint64, edges func() []Edge, flows []Flow) {
+func (v *Clients) Run(g *run.Group, ctx context.Context, seed uint64, edges func() []Edge, flows []Flow) {
 	for i, f := range flows {
 		rnd := rand.New(rand.NewPCG(seed, uint64(i)+1))
 		g.Go(func(gctx context.Context) {
@@ -220,7 +220,7 @@
 }
 
 // call asks once, and once more when told when to come back.
-func (v *Visitors) call(ctx context.Context, edges func() []Edge, e Edge, q Request) {
+func (v *Clients) call(ctx context.Context, edges func() []Edge, e Edge, q Request) {
 	a := v.Ask(ctx, e, q)
 	if !v.Heed || a.Outcome != check.TurnedNo || a.AgainS == 0 || !run.Wait(ctx, time.Duration(a.AgainS)*time.Second) {
 		return
@@ -273,12 +273,12 @@
 }
 
 // InForce asks a proxy which configuration it serves by.
-func (v *Visitors) InForce(ctx context.Context, e Edge) (uint64, bool) {
+func (v *Clients) InForce(ctx context.Context, e Edge) (uint64, bool) {
 	n, ok, _ := v.asked(ctx, e)
 	return n, ok
 }
 
-func (v *Visitors) asked(ctx context.Context, e Edge) (serial uint64, serves, there bool) {
+func (v *Clients) asked(ctx context.Context, e Edge) (serial uint64, serves, there bool) {
 	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Addr+"/v1/vitals", nil)
@@ -300,7 +300,7 @@
 
 // WatchConf records what is in force at an edge, again and again; at tells
 // where the edge is now.
-func (v *Visitors) WatchConf(g *run.Group, at func() Edge) {
+func (v *Clients) WatchConf(g *run.Group, at func() Edge) {
 	g.Every(250*time.Millisecond, func(ctx context.Context) {
 		e := at()
 		if n, ok, there := v.asked(ctx, e); ok {
