A change that is kept is pushed whether or not its operator waits

Cause: the push of a configuration ran under the time of whoever had sent it.

Ruled out: the time for what is done at the owner (3 s) and for a submission (5 s), neither of which had passed.

Change: the push belongs to the owner and has its own 0.7 s; the answer waits for it as long as its caller does.

--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -70,12 +70,7 @@
 	if err != nil {
 		return operator.Submitted{}, err
 	}
-	e := news.Entry{Key: conf.Key, Stamp: rec.Stamp, Value: rec.Value}
-	c.news.Put(e)
-	// Why: who has it before the answer needs no luck to have it in time; the rest get it by gossip.
-	push, cancel := context.WithTimeout(ctx, 700*time.Millisecond)
-	defer cancel()
-	c.spread.Push(push, c.members.Peers(), e)
+	c.announce(ctx, news.Entry{Key: conf.Key, Stamp: rec.Stamp, Value: rec.Value})
 	return out, nil
 }
 
