A core keeps the replicas' news decoded

Ruled out: reading only what came since a cursor of the news table, which walks the whole table (models' expectations among it) for each look.

Change: plan.ViewCache is told of each new entry, decodes it when somebody next looks, and hands out one shared list, kept sorted by key. What a key says is read from the table, since entries may be told of out of order.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -95,6 +95,7 @@
 	spread  *news.Spreader
 	planner *plan.Planner
 	reports *report.Table
+	views   *plan.ViewCache
 	watch   *inventory.Watch
 	conn    backend.Client
 	caller  *wire.Caller
@@ -175,6 +176,7 @@
 		Phase: string(c.acc.Standing().Phase), Inc: uint64(max(env.Clock.Wall().UnixMilli(), 1)), Face: s.Operator, Build: env.BuildName()}
 	c.members = member.New(c.group, env.Clock, c.log, c.post, c.caller, c.mux, self, s.Seeds, c.touch)
 	c.news.OnNew(c.onNews)
+	c.views = plan.NewViewCache(c.news)
 	c.spread = news.NewSpreader(c.group, c.news, c.log, c.post, c.caller, c.mux, func() string { return s.Addr }, c.members.Peers, c.touch)
 	c.acc.Serve(c.mux)
 	ownQuarantine := s.Bounds.Lease
@@ -184,7 +186,7 @@
 	c.own = owner.New(owner.Deps{Self: c.self, Group: c.group, Clock: env.Clock, Log: c.log, Caller: c.caller, Acceptor: c.acc,
 		Addr: c.addrOf, Rank: c.voters, Behind: func(v state.Core) { c.set.Behind(v) }, Quarantine: s.Bounds.Lease, OwnQuarantine: ownQuarantine, Handback: s.Cadence.Handback, OnTake: c.onTake})
 	c.planner = plan.New(plan.Deps{Group: c.group, Clock: env.Clock, Log: c.log, Self: s.Name, Cadence: s.Cadence, Store: s.Bounds.Store, Owner: c.own, News: c.news,
-		Reports: c.reports, Conf: c.effective, Ask: c.consider, Tell: c.tellShared})
+		Reports: c.reports, Conf: c.effective, Views: c.views.Views, Ask: c.consider, Tell: c.tellShared})
 	c.set = coreset.New(coreset.Deps{Self: c.self, Want: s.Cores, Founders: s.Founders, MayFound: s.MayFound, Target: 2*s.Bounds.Tolerated + 1, Replaces: s.Replaces, Group: c.group, Log: c.log, Caller: c.caller,
 		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf, Gone: c.goneFor, Heard: c.heardFor}, c.mux)
 	c.watch.Start(c.group, s.Cadence.List, func() bool { return true })
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -90,7 +90,7 @@
 	known, dropped := c.news.Len()
 	calls, bytes := c.caller.Sent()
 	inflight := map[string]int{}
-	views := plan.Views(c.news)
+	views := c.views.Views()
 	for _, v := range views {
 		if n := c.reports.InflightOn(v.Listed.ID, now); n > 0 {
 			inflight[v.Listed.ID] = n
--- a/internal/core/wards.go
+++ b/internal/core/wards.go
@@ -71,7 +71,7 @@
 	}
 	// Why: with the platform dark the replicas go on, so those known from the news stay controlled.
 	heard := c.watch.HeardFor() < 5*time.Second
-	for _, v := range plan.Views(c.news) {
+	for _, v := range c.views.Views() {
 		id := v.Listed.ID
 		if _, there := listed[id]; there {
 			delete(c.absent, id)
@@ -105,7 +105,7 @@
 		g := c.group.Child()
 		c.wards[id] = &warded{group: g, ward: order.NewWard(g, order.Deps{Clock: c.env.Clock, Log: c.log, Self: c.s.Name, Boot: c.boot,
 			Cadence: c.s.Cadence, Replicas: c.conn, Owner: c.own, News: c.news, Reports: c.reports, Conf: c.effective, Requests: c.planner.Requests,
-			Others: func() []order.News { return plan.Views(c.news) }, Agents: c.agents, Platform: c.watch.HeardFor, Grant: c.grant, Afloat: c.afloat}, l)}
+			Others: c.views.Views, Agents: c.agents, Platform: c.watch.HeardFor, Grant: c.grant, Afloat: c.afloat}, l)}
 	}
 	snap := map[string]*order.Ward{}
 	for id, w := range c.wards {
--- a/internal/place/plan/miss.go
+++ b/internal/place/plan/miss.go
@@ -3,33 +3,17 @@
 import (
 	"fmt"
 	"slices"
-	"sort"
 	"time"
 
 	"k8s.io/apimachinery/pkg/labels"
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/judge"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/penalty"
 )
 
-// Views are all replicas' newest news, by name.
-func Views(t *news.Table) []order.News {
-	var out []order.News
-	for _, e := range t.List("replica/") {
-		var n order.News
-		if wire.Unpack(e.Value, &n) == nil {
-			out = append(out, n)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Listed.ID < out[j].Listed.ID })
-	return out
-}
-
 // miss prepares a decision about an item that requests wait for.
 func (p *Planner) miss(cfg conf.Effective, it conf.Item, waiting int, pressed bool, wanted int, views []order.News, now time.Duration) (Decision, bool) {
 	m, known := cfg.Models[it.Model]
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -48,6 +48,8 @@
 	News    *news.Table
 	Reports *report.Table
 	Conf    func() conf.Effective
+	// Views are all replicas' newest news, by name; nobody changes them.
+	Views func() []order.News
 	// Ask reaches the controller of a replica, on whichever core it is.
 	Ask func(ctx context.Context, controller string, q order.Consider) (order.Considered, error)
 	// Tell shares predictions with the other cores.
@@ -126,7 +128,7 @@
 		p.busy.Store(false)
 		return
 	}
-	views := Views(p.d.News)
+	views := p.d.Views()
 	var work []Decision
 	p.noteWaiting(waits, now)
 	for it, n := range waits {
--- /dev/null
+++ b/internal/place/plan/views_test.go
@@ -0,0 +1,90 @@
+package plan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"drumstall.example/internal/inventory"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/news"
+	"drumstall.example/internal/place/order"
+	"drumstall.example/internal/state"
+)
+
+// replicaEntry is a replica's news under a serial.
+func replicaEntry(id string, serial uint64, items int) news.Entry {
+	n := order.News{Listed: inventory.Listed{ID: id, Labels: map[string]string{"service": "s"}}, Controller: "c", Items: map[string]string{}, FreeMib: int(serial)}
+	for i := range items {
+		n.Items[fmt.Sprint("m", i)] = "loaded"
+	}
+	return news.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Serial: serial}, Value: wire.Pack(n)}
+}
+
+// What is kept decoded is what the table says, through changes, removals and entries
+// that cannot be read; and a list that was handed out stays as it was.
+func TestCachedViewsAreTheTables(t *testing.T) {
+	for seed := range uint64(50) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		table := news.NewTable()
+		cache := NewViewCache(table)
+		for serial := range uint64(100) {
+			id := fmt.Sprint("r", rnd.IntN(8))
+			e := replicaEntry(id, serial+1, rnd.IntN(4))
+			switch rnd.IntN(6) {
+			case 0:
+				e.Gone, e.Value = true, nil
+			case 1:
+				e.Value = []byte{0xff}
+			case 2:
+				e.Key = "expect/" + id
+			}
+			before := cache.Views()
+			kept := append([]order.News(nil), before...)
+			table.Put(e)
+			if got, want := cache.Views(), Views(table); len(got)+len(want) > 0 && !reflect.DeepEqual(got, want) {
+				t.Fatalf("seed %d, entry %d: got %+v, want %+v", seed, serial, got, want)
+			}
+			if !reflect.DeepEqual(kept, append([]order.News(nil), before...)) {
+				t.Fatalf("seed %d, entry %d: a list that was handed out has changed", seed, serial)
+			}
+		}
+	}
+}
+
+// Asking again without news costs nothing.
+func TestViewsAreNotMadeAnewWithoutNews(t *testing.T) {
+	table := news.NewTable()
+	cache := NewViewCache(table)
+	for i := range 140 {
+		table.Put(replicaEntry(fmt.Sprint("r", i), 1, 8))
+	}
+	cache.Views()
+	if n := testing.AllocsPerRun(100, func() { cache.Views() }); n > 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
+// One replica's news has changed since the last look, of 140.
+func BenchmarkViews(b *testing.B) {
+	for name, cached := range map[string]bool{"anew": false, "cached": true} {
+		b.Run(name, func(b *testing.B) {
+			table := news.NewTable()
+			views := func() []order.News { return Views(table) }
+			if cached {
+				views = NewViewCache(table).Views
+			}
+			for i := range 140 {
+				table.Put(replicaEntry(fmt.Sprint("r", i), 1, 8))
+			}
+			serial := uint64(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				serial++
+				table.Put(replicaEntry("r7", serial, 8))
+				views()
+			}
+		})
+	}
+}
