What edges' reports count together is kept as a sum

Cause: each look of the planner summed what waits and what is pressed over the reports of all edges, twice; each decision summed the requests in flight on each of 140 replicas over all edges; each report copied the table of all edges.

Ruled out: summing once per look, which a nudged look after each report undoes.

Change: report.Table keeps the sums. A report takes the place of the one before of its edge in them, and goes when it is too old: after Fresh, or after five times that for what may still run. One report is read by its edge's name, where the whole table was copied.

--- a/internal/place/order/carry.go
+++ b/internal/place/order/carry.go
@@ -255,9 +255,8 @@
 
 // acked says whether every live proxy has this replica's news in force.
 func (w *Ward) acked(s state.Stamp) bool {
-	reports := w.d.Reports.All()
 	for agent := range w.d.Agents() {
-		if got := reports[agent].Acked[w.listed.ID]; s.Newer(got) {
+		if got := w.d.Reports.Of(agent).Acked[w.listed.ID]; s.Newer(got) {
 			return false
 		}
 	}
--- a/internal/place/plan/history.go
+++ b/internal/place/plan/history.go
@@ -115,7 +115,7 @@
 		if outcome = p.d.Reports.Put(r, now); outcome != report.Kept {
 			return
 		}
-		p.work.add(r, p.d.Reports.All()[r.Agent].Report, now)
+		p.work.add(r, p.d.Reports.Of(r.Agent).Report, now)
 		p.addDemand(r, now, func(conf.Item) bool { return true })
 		if len(r.Waiting) > 0 {
 			p.soon.Now()
--- a/internal/place/report/report.go
+++ b/internal/place/report/report.go
@@ -3,7 +3,7 @@
 package report
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"drumstall.example/internal/conf"
@@ -46,15 +46,28 @@
 	At time.Duration
 }
 
-// Table holds the newest report of each agent; a reader gets a snapshot.
+// Table holds the newest report of each agent, and what they count together.
+// Its methods may be called from anywhere.
 type Table struct {
-	snap atomic.Pointer[map[string]Dated]
+	mu      sync.Mutex
+	newest  map[string]*Dated // by agent; a report is never changed
+	sums    sums
+	present window
+	lately  window
 }
 
+const (
+	// latelyFresh is how long what an edge that went silent had in flight counts.
+	latelyFresh = 5 * Fresh
+	// keptFor is how long an agent's report is kept that has sent no other.
+	keptFor = time.Hour
+)
+
 // NewTable holds none.
 func NewTable() *Table {
-	t := &Table{}
-	t.snap.Store(&map[string]Dated{})
+	t := &Table{newest: map[string]*Dated{}, sums: newSums()}
+	t.present = newWindow(Fresh, t.sums.countPresent)
+	t.lately = newWindow(latelyFresh, t.sums.countLately)
 	return t
 }
 
@@ -70,76 +83,88 @@
 	NoBase
 )
 
-// Put keeps a report if it is newer; its one caller is the planner's desk.
+// Put keeps a report if it is newer; its one caller is the planner's desk, so times never go back.
 func (t *Table) Put(r Report, at time.Duration) Outcome {
-	old := *t.snap.Load()
-	was, found := old[r.Agent]
-	if found && was.Boot == r.Boot && was.Serial >= r.Serial {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	was, found := t.newest[r.Agent]
+	switch {
+	case !found:
+		was = &Dated{}
+	case was.Boot == r.Boot && was.Serial >= r.Serial:
 		return Stale
 	}
 	whole, ok := r.On(was.Report)
 	if !ok {
 		return NoBase
 	}
-	next := make(map[string]Dated, len(old)+1)
-	for k, v := range old {
-		if at-v.At < time.Hour {
-			next[k] = v
+	d := &Dated{whole, at}
+	t.forget(at)
+	t.newest[r.Agent] = d
+	t.present.put(d)
+	t.lately.put(d)
+	return Kept
+}
+
+// forget lets go of agents that were not heard for long.
+func (t *Table) forget(now time.Duration) {
+	for agent, d := range t.newest {
+		if now-d.At >= keptFor {
+			delete(t.newest, agent)
 		}
 	}
-	next[r.Agent] = Dated{whole, at}
-	t.snap.Store(&next)
-	return Kept
 }
 
-// All is a snapshot that is never changed.
-func (t *Table) All() map[string]Dated { return *t.snap.Load() }
+// All is the newest report of each agent.
+func (t *Table) All() map[string]Dated {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]Dated, len(t.newest))
+	for agent, d := range t.newest {
+		out[agent] = *d
+	}
+	return out
+}
+
+// Of is the newest report of an agent; an empty one if there is none.
+func (t *Table) Of(agent string) Dated {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if d := t.newest[agent]; d != nil {
+		return *d
+	}
+	return Dated{}
+}
 
 // Inflight is the number of requests of an item on a replica by all edges heard
 // lately; an edge that went silent counts until it is heard again or an age passes.
 func (t *Table) Inflight(replica, item string, now time.Duration) int {
-	sum := 0
-	for _, r := range t.All() {
-		if now-r.At < 5*Fresh {
-			sum += r.Report.Inflight[replica][item]
-		}
-	}
-	return sum
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lately.expire(now)
+	return t.sums.lately[place{replica, item}]
 }
 
 // InflightOn is the number of requests on a replica.
 func (t *Table) InflightOn(replica string, now time.Duration) int {
-	sum := 0
-	for _, r := range t.All() {
-		if now-r.At < Fresh {
-			for _, n := range r.Report.Inflight[replica] {
-				sum += n
-			}
-		}
-	}
-	return sum
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.present.expire(now)
+	return t.sums.on[replica]
 }
 
 // Pressed sums the requests that had to go where many are, by item.
 func (t *Table) Pressed(now time.Duration) map[conf.Item]int {
-	return t.sum(now, func(r Report) map[string]int { return r.Pressed })
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.present.expire(now)
+	return copied(t.sums.pressed)
 }
 
 // Waiting sums what waits, by item.
 func (t *Table) Waiting(now time.Duration) map[conf.Item]int {
-	return t.sum(now, func(r Report) map[string]int { return r.Waiting })
-}
-
-// sum adds up what the edges heard lately count, by item.
-func (t *Table) sum(now time.Duration, counts func(Report) map[string]int) map[conf.Item]int {
-	out := map[conf.Item]int{}
-	for _, r := range t.All() {
-		if now-r.At >= Fresh {
-			continue
-		}
-		for item, n := range counts(r.Report) {
-			out[conf.ParseItem(item)] += n
-		}
-	}
-	return out
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.present.expire(now)
+	return copied(t.sums.waiting)
 }
--- /dev/null
+++ b/internal/place/report/sums_test.go
@@ -0,0 +1,116 @@
+package report
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"drumstall.example/internal/conf"
+)
+
+// summed adds up anew what the reports heard within a span count by item.
+func summed(all map[string]Dated, now, span time.Duration, counts func(Report) map[string]int) map[conf.Item]int {
+	out := map[conf.Item]int{}
+	for _, r := range all {
+		if now-r.At < span {
+			for item, n := range counts(r.Report) {
+				add(out, conf.ParseItem(item), n)
+			}
+		}
+	}
+	return out
+}
+
+// drawn is a report of the moment.
+func drawn(rnd *rand.Rand, agent string, serial uint64) Report {
+	r := Report{Agent: agent, Boot: "b", Serial: serial, Waiting: map[string]int{}, Pressed: map[string]int{}, Inflight: map[string]map[string]int{}}
+	for range rnd.IntN(4) {
+		r.Waiting[fmt.Sprint("m", rnd.IntN(5))] = rnd.IntN(3)
+		r.Pressed[fmt.Sprint("m", rnd.IntN(5))] = 1 + rnd.IntN(3)
+		r.Inflight[fmt.Sprint("r", rnd.IntN(3))] = map[string]int{fmt.Sprint("m", rnd.IntN(5)): 1 + rnd.IntN(3), "m9": 1}
+	}
+	return r
+}
+
+// Sums that are kept are those of the newest reports, as they come, are replaced, and
+// get too old.
+func TestSumsAreThoseOfTheNewestReports(t *testing.T) {
+	for seed := range uint64(100) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		table, now := NewTable(), time.Duration(0)
+		for serial := range uint64(200) {
+			now += time.Duration(rnd.IntN(500)) * time.Millisecond
+			table.Put(drawn(rnd, fmt.Sprint("edge-", rnd.IntN(6)), serial+1), now)
+			if rnd.IntN(20) == 0 {
+				now += time.Duration(rnd.IntN(12)) * time.Second
+			}
+			all := table.All()
+			if got, want := table.Waiting(now), summed(all, now, Fresh, func(r Report) map[string]int { return r.Waiting }); !maps.Equal(got, want) {
+				t.Fatalf("seed %d, report %d: waiting %v, want %v", seed, serial, got, want)
+			}
+			if got, want := table.Pressed(now), summed(all, now, Fresh, func(r Report) map[string]int { return r.Pressed }); !maps.Equal(got, want) {
+				t.Fatalf("seed %d, report %d: pressed %v, want %v", seed, serial, got, want)
+			}
+			for r := range 3 {
+				replica := fmt.Sprint("r", r)
+				on := func(r Report) map[string]int { return r.Inflight[replica] }
+				sum, present := 0, summed(all, now, Fresh, on)
+				for _, n := range present {
+					sum += n
+				}
+				if got := table.InflightOn(replica, now); got != sum {
+					t.Fatalf("seed %d, report %d: on %s %d, want %d", seed, serial, replica, got, sum)
+				}
+				for item, want := range summed(all, now, 5*Fresh, on) {
+					if got := table.Inflight(replica, item.String(), now); got != want {
+						t.Fatalf("seed %d, report %d: %s on %s %d, want %d", seed, serial, item, replica, got, want)
+					}
+				}
+			}
+		}
+		if now += 5 * Fresh; table.Inflight("r1", "m9", now) != 0 || len(table.Waiting(now)) != 0 {
+			t.Errorf("seed %d: something counts after all are too old", seed)
+		}
+	}
+}
+
+// What a reader was given is its own.
+func TestACopyOfSumsMayBeChanged(t *testing.T) {
+	table := NewTable()
+	table.Put(Report{Agent: "e", Boot: "b", Serial: 1, Waiting: map[string]int{"m": 2}}, 0)
+	table.Waiting(0)[conf.Item{Model: "m"}] = 7
+	if n := table.Waiting(0)[conf.Item{Model: "m"}]; n != 2 {
+		t.Errorf("%d wait, want 2", n)
+	}
+}
+
+// A report of one of 64 edges, and what one decision asks of the table.
+func BenchmarkTable(b *testing.B) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	table, serial := NewTable(), uint64(0)
+	put := func() {
+		serial++
+		table.Put(drawn(rnd, fmt.Sprint("edge-", serial%64), serial), 0)
+	}
+	for range 64 {
+		put()
+	}
+	b.Run("put", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			put()
+		}
+	})
+	b.Run("decision", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			table.Waiting(0)
+			table.Pressed(0)
+			for i := range 140 {
+				table.InflightOn(fmt.Sprint("r", i%3), 0)
+			}
+		}
+	})
+}
