A look out of turn only for a new miss; idle models cost a look nothing

Cause: every report in which anything waits had each of the cores look at all misses, besides the looks every 50 ms, although only the core that plans for the item can decide, and what waited before is looked at with the next beat.

Ruled out: fading the rates once a beat only, which changes when a model counts as crowded.

Change: a report calls for a look if an item begins to be waited for that this core plans for. A model whose last average asks for one copy is not faded, as averages only fall between reports.

--- a/internal/place/plan/history.go
+++ b/internal/place/plan/history.go
@@ -117,13 +117,25 @@
 		}
 		p.work.add(r, p.d.Reports.Of(r.Agent).Report, now)
 		p.addDemand(r, now, func(conf.Item) bool { return true })
-		if len(r.Waiting) > 0 {
+		if p.hasNewMiss(r) {
 			p.soon.Now()
 		}
 	})
 	return outcome, err
 }
 
+// hasNewMiss says whether requests wait by a report for an item that this core plans
+// for and that nobody waited for when it last looked. Why: what waits already is looked at with each beat.
+func (p *Planner) hasNewMiss(r report.Report) bool {
+	for name := range r.Waiting {
+		it := conf.ParseItem(name)
+		if i := p.items[it]; (i == nil || i.since < 0) && p.holds(it) {
+			return true
+		}
+	}
+	return false
+}
+
 // addDemand counts the requests that a report tells of, for the items that this
 // core plans for and that are wanted.
 func (p *Planner) addDemand(r report.Report, now time.Duration, wanted func(conf.Item) bool) {
--- a/internal/place/plan/work.go
+++ b/internal/place/plan/work.go
@@ -68,9 +68,12 @@
 		return 0
 	}
 	rate.decay(now)
-	return float64(rate.sum) / float64(workSpan)
+	return rate.share()
 }
 
+// share is the average as it was when it was last looked at.
+func (w *workRate) share() float64 { return float64(w.sum) / float64(workSpan) }
+
 // forget lets go of models that nobody asks for any more, and of reporters that are gone.
 func (w *workRates) forget(alive map[string]bool, now time.Duration) {
 	for model := range w.of {
@@ -88,10 +91,17 @@
 // crowded is the models that want more than one copy for their work, with how many.
 func (p *Planner) crowded(now time.Duration) map[conf.Item]int {
 	out := map[conf.Item]int{}
-	for model := range p.work.of {
-		if n := int(math.Ceil(p.work.share(model, now)/workShare - workOver)); n > 1 {
+	for model, rate := range p.work.of {
+		// Why: an average only falls between reports, and what took less than one copy takes less now.
+		if copiesFor(rate.share()) <= 1 {
+			continue
+		}
+		if n := copiesFor(p.work.share(model, now)); n > 1 {
 			out[conf.Item{Model: model}] = n
 		}
 	}
 	return out
 }
+
+// copiesFor is how many copies a model wants for the share of replicas' time that it takes.
+func copiesFor(share float64) int { return int(math.Ceil(share/workShare - workOver)) }
