Decisions are kept and told without verdicts; who asks why gets them

Ruled out: keeping fewer decisions or fewer candidates, which explain shows.

Change: judge.RankLoad and judge.RankVictims rank by the same judges without verdicts. A ranked candidate keeps what was looked at, and a controller's answer names what might have gone (new fields 11 and 12, in place of field 7); explain makes the verdicts of both, under the weights of the decision. What it shows is the same.

--- a/internal/place/judge/judge.go
+++ b/internal/place/judge/judge.go
@@ -24,7 +24,8 @@
 	Name     string    `json:"name" cbor:"1,keyasint"`
 	Score    float64   `json:"score" cbor:"2,keyasint"`
 	Vetoed   bool      `json:"vetoed,omitempty" cbor:"3,keyasint,omitempty"`
-	Verdicts []Verdict `json:"verdicts" cbor:"4,keyasint"`
+	Verdicts []Verdict `json:"verdicts" cbor:"4,keyasint"` // where they were asked for
+	load     *Replica  // what was looked at in a candidate for a load
 }
 
 // Replica is what judges look at in a candidate replica.
@@ -49,12 +50,12 @@
 
 // Idle is what judges look at in an idle item that may go.
 type Idle struct {
-	Name     string
-	SizeMib  int
-	Penalty  float64
-	IdleFor  time.Duration
-	Copies   int // copies of it elsewhere
-	Adapters int // adapters that would go with it
+	Name     string        `cbor:"1,keyasint"`
+	SizeMib  int           `cbor:"2,keyasint"`
+	Penalty  float64       `cbor:"3,keyasint"`
+	IdleFor  time.Duration `cbor:"4,keyasint"`
+	Copies   int           `cbor:"5,keyasint"` // copies of it elsewhere
+	Adapters int           `cbor:"6,keyasint"` // adapters that would go with it
 }
 
 // A replicaJudge looks; why is asked only where the verdict is kept.
@@ -156,22 +157,44 @@
 
 // Load ranks replicas for a load, best first; vetoed ones come last.
 func Load(weights map[string]float64, rs []Replica) []Ranked {
+	out := RankLoad(weights, rs)
+	for i := range out {
+		out[i] = out[i].Explained(weights)
+	}
+	return out
+}
+
+// RankLoad is Load without the verdicts, which Explained gives later; until then
+// nobody may change rs. Why: nearly all rankings are never read, and the verdicts on 140 replicas are 90 KB.
+func RankLoad(weights map[string]float64, rs []Replica) []Ranked {
 	out := make([]Ranked, 0, len(rs))
-	for _, r := range rs {
-		one := Ranked{Name: r.Name, Verdicts: make([]Verdict, 0, len(forLoad))}
+	for i, r := range rs {
+		one := Ranked{Name: r.Name, load: &rs[i]}
 		for _, j := range forLoad {
 			value, veto := j.look(r)
-			one.add(Verdict{Judge: j.name, Value: value, Weight: weights[j.name], Reason: j.why(r), Veto: veto})
+			one.weigh(value, weights[j.name], veto)
 		}
 		out = append(out, one)
 	}
 	return order(out)
 }
 
-func (r *Ranked) add(v Verdict) {
-	r.Verdicts = append(r.Verdicts, v)
-	r.Score += v.Value * v.Weight
-	r.Vetoed = r.Vetoed || v.Veto
+// Explained adds the verdicts of the judges for a load, under the weights that it was ranked with.
+func (r Ranked) Explained(weights map[string]float64) Ranked {
+	if r.load == nil {
+		return r
+	}
+	r.Verdicts = make([]Verdict, 0, len(forLoad))
+	for _, j := range forLoad {
+		value, veto := j.look(*r.load)
+		r.Verdicts = append(r.Verdicts, Verdict{Judge: j.name, Value: value, Weight: weights[j.name], Reason: j.why(*r.load), Veto: veto})
+	}
+	return r
+}
+
+func (r *Ranked) weigh(value, weight float64, veto bool) {
+	r.Score += value * weight
+	r.Vetoed = r.Vetoed || veto
 }
 
 func order(out []Ranked) []Ranked {
@@ -187,29 +210,73 @@
 	return out
 }
 
-// Victims ranks idle items, the one best let go first.
-func Victims(weights map[string]float64, idle []Idle) []Ranked {
-	// Why: penalties have no upper end, so they are compared with the dearest per MiB.
+// An idleJudge looks at an idle item, whose penalty for each MiB is compared with the dearest.
+type idleJudge struct {
+	name string
+	look func(i Idle, dearest float64) float64
+	why  func(Idle) string
+}
+
+// forVictims rank the idle items that may go.
+var forVictims = []idleJudge{
+	{"demand", func(i Idle, dearest float64) float64 {
+		if dearest <= 0 {
+			return 1
+		}
+		return clamp(1 - i.perMib()/dearest)
+	}, func(i Idle) string { return fmt.Sprintf("penalty %.1f for %d MiB", i.Penalty, i.SizeMib) }},
+	{"recency", func(i Idle, _ float64) float64 { return clamp(i.IdleFor.Minutes() / 60) },
+		func(i Idle) string { return "idle for " + i.IdleFor.Round(time.Second).String() }},
+	{"copies", func(i Idle, _ float64) float64 { return clamp(float64(i.Copies) / 2) },
+		func(i Idle) string { return fmt.Sprintf("%d copies elsewhere", i.Copies) }},
+	{"adapters", func(i Idle, _ float64) float64 { return 1 / (1 + float64(i.Adapters)) },
+		func(i Idle) string { return fmt.Sprintf("%d adapters go with it", i.Adapters) }},
+}
+
+func (i Idle) perMib() float64 { return i.Penalty / float64(max(i.SizeMib, 1)) }
+
+// dearestOf is the highest penalty for a MiB. Why: penalties have no upper end, so
+// they are compared with the dearest.
+func dearestOf(idle []Idle) float64 {
 	dearest := 0.0
 	for _, i := range idle {
-		dearest = math.Max(dearest, i.Penalty/float64(max(i.SizeMib, 1)))
+		dearest = math.Max(dearest, i.perMib())
 	}
+	return dearest
+}
+
+// Victims ranks idle items, the one best let go first.
+func Victims(weights map[string]float64, idle []Idle) []Ranked {
+	dearest := dearestOf(idle)
 	out := make([]Ranked, 0, len(idle))
 	for _, i := range idle {
-		one := Ranked{Name: i.Name}
-		cheap := 1.0
-		if dearest > 0 {
-			cheap = 1 - i.Penalty/float64(max(i.SizeMib, 1))/dearest
+		one := rankVictim(weights, i, dearest)
+		for _, j := range forVictims {
+			one.Verdicts = append(one.Verdicts, Verdict{Judge: j.name, Value: j.look(i, dearest), Weight: weights[j.name], Reason: j.why(i)})
 		}
-		one.add(Verdict{Judge: "demand", Value: clamp(cheap), Weight: weights["demand"], Reason: fmt.Sprintf("penalty %.1f for %d MiB", i.Penalty, i.SizeMib)})
-		one.add(Verdict{Judge: "recency", Value: clamp(i.IdleFor.Minutes() / 60), Weight: weights["recency"], Reason: "idle for " + i.IdleFor.Round(time.Second).String()})
-		one.add(Verdict{Judge: "copies", Value: clamp(float64(i.Copies) / 2), Weight: weights["copies"], Reason: fmt.Sprintf("%d copies elsewhere", i.Copies)})
-		one.add(Verdict{Judge: "adapters", Value: 1 / (1 + float64(i.Adapters)), Weight: weights["adapters"], Reason: fmt.Sprintf("%d adapters go with it", i.Adapters)})
 		out = append(out, one)
 	}
 	return order(out)
 }
 
+// RankVictims is Victims without the verdicts.
+func RankVictims(weights map[string]float64, idle []Idle) []Ranked {
+	dearest := dearestOf(idle)
+	out := make([]Ranked, 0, len(idle))
+	for _, i := range idle {
+		out = append(out, rankVictim(weights, i, dearest))
+	}
+	return order(out)
+}
+
+func rankVictim(weights map[string]float64, i Idle, dearest float64) Ranked {
+	one := Ranked{Name: i.Name}
+	for _, j := range forVictims {
+		one.weigh(j.look(i, dearest), weights[j.name], false)
+	}
+	return one
+}
+
 // String puts a ranking on one line for logs.
 func (r Ranked) String() string {
 	var b strings.Builder
--- a/internal/place/order/consider.go
+++ b/internal/place/order/consider.go
@@ -85,8 +85,8 @@
 	var victims []conf.Item
 	wanted := q.Penalty
 	if needMib > 0 {
-		order, ranked, used := w.idle(cfg, item, false)
-		out.Idle = ranked
+		order, idle, used := w.idle(cfg, item, false)
+		out.IdleModels = idle
 		v := penalty.Test(needMib, wanted, cfg.Limits.Csf, alone, order)
 		out.Why, out.Sum = v.Why, v.Sum
 		if !v.Load {
@@ -105,8 +105,8 @@
 		}
 	}
 	if needPlaces > 0 {
-		order, ranked, used := w.idle(cfg, item, true)
-		out.Idle = append(out.Idle, ranked...)
+		order, idle, used := w.idle(cfg, item, true)
+		out.IdleAdapters = idle
 		rest := order[:0:0]
 		for _, x := range order {
 			if !slices.Contains(victims, conf.Item{Model: conf.ParseItem(x.Item).Model}) {
--- a/internal/place/order/messages.go
+++ b/internal/place/order/messages.go
@@ -39,8 +39,11 @@
 	Sum     float64        `cbor:"4,keyasint" json:"sum"`
 	Need    int            `cbor:"5,keyasint" json:"need"`
 	Victims []string       `cbor:"6,keyasint" json:"victims"`
-	Idle    []judge.Ranked `cbor:"7,keyasint" json:"idle"`
+	Idle    []judge.Ranked `cbor:"7,keyasint" json:"idle"`              // made of IdleModels and IdleAdapters where a decision is explained
 	Silent  bool           `cbor:"8,keyasint" json:"silent"`            // set by who asked: there was no answer
 	Soon    bool           `cbor:"9,keyasint,omitempty" json:"soon"`    // what stands in the way will pass by itself
 	Starts  int            `cbor:"10,keyasint,omitempty" json:"starts"` // loads it takes, a model's and an adapter's
+	// IdleModels and IdleAdapters are what might have gone.
+	IdleModels   []judge.Idle `cbor:"11,keyasint,omitempty" json:"-"`
+	IdleAdapters []judge.Idle `cbor:"12,keyasint,omitempty" json:"-"`
 }
--- a/internal/place/order/victims.go
+++ b/internal/place/order/victims.go
@@ -15,12 +15,11 @@
 
 // idle ranks the items that may go: loaded, nobody using or waiting for them,
 // not pinned by a claim; and sums up those that may but for being used.
-func (w *Ward) idle(cfg conf.Effective, wanted conf.Item, adapters bool) (order []penalty.Victim, ranked []judge.Ranked, used int) {
+func (w *Ward) idle(cfg conf.Effective, wanted conf.Item, adapters bool) (order []penalty.Victim, list []judge.Idle, used int) {
 	now := w.d.Clock.Since()
 	waiting, pressed := w.d.Reports.Waiting(now), w.d.Reports.Pressed(now)
 	others := w.d.Others()
 	facts := map[string]judge.Idle{}
-	var list []judge.Idle
 	for item, l := range w.book {
 		if (item.Adapter != "") != adapters || l.State != backend.Loaded || item.Model == wanted.Model && !adapters || item == wanted {
 			continue
@@ -61,11 +60,10 @@
 		facts[f.Name] = f
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	ranked = judge.Victims(cfg.Weights, list)
-	for _, r := range ranked {
+	for _, r := range judge.RankVictims(cfg.Weights, list) {
 		order = append(order, penalty.Victim{Item: r.Name, Size: facts[r.Name].SizeMib, Penalty: facts[r.Name].Penalty})
 	}
-	return order, ranked, used
+	return order, list, used
 }
 
 const (
--- a/internal/place/plan/decide.go
+++ b/internal/place/plan/decide.go
@@ -12,6 +12,7 @@
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/news"
+	"drumstall.example/internal/place/judge"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/pace"
 	"drumstall.example/internal/state"
@@ -19,6 +20,7 @@
 
 // decide asks the best candidates in turn and keeps the decision.
 func (p *Planner) decide(ctx context.Context, cfg conf.Effective, d Decision, views []order.News) {
+	d.weights = cfg.Weights
 	by := map[string]order.News{}
 	for _, v := range views {
 		by[v.Listed.ID] = v
@@ -163,9 +165,26 @@
 		for i := p.log.Len() - 1; i >= 0; i-- {
 			d := p.log.At(i)
 			if about == "" || d.Item == about || conf.ParseItem(d.Item).Model == about {
-				out = append(out, d)
+				out = append(out, d.explained())
 			}
 		}
 	})
 	return out
 }
+
+// explained is a decision with what the judges said of the candidates and of what
+// might have gone there.
+func (d Decision) explained() Decision {
+	d.Candidates = slices.Clone(d.Candidates)
+	for i, c := range d.Candidates {
+		d.Candidates[i] = c.Explained(d.weights)
+	}
+	d.Tried = slices.Clone(d.Tried)
+	for i := range d.Tried {
+		a := &d.Tried[i].Answer
+		if len(a.IdleModels)+len(a.IdleAdapters) > 0 {
+			a.Idle = append(judge.Victims(d.weights, a.IdleModels), judge.Victims(d.weights, a.IdleAdapters)...)
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/internal/place/plan/explain_test.go
@@ -0,0 +1,50 @@
+package plan
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/tick"
+	"drumstall.example/internal/place/judge"
+	"drumstall.example/internal/place/order"
+)
+
+// Who asks why is told what the judges said of each candidate and of each item that
+// might have gone there, although decisions are kept without.
+func TestADecisionIsExplainedWithAllVerdicts(t *testing.T) {
+	g := run.NewGroup(context.Background())
+	defer g.Stop()
+	weights := map[string]float64{"room": 1, "demand": 1}
+	p := &Planner{d: Deps{Group: g, Clock: tick.Machine(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Ask: func(context.Context, string, order.Consider) (order.Considered, error) {
+			return order.Considered{Why: "no room", IdleModels: []judge.Idle{{Name: "dear", SizeMib: 1, Penalty: 2}, {Name: "cheap", SizeMib: 1}}, IdleAdapters: []judge.Idle{{Name: "m/a", IdleFor: time.Hour}}}, nil
+		}}, items: map[conf.Item]*item{}}
+	p.desk = run.NewDesk(g, 8, 0, nil)
+	facts := []judge.Replica{{Name: "a", Fits: true, FreeMib: 1, NeedMib: 2}, {Name: "b", Fits: true}}
+	p.decide(t.Context(), conf.Effective{Weights: weights}, Decision{Item: "m", Candidates: judge.RankLoad(weights, facts)}, nil)
+	for range 2 {
+		got := p.Explain(t.Context(), "m")
+		if len(got) != 1 || len(got[0].Candidates) != 2 || len(got[0].Tried) != 2 {
+			t.Fatalf("%+v", got)
+		}
+		for _, c := range got[0].Candidates {
+			if len(c.Verdicts) == 0 || c.Verdicts[0].Reason == "" {
+				t.Errorf("candidate without verdicts: %+v", c)
+			}
+		}
+		for _, x := range got[0].Tried {
+			idle := x.Answer.Idle
+			if len(idle) != 3 || idle[0].Name != "cheap" || idle[1].Name != "dear" || idle[2].Name != "m/a" || len(idle[2].Verdicts) == 0 {
+				t.Errorf("what might have gone: %+v", idle)
+			}
+		}
+	}
+	if kept := p.log.At(0); kept.Candidates[0].Verdicts != nil || kept.Tried[0].Answer.Idle != nil {
+		t.Errorf("verdicts are kept that were only asked for: %+v", kept)
+	}
+}
--- a/internal/place/plan/messages.go
+++ b/internal/place/plan/messages.go
@@ -55,6 +55,7 @@
 	Taken      string         `json:"taken"`
 	claim      bool           // it is about a claim's copy
 	waited     time.Duration  // for how long requests have waited for it
+	weights    map[string]float64
 }
 
 // Shared is a core's predictions, told to the others.
--- a/internal/place/plan/miss.go
+++ b/internal/place/plan/miss.go
@@ -95,7 +95,7 @@
 			ServeFor: time.Duration(v.ServeMs) * time.Millisecond, Leaving: v.Listed.Leaving, FreeMib: v.FreeMib, NeedMib: need,
 			Fits: m.SizeMib <= v.CapacityMib && (it.Adapter == "" || v.AdapterPlaces > 0), AdFree: v.AdapterFree, Copies: zones[v.Listed.Zone]})
 	}
-	ranked := judge.Load(cfg.Weights, facts)
+	ranked := judge.RankLoad(cfg.Weights, facts)
 	if it.Adapter != "" {
 		// Why: an adapter goes in with one start of the store where its model is, and with two elsewhere; the store is
 		// what everybody waits for.
