Candidates of one core are asked about with one message

Cause: a decision asks up to 16 candidates what would have to go there, each with an HTTP call of its own; on the first grown site one core received 4,700 such calls in 26 s, and made as many.

Ruled out: fewer candidates, which changes what is decided. A core has asked its own controllers without HTTP all along.

A core of an earlier version does not know the message (wire.ErrNotServed) and is asked about each. The order itself goes to one controller as before.

--- /dev/null
+++ b/internal/core/consider_test.go
@@ -0,0 +1,99 @@
+package core
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/place/order"
+	"drumstall.example/internal/sim/simnet"
+)
+
+// askedCore answers about replicas by name, by one message or one by one, and counts the calls.
+type askedCore struct {
+	calls  int
+	batch  bool // it knows the call about several replicas
+	garble bool // it answers about fewer than it was asked about
+}
+
+func (a *askedCore) mux() *wire.Mux {
+	mux := wire.NewMux()
+	answer := func(q order.Consider) order.Considered {
+		return order.Considered{Taken: q.Replica != "full" && q.Dry && q.Item == "m", Why: q.Replica}
+	}
+	wire.Handle(mux, considerPath, func(_ context.Context, q order.Consider) (order.Considered, error) {
+		a.calls++
+		if q.Replica == "elsewhere" {
+			return order.Considered{}, wire.Drop("not-owner", "not here")
+		}
+		return answer(q), nil
+	})
+	if !a.batch {
+		return mux
+	}
+	wire.Handle(mux, considerAllPath, func(_ context.Context, q order.ConsiderAll) (order.ConsideredAll, error) {
+		a.calls++
+		var out order.ConsideredAll
+		for _, r := range q.Replicas {
+			one := q.Ask
+			one.Replica, one.Dry = r, true
+			out.Answers = append(out.Answers, answer(one))
+		}
+		if a.garble {
+			out.Answers = out.Answers[1:]
+		}
+		return out, nil
+	})
+	return mux
+}
+
+// asked is what a core hears that asks another about replicas.
+func asked(t *testing.T, a *askedCore, replicas ...string) (answers []order.Considered) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fabric := simnet.New(1, func(string, string) time.Duration { return time.Millisecond })
+		ln, err := fabric.Host("10.0.0.2").Listen("10.0.0.2:7000")
+		if err != nil {
+			t.Fatal(err)
+		}
+		g := run.NewGroup(t.Context())
+		server := wire.NewServer(ln, a.mux())
+		g.Go(server.Run)
+		c := &Core{group: g, caller: wire.NewCaller(fabric.Host("10.0.0.1"))}
+		answers = c.considerAllAt(t.Context(), "10.0.0.2:7000", order.ConsiderAll{Ask: order.Consider{Item: "m"}, Replicas: replicas})
+		c.caller.Close()
+		server.Close()
+		g.Stop()
+	})
+	return answers
+}
+
+// One message asks about all replicas of one core.
+func TestReplicasOfOneCoreAreAskedAboutAtOnce(t *testing.T) {
+	a := &askedCore{batch: true}
+	got := asked(t, a, "r1", "full", "r2")
+	if a.calls != 1 || len(got) != 3 || !got[0].Taken || got[1].Taken || !got[2].Taken || got[2].Why != "r2" {
+		t.Errorf("%d calls, %+v", a.calls, got)
+	}
+}
+
+// A core of an earlier version does not know that message, and is asked about each replica.
+func TestAnEarlierVersionIsAskedAboutEachReplica(t *testing.T) {
+	a := &askedCore{}
+	got := asked(t, a, "r1", "elsewhere", "full")
+	if a.calls != 3 || len(got) != 3 || !got[0].Taken || !got[1].Silent || got[1].Taken || got[2].Taken || got[2].Silent {
+		t.Errorf("%d calls, %+v", a.calls, got)
+	}
+}
+
+// Answers that are not one for each replica are none.
+func TestTooFewAnswersAreNone(t *testing.T) {
+	for _, x := range asked(t, &askedCore{batch: true, garble: true}, "r1", "r2") {
+		if !x.Silent || x.Taken {
+			t.Errorf("%+v", x)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -186,7 +186,7 @@
 	c.own = owner.New(owner.Deps{Self: c.self, Group: c.group, Clock: env.Clock, Log: c.log, Caller: c.caller, Acceptor: c.acc,
 		Addr: c.addrOf, Rank: c.voters, Behind: func(v state.Core) { c.set.Behind(v) }, Quarantine: s.Bounds.Lease, OwnQuarantine: ownQuarantine, Handback: s.Cadence.Handback, OnTake: c.onTake})
 	c.planner = plan.New(plan.Deps{Group: c.group, Clock: env.Clock, Log: c.log, Self: s.Name, Cadence: s.Cadence, Store: s.Bounds.Store, Owner: c.own, News: c.news,
-		Reports: c.reports, Conf: c.effective, Views: c.views.Views, Ask: c.consider, Tell: c.tellShared})
+		Reports: c.reports, Conf: c.effective, Views: c.views.Views, Ask: c.consider, AskAll: c.considerAll, Tell: c.tellShared})
 	c.set = coreset.New(coreset.Deps{Self: c.self, Want: s.Cores, Founders: s.Founders, MayFound: s.MayFound, Target: 2*s.Bounds.Tolerated + 1, Replaces: s.Replaces, Group: c.group, Log: c.log, Caller: c.caller,
 		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf, Gone: c.goneFor, Heard: c.heardFor}, c.mux)
 	c.watch.Start(c.group, s.Cadence.List, func() bool { return true })
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -6,6 +6,7 @@
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/operator"
+	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/plan"
 	"drumstall.example/internal/place/report"
 )
@@ -28,7 +29,10 @@
 		a, err := atOwner(ctx, c, conf.Key, "/conf/newest", q, c.newest)
 		return a, coded(err)
 	})
-	wire.Handle(c.mux, "/place/consider", c.considerHere)
+	wire.Handle(c.mux, considerPath, c.considerHere)
+	wire.Handle(c.mux, considerAllPath, func(ctx context.Context, q order.ConsiderAll) (order.ConsideredAll, error) {
+		return order.ConsideredAll{Answers: c.considerAllHere(ctx, q)}, nil
+	})
 	wire.Handle(c.mux, "/place/grant", func(ctx context.Context, q plan.Granting) (plan.Granted, error) {
 		if !c.own.Holds(plan.PaceKey) {
 			return plan.Granted{}, errNotOwner
--- a/internal/core/wards.go
+++ b/internal/core/wards.go
@@ -7,7 +7,6 @@
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/member"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/plan"
 )
@@ -17,26 +16,6 @@
 	group *run.Group
 }
 
-func (c *Core) considerHere(ctx context.Context, q order.Consider) (order.Considered, error) {
-	w := (*c.wardNow.Load())[q.Replica]
-	if w == nil {
-		return order.Considered{}, wire.Drop("not-owner", q.Replica+" is not controlled here")
-	}
-	return w.Consider(ctx, q)
-}
-
-func (c *Core) consider(ctx context.Context, controller string, q order.Consider) (order.Considered, error) {
-	if controller == c.s.Name {
-		return c.considerHere(ctx, q)
-	}
-	for _, n := range c.members.Live(member.RoleCore) {
-		if n.Name == controller {
-			return wire.Call[order.Consider, order.Considered](ctx, c.caller, n.Addr, "/place/consider", q)
-		}
-	}
-	return order.Considered{}, wire.ErrUnreachable
-}
-
 // afloat tells the store's keeper of a load that may still start.
 func (c *Core) afloat(ctx context.Context, who string) {
 	_, _ = atOwner(ctx, c, plan.PaceKey, "/place/grant", plan.Granting{Who: who, Afloat: true}, c.planner.Grant)
--- a/internal/kernel/wire/wire.go
+++ b/internal/kernel/wire/wire.go
@@ -51,6 +51,8 @@
 	ErrUnreachable = errors.New("wire: partner not reached")
 	ErrGarbled     = errors.New("wire: message cannot be read")
 	ErrVersion     = errors.New("wire: partner speaks another version")
+	// ErrNotServed says that the partner does not know the call; one of an earlier version does not.
+	ErrNotServed = errors.New("wire: partner does not serve the call")
 )
 
 // Refused is a partner's considered no.
@@ -165,6 +167,9 @@
 		}
 		return a, r
 	}
+	if res.StatusCode == http.StatusNotFound {
+		return a, errors.Wrap(ErrNotServed, addr+path)
+	}
 	return a, errors.Wrapf(ErrUnreachable, "%s%s answered %d", addr, path, res.StatusCode)
 }
 
--- a/internal/place/order/messages.go
+++ b/internal/place/order/messages.go
@@ -31,6 +31,20 @@
 	CostMs  int     `cbor:"7,keyasint,omitempty"` // of one request, from which the penalty is made
 }
 
+// ConsiderAll asks the controller of several replicas about one load, dry for each.
+type ConsiderAll struct {
+	Ask      Consider `cbor:"1,keyasint"` // its replica is left out
+	Replicas []string `cbor:"2,keyasint"`
+}
+
+// ConsideredAll is the answers, in the order of the replicas.
+type ConsideredAll struct {
+	Answers []Considered `cbor:"1,keyasint"`
+}
+
+// Unheard is the answer of a replica's controller that gave none.
+func Unheard(err error) Considered { return Considered{Why: err.Error(), Silent: true} }
+
 // Considered is the answer.
 type Considered struct {
 	Taken   bool           `cbor:"1,keyasint" json:"taken"`
--- /dev/null
+++ b/internal/place/plan/ask.go
@@ -0,0 +1,97 @@
+package plan
+
+import (
+	"context"
+
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/place/order"
+)
+
+// question is what is asked about a decision's load on a replica.
+func (d Decision) question(replica string, dry bool) order.Consider {
+	return order.Consider{Replica: replica, Item: d.Item, Penalty: d.Penalty, Alone: d.Pass, Claim: d.claim, Dry: dry, CostMs: int(d.CheapestMs)}
+}
+
+// ask asks the controller of one replica. unsure says that it may have taken the load
+// on without our hearing of it. Several are asked at once, so asking writes nothing that is shared.
+func (p *Planner) ask(ctx context.Context, d Decision, controller, replica string, dry bool) (a order.Considered, unsure bool) {
+	one, cancel := context.WithTimeout(ctx, p.d.Cadence.Ask)
+	defer cancel()
+	a, err := p.d.Ask(one, controller, d.question(replica, dry))
+	if err != nil {
+		// Why: one that gave no answer may have taken it; its news will tell before the next decision.
+		return order.Unheard(err), !dry && wire.Code(err) != "not-owner"
+	}
+	return a, false
+}
+
+// batch is replicas of one controller, as indexes of the names asked.
+type batch struct {
+	controller string
+	of         []int
+}
+
+// batches puts together what one controller is asked.
+func batches(names []string, by map[string]order.News) []batch {
+	var out []batch
+	at := map[string]int{}
+	for i, name := range names {
+		controller := by[name].Controller
+		n, known := at[controller]
+		if !known {
+			n = len(out)
+			at[controller] = n
+			out = append(out, batch{controller: controller})
+		}
+		out[n].of = append(out[n].of, i)
+	}
+	return out
+}
+
+// askDry asks the controllers of all replicas at once what would go there.
+func (p *Planner) askDry(ctx context.Context, d Decision, names []string, by map[string]order.News) []order.Considered {
+	answers := make([]order.Considered, len(names))
+	type answered struct {
+		of []int
+		as []order.Considered
+	}
+	todo := batches(names, by)
+	ch := run.Fan(p.d.Group, len(todo), func(_ context.Context, n int) answered {
+		var replicas []string
+		for _, i := range todo[n].of {
+			replicas = append(replicas, names[i])
+		}
+		return answered{todo[n].of, p.askBatch(ctx, d, todo[n].controller, replicas)}
+	})
+	for range todo {
+		got := <-ch
+		for k, i := range got.of {
+			answers[i] = got.as[k]
+		}
+	}
+	return answers
+}
+
+// askBatch asks one controller about several replicas, dry.
+func (p *Planner) askBatch(ctx context.Context, d Decision, controller string, replicas []string) []order.Considered {
+	if p.d.AskAll != nil && len(replicas) > 1 {
+		one, cancel := context.WithTimeout(ctx, p.d.Cadence.Ask)
+		defer cancel()
+		return p.d.AskAll(one, controller, order.ConsiderAll{Ask: d.question("", true), Replicas: replicas})
+	}
+	answers := make([]order.Considered, len(replicas))
+	type answered struct {
+		i int
+		a order.Considered
+	}
+	ch := run.Fan(p.d.Group, len(replicas), func(_ context.Context, i int) answered {
+		a, _ := p.ask(ctx, d, controller, replicas[i], true)
+		return answered{i, a}
+	})
+	for range replicas {
+		got := <-ch
+		answers[got.i] = got.a
+	}
+	return answers
+}
--- /dev/null
+++ b/internal/place/plan/ask_test.go
@@ -0,0 +1,80 @@
+package plan
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/inventory"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/tick"
+	"drumstall.example/internal/place/judge"
+	"drumstall.example/internal/place/order"
+)
+
+// Candidates are asked with one message for each core that controls several of them,
+// and what each says is kept as that candidate's.
+func TestCandidatesOfOneCoreAreAskedAtOnce(t *testing.T) {
+	g := run.NewGroup(context.Background())
+	defer g.Stop()
+	var mu sync.Mutex
+	var batches, singles, ordered []string
+	answer := func(replica string) order.Considered {
+		return order.Considered{Why: replica, Taken: replica == "d" || replica == "e", Starts: 1, Sum: map[string]float64{"d": 2, "e": 1}[replica]}
+	}
+	p := &Planner{d: Deps{Group: g, Clock: tick.Machine(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Ask: func(_ context.Context, controller string, q order.Consider) (order.Considered, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if q.Dry {
+				singles = append(singles, controller+" "+q.Replica)
+			} else {
+				ordered = append(ordered, controller+" "+q.Replica)
+			}
+			return answer(q.Replica), nil
+		},
+		AskAll: func(_ context.Context, controller string, q order.ConsiderAll) []order.Considered {
+			mu.Lock()
+			defer mu.Unlock()
+			var out []order.Considered
+			for _, r := range q.Replicas {
+				batches = append(batches, controller+" "+r)
+				out = append(out, answer(r))
+			}
+			return out
+		}}, items: map[conf.Item]*item{}}
+	p.desk = run.NewDesk(g, 8, 0, nil)
+	var views []order.News
+	d := Decision{Item: "m", claim: true}
+	for replica, controller := range map[string]string{"a": "core-1", "b": "core-2", "c": "core-1", "d": "core-3", "e": "core-2"} {
+		views = append(views, order.News{Listed: inventory.Listed{ID: replica}, Controller: controller})
+	}
+	for _, replica := range []string{"a", "b", "c", "d", "e"} {
+		d.Candidates = append(d.Candidates, judge.Ranked{Name: replica})
+	}
+	p.decide(t.Context(), conf.Effective{}, d, views)
+	slices.Sort(batches)
+	if want := []string{"core-1 a", "core-1 c", "core-2 b", "core-2 e"}; !slices.Equal(batches, want) {
+		t.Errorf("asked at once: %v, want %v", batches, want)
+	}
+	if want := []string{"core-3 d"}; !slices.Equal(singles, want) {
+		t.Errorf("asked alone: %v, want %v", singles, want)
+	}
+	// Why: of those that agree, the one whose victims are worth least.
+	if want := []string{"core-2 e"}; !slices.Equal(ordered, want) {
+		t.Errorf("ordered: %v, want %v", ordered, want)
+	}
+	got := p.Explain(t.Context(), "m")
+	if len(got) != 1 || got[0].Taken != "e" {
+		t.Fatalf("%+v", got)
+	}
+	for i, x := range got[0].Tried {
+		if x.Replica != d.Candidates[i].Name || x.Answer.Why != x.Replica {
+			t.Errorf("%+v at the place of %s", x, d.Candidates[i].Name)
+		}
+	}
+}
--- a/internal/place/plan/decide.go
+++ b/internal/place/plan/decide.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/judge"
@@ -26,19 +25,6 @@
 		by[v.Listed.ID] = v
 	}
 	ready, undecided := 0, false
-	// Why: several candidates are asked at once, so asking writes nothing that is shared.
-	ask := func(to string, dry bool) (a order.Considered, unsure bool) {
-		one, cancel := context.WithTimeout(ctx, p.d.Cadence.Ask)
-		defer cancel()
-		var err error
-		a, err = p.d.Ask(one, by[to].Controller, order.Consider{Replica: to, Item: d.Item, Penalty: d.Penalty, Alone: d.Pass, Claim: d.claim, Dry: dry, CostMs: int(d.CheapestMs)})
-		if err != nil {
-			a = order.Considered{Why: err.Error(), Silent: true}
-			// Why: one that gave no answer may have taken it; its news will tell before the next decision.
-			unsure = !dry && wire.Code(err) != "not-owner"
-		}
-		return a, unsure
-	}
 	var names []string
 	for n, c := range d.Candidates {
 		if n >= tries || c.Vetoed {
@@ -46,16 +32,7 @@
 		}
 		names = append(names, c.Name)
 	}
-	answers := make([]order.Considered, len(names))
-	type answer struct {
-		i int
-		a order.Considered
-	}
-	ch := run.Fan(p.d.Group, len(names), func(_ context.Context, i int) answer { a, _ := ask(names[i], true); return answer{i, a} })
-	for range names {
-		x := <-ch
-		answers[x.i] = x.a
-	}
+	answers := p.askDry(ctx, d, names, by)
 	// Why: of those that agree, the one that takes the store's time the least, then the one that is ready clearly
 	// sooner, then the one whose victims are worth least; the judges' order decides between equals.
 	for len(names) > 0 && d.Taken == "" && !undecided {
@@ -68,7 +45,7 @@
 		if best < 0 {
 			break
 		}
-		a, unsure := ask(names[best], false)
+		a, unsure := p.ask(ctx, d, by[names[best]].Controller, names[best], false)
 		undecided = undecided || unsure
 		answers[best] = a
 		if a.Taken {
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -52,6 +52,9 @@
 	Views func() []order.News
 	// Ask reaches the controller of a replica, on whichever core it is.
 	Ask func(ctx context.Context, controller string, q order.Consider) (order.Considered, error)
+	// AskAll asks the controller of several replicas at once, dry; order.Unheard stands for an answer that did not
+	// come. Nil asks one by one.
+	AskAll func(ctx context.Context, controller string, q order.ConsiderAll) []order.Considered
 	// Tell shares predictions with the other cores.
 	Tell func(ctx context.Context, s Shared)
 }
