--- a/internal/kernel/wire/wire.go
+++ b/internal/kernel/wire/wire.go
@@ -48,6 +48,8 @@
 	ErrUnreachable = errors.New("wire: partner not reached")
 	ErrGarbled     = errors.New("wire: message cannot be read")
 	ErrVersion     = errors.New("wire: partner speaks another version")
+	// ErrNotServed says that the partner does not know the call; one of an earlier version does not.
+	ErrNotServed = errors.New("wire: partner does not serve the call")
 )
 
 // Refused is a partner's considered no.
@@ -184,6 +186,8 @@
 	// Why: a build that knows of no coding takes a compressed message for a garbled one.
 	case coding != "" && (res.StatusCode == http.StatusBadRequest || res.StatusCode == http.StatusUnsupportedMediaType):
 		return a, errCoding
+	case res.StatusCode == http.StatusNotFound:
+		return a, errors.Wrap(ErrNotServed, at)
 	}
 	return a, errors.Wrapf(ErrUnreachable, "%s answered %d", at, res.StatusCode)
 }
--- a/internal/place/plan/decide.go
+++ b/internal/place/plan/decide.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/news"
+	"drumstall.example/internal/place/judge"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/pace"
 	"drumstall.example/internal/state"
@@ -19,24 +19,12 @@
 
 // decide asks the best candidates in turn and keeps the decision.
 func (p *Planner) decide(ctx context.Context, cfg conf.Effective, d Decision, views []order.News) {
+	d.weights = cfg.Weights
 	by := map[string]order.News{}
 	for _, v := range views {
 		by[v.Listed.ID] = v
 	}
 	ready, undecided := 0, false
-	// Why: several candidates are asked at once, so asking writes nothing that is shared.
-	ask := func(to string, dry bool) (a order.Considered, unsure bool) {
-		one, cancel := context.WithTimeout(ctx, p.d.Cadence.Ask)
-		defer cancel()
-		var err error
-		a, err = p.d.Ask(one, by[to].Controller, order.Consider{Replica: to, Item: d.Item, Penalty: d.Penalty, Alone: d.Pass, Claim: d.claim, Dry: dry, CostMs: int(d.CheapestMs)})
-		if err != nil {
-			a = order.Considered{Why: err.Error(), Silent: true}
-			// Why: one that gave no answer may have taken it; its news will tell before the next decision.
-			unsure = !dry && wire.Code(err) != "not-owner"
-		}
-		return a, unsure
-	}
 	var names []string
 	for n, c := range d.Candidates {
 		if n >= tries || c.Vetoed {
@@ -44,16 +32,7 @@
 		}
 		names = append(names, c.Name)
 	}
-	answers := make([]order.Considered, len(names))
-	type answer struct {
-		i int
-		a order.Considered
-	}
-	ch := run.Fan(p.d.Group, len(names), func(_ context.Context, i int) answer { a, _ := ask(names[i], true); return answer{i, a} })
-	for range names {
-		x := <-ch
-		answers[x.i] = x.a
-	}
+	answers := p.askDry(ctx, d, names, by)
 	// Why: of those that agree, the one that takes the store's time the least, then the one that is ready clearly
 	// sooner, then the one whose victims are worth least; the judges' order decides between equals.
 	for len(names) > 0 && d.Taken == "" && !undecided {
@@ -66,7 +45,7 @@
 		if best < 0 {
 			break
 		}
-		a, unsure := ask(names[best], false)
+		a, unsure := p.ask(ctx, d, by[names[best]].Controller, names[best], false)
 		undecided = undecided || unsure
 		answers[best] = a
 		if a.Taken {
@@ -163,9 +142,26 @@
 		for i := p.log.Len() - 1; i >= 0; i-- {
 			d := p.log.At(i)
 			if about == "" || d.Item == about || conf.ParseItem(d.Item).Model == about {
-				out = append(out, d)
+				out = append(out, d.explained())
 			}
 		}
 	})
 	return out
 }
+
+// explained is a decision with what the judges said of the candidates and of what
+// might have gone there.
+func (d Decision) explained() Decision {
+	d.Candidates = slices.Clone(d.Candidates)
+	for i, c := range d.Candidates {
+		d.Candidates[i] = c.Explained(d.weights)
+	}
+	d.Tried = slices.Clone(d.Tried)
+	for i := range d.Tried {
+		a := &d.Tried[i].Answer
+		if len(a.IdleModels)+len(a.IdleAdapters) > 0 {
+			a.Idle = append(judge.Victims(d.weights, a.IdleModels), judge.Victims(d.weights, a.IdleAdapters)...)
+		}
+	}
+	return d
+}
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -48,8 +48,13 @@
 	News    *news.Table
 	Reports *report.Table
 	Conf    func() conf.Effective
+	// Views are all replicas' newest news, by name; nobody changes them.
+	Views func() []order.News
 	// Ask reaches the controller of a replica, on whichever core it is.
 	Ask func(ctx context.Context, controller string, q order.Consider) (order.Considered, error)
+	// AskAll asks the controller of several replicas at once, dry; order.Unheard stands for an answer that did not
+	// come. Nil asks one by one.
+	AskAll func(ctx context.Context, controller string, q order.ConsiderAll) []order.Considered
 	// Tell shares predictions with the other cores.
 	Tell func(ctx context.Context, s Shared)
 }
@@ -126,7 +131,7 @@
 		p.busy.Store(false)
 		return
 	}
-	views := Views(p.d.News)
+	views := p.d.Views()
 	var work []Decision
 	p.noteWaiting(waits, now)
 	for it, n := range waits {
