route: rows of the table are made anew only where something changed

Cause: every batch of news, 15 to 20 a second on the first grown site, and every beat of 100 ms made the whole table anew, 143 rows with their items, and each choice of a replica looked at all rows.

Change: the keeper follows the news by a cursor. A row is kept until its replica's entry or the configuration is new; the maps of a table are those of the one before until they change; a beat without news makes nothing. What goes by the time alone is not in the rows any more: when the table was renewed last and the load that answers told of are noted at each renewal, as often as before, and planners' words expire in their order. An index from item to holders, and the list of those that hold no models, name the replicas that a choice looks at; what may be sent to them is decided by the same checks as before. Where proxies ask replicas themselves, all rows are made anew at each renewal as before.

A test compares the table with one made anew of all news over random sequences (entries, removals, unreadable ones, planners' words, marks, configurations with drains, loads told of, reports), that the index finds whom a look at all finds, that a table given out never changes, and that its version rises just when something told is new.

What is left of a proxy's time is its requests and its exchanges with the agent.

--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -13,7 +13,37 @@
 )
 
 // Load is how many requests a replica has, as far as is known here.
-func (r *Replica) Load() int { return r.Elsewher + int(r.Live.Inflight.Load()) }
+func (r *Replica) Load() int { return r.elsewhere() + int(r.Live.Inflight.Load()) }
+
+// elsewhere is how many requests of other edges are on it.
+func (r *Replica) elsewhere() int {
+	switch {
+	case !r.Told:
+		return r.elsewher
+	case r.Dark:
+		return 0
+	}
+	return int(r.Live.elsewhere.Load())
+}
+
+// mayHave is how many requests we may have on it.
+func (r *Replica) mayHave() int {
+	switch {
+	case !r.Told:
+		return r.room
+	case r.Dark:
+		return 0
+	}
+	return max(0, r.Slots-r.elsewhere())
+}
+
+// heardAt is when word of it came last.
+func (k *Keeper) heardAt(r *Replica) time.Duration {
+	if r.Told && !r.Dark {
+		return time.Duration(k.renewed.Load())
+	}
+	return r.heard
+}
 
 // candidates are the replicas that can serve a request.
 type candidates struct {
@@ -56,7 +86,8 @@
 func (k *Keeper) candidates(t Target, s *Snapshot, now time.Duration) candidates {
 	var c candidates
 	item, zone := t.Item.String(), k.d.Zone()
-	for id, r := range s.Replicas {
+	for _, id := range s.index.able(t, item) {
+		r := s.Replicas[id]
 		if !k.serves(t, item, id, r, now) {
 			continue
 		}
@@ -65,11 +96,11 @@
 		c.serve += r.ServeFor
 		mine := int(r.Live.Inflight.Load())
 		// Why: one that has just refused is fuller than its report says, and would refuse the next one too.
-		if mine >= r.Room || r.over(now) {
+		if mine >= r.mayHave() || r.over(now) {
 			r.Live.look.Store(true)
 			continue
 		}
-		f := judge.Replica{Name: id, Inflight: r.Elsewher + mine, Slots: r.Slots, ServeFor: r.ServeFor, SameZone: r.Listed.Zone == zone}
+		f := judge.Replica{Name: id, Inflight: r.elsewhere() + mine, Slots: r.Slots, ServeFor: r.ServeFor, SameZone: r.Listed.Zone == zone}
 		// Why: silence is no proof. It only ranks a replica behind all that answer, until a report that was asked for
 		// later comes.
 		if !r.answers(now) || id == t.Avoid {
@@ -108,8 +139,9 @@
 // Others says whether another replica that answers holds what a request needs.
 func (k *Keeper) Others(t Target, not string) bool {
 	s, now, item := k.Now(), k.clock.Since(), t.Item.String()
-	for id, r := range s.Replicas {
-		if id != not && k.serves(t, item, id, r, now) && r.answers(now) && int(r.Live.Inflight.Load()) < r.Room {
+	for _, id := range s.index.able(t, item) {
+		r := s.Replicas[id]
+		if id != not && k.serves(t, item, id, r, now) && r.answers(now) && int(r.Live.Inflight.Load()) < r.mayHave() {
 			return true
 		}
 	}
@@ -122,7 +154,7 @@
 	switch {
 	case r.Listed.Model != isModel, isModel && !r.holds(t, item):
 		return false
-	case r.Listed.Leaving, now-r.Heard > dark, now-time.Duration(r.Live.refused.Load()) < refusedFor:
+	case r.Listed.Leaving, now-k.heardAt(r) > dark, now-time.Duration(r.Live.refused.Load()) < refusedFor:
 		return false
 	case !t.selects(r):
 		return false
--- /dev/null
+++ b/internal/route/draft.go
@@ -0,0 +1,111 @@
+package route
+
+import (
+	"maps"
+	"slices"
+)
+
+// copyOnWrite is a map that belongs to the table before, too, until it is changed.
+type copyOnWrite[V any] struct {
+	entries map[string]V
+	own     bool
+}
+
+func (s *copyOnWrite[V]) set(key string, v V) {
+	s.copy()
+	s.entries[key] = v
+}
+
+func (s *copyOnWrite[V]) drop(key string) {
+	if _, found := s.entries[key]; found {
+		s.copy()
+		delete(s.entries, key)
+	}
+}
+
+func (s *copyOnWrite[V]) copy() {
+	if s.own {
+		return
+	}
+	if s.entries, s.own = maps.Clone(s.entries), true; s.entries == nil {
+		s.entries = map[string]V{}
+	}
+}
+
+// index finds the replicas that may hold what a request needs.
+type index struct {
+	holders  map[string][]string // of each item: the replicas of models that are ready for it
+	services []string            // replicas that hold no models
+}
+
+// able are the replicas that are worth a look for a request.
+func (x index) able(t Target, item string) []string {
+	if t.Route.Kind == "model" {
+		return x.holders[item]
+	}
+	return x.services
+}
+
+// indexing is an index while it is changed; no list is changed in its place.
+type indexing struct {
+	holders  copyOnWrite[[]string]
+	services []string
+}
+
+// moved brings the index up to date with a row that takes the place of another;
+// either may be nil.
+func (x *indexing) moved(id string, before, after *Replica) {
+	for item := range before.models() {
+		if !after.models()[item] {
+			x.letGo(id, item)
+		}
+	}
+	for item := range after.models() {
+		if !before.models()[item] {
+			x.holders.set(item, with(x.holders.entries[item], id))
+		}
+	}
+	switch was, is := before.isService(), after.isService(); {
+	case was && !is:
+		x.services = without(x.services, id)
+	case is && !was:
+		x.services = with(x.services, id)
+	}
+}
+
+// letGo notes that a replica holds an item no more.
+func (x *indexing) letGo(id, item string) {
+	if left := without(x.holders.entries[item], id); len(left) > 0 {
+		x.holders.set(item, left)
+	} else {
+		x.holders.drop(item)
+	}
+}
+
+// models are the items that a replica of models is ready for.
+func (r *Replica) models() map[string]bool {
+	if r == nil || !r.Listed.Model {
+		return nil
+	}
+	return r.Ready
+}
+
+func (r *Replica) isService() bool { return r != nil && !r.Listed.Model }
+
+// with is a new sorted list that has id, too.
+func with(sorted []string, id string) []string {
+	at, found := slices.BinarySearch(sorted, id)
+	if found {
+		return sorted
+	}
+	return slices.Concat(sorted[:at], []string{id}, sorted[at:])
+}
+
+// without is a new sorted list that lacks id.
+func without(sorted []string, id string) []string {
+	at, found := slices.BinarySearch(sorted, id)
+	if !found {
+		return sorted
+	}
+	return slices.Concat(sorted[:at], sorted[at+1:])
+}
--- a/internal/route/live.go
+++ b/internal/route/live.go
@@ -12,17 +12,19 @@
 type Live struct {
 	Inflight atomic.Int64
 	look     atomic.Bool // its report is wanted out of turn
-	load     atomic.Pointer[loadWord]
-	unread   unread
-	heardAt  atomic.Int64 // when a piece of an answer came from it last, on our clock
-	first    atomic.Int64 // how long a first piece takes, on average of late
-	strays   atomic.Int64 // how far that is off, on average of late
-	refused  atomic.Int64 // when a conn was refused last, on our clock
-	over     atomic.Int64 // when it last would not run what it was sent, on our clock
-	silent   atomic.Int64 // when it last kept us waiting for longer than it does, on our clock
-	mu       sync.Mutex
-	items    map[string]int
-	missing  map[string]time.Duration // items that it has said it does not hold, and when
+	// elsewhere is how many requests of others it has by its answers, as of the latest renewal of the table.
+	elsewhere atomic.Int64
+	load      atomic.Pointer[loadWord]
+	unread    unread
+	heardAt   atomic.Int64 // when a piece of an answer came from it last, on our clock
+	first     atomic.Int64 // how long a first piece takes, on average of late
+	strays    atomic.Int64 // how far that is off, on average of late
+	refused   atomic.Int64 // when a conn was refused last, on our clock
+	over      atomic.Int64 // when it last would not run what it was sent, on our clock
+	silent    atomic.Int64 // when it last kept us waiting for longer than it does, on our clock
+	mu        sync.Mutex
+	items     map[string]int
+	missing   map[string]time.Duration // items that it has said it does not hold, and when
 }
 
 // loadWord is what an answer said of a replica's load.
@@ -91,7 +93,7 @@
 	if r.Told {
 		return now-time.Duration(r.Live.silent.Load()) > quietFor
 	}
-	return time.Duration(r.Live.silent.Load()) < r.Heard
+	return time.Duration(r.Live.silent.Load()) < r.heard
 }
 
 // over says that it would not run what it was sent last, and has not been heard since.
@@ -99,7 +101,7 @@
 	if r.Told {
 		return now-time.Duration(r.Live.over.Load()) < quietFor/4
 	}
-	return time.Duration(r.Live.over.Load()) >= r.Heard
+	return time.Duration(r.Live.over.Load()) >= r.heard
 }
 
 // Full notes that a replica would not run what it was sent; it gets nothing until
--- a/internal/route/look.go
+++ b/internal/route/look.go
@@ -70,6 +70,6 @@
 			}
 			k.heard[a.id] = a.r
 		}
-		k.rebuild()
+		k.renew()
 	})
 }
--- /dev/null
+++ b/internal/route/renew_bench_test.go
@@ -0,0 +1,61 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+
+	"drumstall.example/internal/backend"
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/inventory"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/news"
+	"drumstall.example/internal/place/order"
+)
+
+// benchNews is a word on a replica that holds ten items.
+func benchNews(number, serial int) []byte {
+	n := order.News{Listed: inventory.Listed{ID: fmt.Sprint("r", number), Model: true, Zone: "z1"}, Slots: 8, FreeMib: serial, Items: map[string]string{}}
+	for i := range 10 {
+		n.Items[fmt.Sprint("model-", number%60*10+i)] = backend.Loaded
+	}
+	return wire.Pack(n)
+}
+
+func benchWorld(replicas int) *world {
+	w := newWorld(nil, 1, false)
+	for i := range replicas {
+		w.news.Put(news.Entry{Key: order.Key(fmt.Sprint("r", i)), Stamp: w.stamp(), Value: benchNews(i, 0)})
+	}
+	w.k.renew()
+	return w
+}
+
+func BenchmarkRenew(b *testing.B) {
+	for _, replicas := range []int{150, 600} {
+		b.Run(fmt.Sprintf("news of one of %d", replicas), func(b *testing.B) {
+			w := benchWorld(replicas)
+			for i := 0; b.Loop(); i++ {
+				w.news.Put(news.Entry{Key: order.Key("r1"), Stamp: w.stamp(), Value: benchNews(1, i)})
+				w.k.renew()
+			}
+		})
+		b.Run(fmt.Sprintf("a beat at %d", replicas), func(b *testing.B) {
+			w := benchWorld(replicas)
+			for b.Loop() {
+				w.k.renew()
+			}
+		})
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, replicas := range []int{150, 600} {
+		b.Run(fmt.Sprintf("of %d", replicas), func(b *testing.B) {
+			w := benchWorld(replicas)
+			target := Target{Route: conf.Route{Kind: "model"}, Item: conf.Item{Model: "model-1"}}
+			for b.Loop() {
+				w.k.Choose(target)
+			}
+		})
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -37,16 +37,18 @@
 	leastPatience = 40 * time.Millisecond
 )
 
-// Replica is one row of the table.
+// Replica is one row of the table. It stays the same until what is told of its
+// replica changes, or the configuration.
 type Replica struct {
 	Listed   inventory.Listed
 	Slots    int
-	Elsewher int // requests of other edges on it, as of its report
-	Room     int // requests we may have on it until its next report
+	elsewher int // requests of other edges on it, as of its report
+	room     int // requests we may have on it until its next report
 	ServeFor time.Duration
 	Ready    map[string]bool
-	Heard    time.Duration
+	heard    time.Duration
 	Told     bool // what is known of it comes from its controller and its answers, not from reports to us
+	Dark     bool // its controller says that it does not answer
 	Live     *Live
 }
 
@@ -60,6 +62,7 @@
 	Coming   map[string]time.Duration // items on their way: when they should be there, on our clock
 	Acked    map[string]state.Stamp
 	Version  uint64 // rises when the configuration or what is told of a replica changes
+	index    index
 }
 
 // Keeper keeps the table.
@@ -72,12 +75,12 @@
 	snap    atomic.Pointer[Snapshot]
 	lives   map[string]*Live
 	heard   map[string]report
-	told    map[string]told
-	version uint64
+	told    map[string]*told // of each replica's entry, by its key
+	cursor  uint64           // how far the news has been followed
+	expects expects
+	renewed atomic.Int64           // when the table was brought up to date last, on our clock
+	gone    map[string]struct{}    // replicas that have left the table, of which something is kept
 	full    map[bool]time.Duration // when a replica was last seen full: of models, of services
-	conf    conf.Effective
-	confAt  state.Stamp
-	serial  uint64
 	fresh   *run.Nudge
 	onNew   atomic.Pointer[func()]
 	warmth  *memory
@@ -111,14 +114,15 @@
 	if d.Deaf == 0 {
 		d.Deaf = deaf
 	}
-	k := &Keeper{d: d, news: d.News, clock: d.Clock, group: d.Group, lives: map[string]*Live{}, heard: map[string]report{}, told: map[string]told{},
-		full: map[bool]time.Duration{true: -1 << 61, false: -1 << 61},
-		conf: conf.Empty(), warmth: newMemory(), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
-	k.snap.Store(&Snapshot{Conf: k.conf})
-	k.desk = run.NewDesk(d.Group, 256, beat, k.rebuild)
+	k := &Keeper{d: d, news: d.News, clock: d.Clock, group: d.Group, lives: map[string]*Live{}, heard: map[string]report{}, told: map[string]*told{},
+		gone:   map[string]struct{}{},
+		full:   map[bool]time.Duration{true: -1 << 61, false: -1 << 61},
+		warmth: newMemory(), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
+	k.snap.Store(&Snapshot{Conf: conf.Empty()})
+	k.desk = run.NewDesk(d.Group, 256, beat, k.renew)
 	// Why: a configuration and a withdrawn item are in force at once, not at the next beat; news that comes
 	// together makes one table.
-	k.fresh = run.NewNudge(k.desk, k.rebuild)
+	k.fresh = run.NewNudge(k.desk, k.renew)
 	d.News.OnNew(func(news.Entry) { k.fresh.Now() })
 	if !d.Ask {
 		return k
