proxy: an event of a stream is passed on without new memory

Cause: for each event, some 36 of each answer, a proxy made a buffer of 4 KB to read into and one or two for what is left over; collecting those cost more than passing them on.

Change: a stream reads into one buffer and keeps what is left over in another. A test counts allocations for an event that comes in two pieces: 3 before, none now.

--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -16,6 +16,9 @@
 // maxEvent bounds one event of a stream.
 const maxEvent = 1 << 20
 
+// maxChunk is how much of a stream is read at once.
+const maxChunk = 4 << 10
+
 var errEventTooLong = errors.New("proxy: an event of a stream is too long")
 
 // eventStream passes whole events on. When the replica breaks off, another goes
@@ -24,8 +27,10 @@
 	ctx     context.Context
 	passage *passage
 	from    *begun
+	chunk   []byte // room to read into
 	partial []byte // read, and not yet a whole event
 	ready   []byte // whole events that are to be passed on
+	out     []byte // the buffer that ready is a part of
 	last    uint64 // number of the last event passed on
 	known   bool   // last has a value
 	ended   bool
@@ -56,9 +61,11 @@
 
 // more reads until there is a whole event, or the stream has ended.
 func (s *eventStream) more() error {
-	var chunk [4 << 10]byte
-	n, err := s.from.Read(chunk[:])
-	s.partial = append(s.partial, chunk[:n]...)
+	if s.chunk == nil {
+		s.chunk = make([]byte, maxChunk)
+	}
+	n, err := s.from.Read(s.chunk)
+	s.partial = append(s.partial, s.chunk[:n]...)
 	if len(s.partial) > maxEvent {
 		return errEventTooLong
 	}
@@ -76,14 +83,15 @@
 // take moves whole events to where they are passed on from, but for those that
 // were passed on before.
 func (s *eventStream) take(all bool) {
-	s.ready = s.ready[:0]
+	rest := s.partial
+	s.ready = s.out[:0]
 	for {
-		end := eventEnd(s.partial)
+		end := eventEnd(rest)
 		if end < 0 {
 			break
 		}
-		event := s.partial[:end]
-		s.partial = s.partial[end:]
+		event := rest[:end]
+		rest = rest[end:]
 		number, numbered := eventNumber(event)
 		// Why: a replica that goes on with a stream may begin a little early; no event may come twice.
 		if numbered && s.known && number <= s.last {
@@ -94,14 +102,15 @@
 		}
 		s.ready = append(s.ready, event...)
 	}
-	if number, numbered := eventNumber(s.partial); all && !(numbered && s.known && number <= s.last) {
-		s.ready = append(s.ready, s.partial...)
+	if number, numbered := eventNumber(rest); all && !(numbered && s.known && number <= s.last) {
+		s.ready = append(s.ready, rest...)
 	}
 	if all {
-		s.partial = nil
+		rest = nil
 	}
-	// Why: the rest moves to the front of a buffer of its own, so that the old one does not grow for ever.
-	s.partial = append([]byte(nil), s.partial...)
+	// Why: the rest moves to the front of the same buffer, so that none is made for each event and it does not grow for ever.
+	s.partial = append(s.partial[:0], rest...)
+	s.out = s.ready
 }
 
 // eventEnd is where the first event ends, with the blank line behind it; -1 is not yet.
--- a/internal/proxy/events_test.go
+++ b/internal/proxy/events_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -151,3 +152,24 @@
 		t.Errorf("got %q", got.String())
 	}
 }
+
+// What is made for each event is work for the collector, some hundred times a second.
+func TestAnEventIsPassedOnWithoutNewMemory(t *testing.T) {
+	s := &eventStream{}
+	number := uint64(0)
+	event := make([]byte, 0, 100)
+	perEvent := testing.AllocsPerRun(1000, func() {
+		number++
+		event = append(strconv.AppendUint(append(event[:0], "id: "...), number, 10), "\ndata: lorem ipsum\n\n"...)
+		for _, piece := range [][]byte{event[:5], event[5:]} {
+			s.partial = append(s.partial, piece...)
+			s.take(false)
+		}
+		if len(s.ready) != len(event) {
+			t.Fatalf("event %d: %q was passed on", number, s.ready)
+		}
+	})
+	if perEvent > 0 {
+		t.Errorf("%v allocations for each event", perEvent)
+	}
+}
