--- a/internal/news/push_test.go
+++ b/internal/news/push_test.go
@@ -74,7 +74,7 @@
 	srv := wire.NewServer(ln, mux)
 	n.g.Go(srv.Run)
 	n.g.Go(post.Run)
-	s := NewSpreader(n.g, table, slog.New(slog.DiscardHandler), post, caller, mux, func() string { return n.addrs[i] }, func() []string { return peers }, touch.New(tick.Machine()))
+	s := NewSpreader(n.g, table, slog.New(slog.DiscardHandler), post, caller, mux, func() string { return n.addrs[i] }, func() []string { return peers }, nil, touch.New(tick.Machine()))
 	n.tables, n.spreads = append(n.tables, table), append(n.spreads, s)
 	return func() {
 		srv.Close()
