feed: a proxy's reports to its agent as differences

Cause: a report goes with an exchange whenever something that a controller may wait for is in force, up to 14 times a second on the first grown site, and each held the stamps of all 143 replicas and the counts of all items, to be packed, sent, read and kept.

Tests: over random sequences with lost reports, lost answers and an agent in another's place, the agent has the newest whole report or says that it holds none; what is sent next for each thing that an agent may answer.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -66,6 +66,7 @@
 	confirmed atomic.Bool
 	touch     *touch.Keeper
 	latest    atomic.Pointer[dated]
+	fed       atomic.Pointer[report.Report] // the last report that came with an exchange
 	reports   reports
 	asked     atomic.Int64 // when the proxy asked last, on our clock
 	urgent    *run.Nudge
@@ -216,13 +217,16 @@
 		a.confirmed.Store(true)
 	}
 	if !up.NoReport {
-		a.keepReport(up.Report)
+		a.takeFed(up.Report)
 	}
 	if up.AgentBoot == a.boot {
 		a.awaitNews(ctx, up)
 	}
 	d := feed.Down{AgentBoot: a.boot, Confirmed: a.confirmed.Load(), Conf: a.news.StampOf(conf.Key), HeardMs: min(a.touch.For().Milliseconds()+1, 1<<40),
 		Edges: len(a.members.Live(member.RoleAgent)), Agent: a.s.Name, Zone: a.s.Zone}
+	if fed := a.fed.Load(); fed != nil && fed.Boot == up.Boot {
+		d.Holds = fed.Serial
+	}
 	partners := a.members.Peers()
 	d.Partners = partners[:min(len(partners), maxPartners)]
 	cursor := up.Cursor
@@ -233,6 +237,24 @@
 	return d, nil
 }
 
+// takeFed takes a report that came with an exchange, whole or as the difference
+// from the one before. What it cannot be laid on is asked for again by what the answer
+// says is held.
+func (a *Agent) takeFed(r report.Report) {
+	r.Agent = a.s.Name
+	var base report.Report
+	if fed := a.fed.Load(); fed != nil {
+		base = *fed
+	}
+	whole, ok := r.On(base)
+	if !ok {
+		a.fed.Store(nil)
+		return
+	}
+	a.fed.Store(&whole)
+	a.keepReport(whole)
+}
+
 // awaitNews holds an answer back until there is something to tell.
 func (a *Agent) awaitNews(ctx context.Context, up feed.Up) {
 	hold := min(time.Duration(up.HoldMs)*time.Millisecond, maxHold)
--- /dev/null
+++ b/internal/agent/fed_test.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"maps"
+	"math/rand/v2"
+	"reflect"
+	"strconv"
+	"testing"
+
+	"drumstall.example/internal/core"
+	"drumstall.example/internal/kernel/tick"
+	"drumstall.example/internal/place/report"
+)
+
+// Whatever a proxy sends, whole reports or differences from what it was told that the
+// agent holds, the agent has the newest whole report, or says that it holds none.
+func TestDifferencesFromTheProxyMakeTheWholeReport(t *testing.T) {
+	for seed := range uint64(100) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		a := &Agent{s: Settings{Name: "e", Zone: "z"}, env: core.Env{Clock: tick.Machine()}}
+		now := report.Report{Agent: "e", Zone: "z", Boot: "b", Demand: map[string]uint64{}}
+		var base report.Report
+		for range 60 {
+			now.Serial++
+			now.Demand = maps.Clone(now.Demand)
+			now.Demand["m"+strconv.Itoa(rnd.IntN(5))]++
+			sent := now
+			if base.Serial != 0 {
+				sent = now.Since(base)
+			}
+			switch rnd.IntN(10) {
+			case 0: // another agent in its place
+				a.fed.Store(nil)
+			case 1: // lost on the way
+				base = report.Report{}
+				continue
+			}
+			a.takeFed(sent)
+			held := a.fed.Load()
+			if sent.Base != 0 && held == nil {
+				base = report.Report{}
+				continue
+			}
+			if !reflect.DeepEqual(*held, now) || !reflect.DeepEqual(a.latest.Load().r, now) {
+				t.Fatalf("seed %d: held %+v, want %+v", seed, *held, now)
+			}
+			if base = now; rnd.IntN(10) == 0 { // its answer was lost
+				base = report.Report{}
+			}
+		}
+	}
+}
+
+func TestADifferenceFromAnotherLifeOfTheProxyIsNotTaken(t *testing.T) {
+	a := &Agent{s: Settings{Name: "e"}, env: core.Env{Clock: tick.Machine()}}
+	first := report.Report{Boot: "b", Serial: 1, Demand: map[string]uint64{"m": 7}}
+	a.takeFed(first)
+	other := report.Report{Boot: "c", Serial: 2}
+	a.takeFed(other.Since(report.Report{Boot: "c", Serial: 1}))
+	if a.fed.Load() != nil || a.latest.Load().r.Serial != 1 {
+		t.Errorf("held %+v", a.latest.Load().r)
+	}
+}
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -31,6 +31,7 @@
 	answeredAt time.Duration // when the last exchange ended
 	reportedAt time.Duration // when the last report was sent; 0 when the agent may not have it
 	reported   uint64        // version of the table that it told of
+	base       report.Report // the last report that the agent holds, from which the next is the difference; without a serial there is none
 }
 
 // mend gets news from the agent's partners while the agent is away, or so new
@@ -73,14 +74,17 @@
 	}
 	up.HoldMs = int(feedHold.Milliseconds())
 	asked := p.env.Clock.Since()
+	var sent report.Report
 	if up.NoReport = !f.reportDue(snap, asked); !up.NoReport {
-		up.Report = p.report()
+		sent = p.report()
+		up.Report = f.difference(sent)
 	}
 	down, err := wire.Call[feed.Up, feed.Down](ctx, p.caller, p.s.Agent, feed.Path, up)
 	if err != nil {
-		f.reportedAt = 0
+		f.reportedAt, f.base = 0, report.Report{}
 		return
 	}
+	f.settle(sent, down.Holds)
 	f.mine, f.all = mine, false
 	if down.WantAll {
 		// Why: the agent lost its table; ours may be newer than any it can get elsewhere.
@@ -124,6 +128,29 @@
 	return true
 }
 
+// difference is a report as the agent needs it.
+func (f *feedState) difference(r report.Report) report.Report {
+	if f.base.Serial == 0 {
+		return r
+	}
+	return r.Since(f.base)
+}
+
+// settle notes which report the agent holds after an exchange in which it was sent
+// one, or none. Why: the agent may be another one by now, or one that takes whole reports only.
+func (f *feedState) settle(sent report.Report, holds uint64) {
+	before := f.base
+	switch {
+	case holds != 0 && holds == sent.Serial:
+		f.base = sent
+	case holds != before.Serial:
+		f.base = report.Report{}
+	}
+	if before.Serial != 0 && f.base.Serial == 0 {
+		f.reportedAt = 0
+	}
+}
+
 // rest keeps exchanges apart while much is new. Why: what comes together makes one
 // table; what comes alone is passed on at once.
 func (p *Proxy) rest(ctx context.Context, answered time.Duration) {
--- /dev/null
+++ b/internal/proxy/feed_test.go
@@ -0,0 +1,42 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"drumstall.example/internal/place/report"
+)
+
+// A proxy sends differences only from what its agent says it holds, and the whole
+// report as soon as the agent has lost that.
+func TestWhatTheAgentHoldsDecidesWhatItIsSent(t *testing.T) {
+	at := func(serial uint64) report.Report { return report.Report{Boot: "b", Serial: serial} }
+	for name, c := range map[string]struct {
+		base, sent, holds uint64
+		want              uint64 // the base from then on
+		again             bool   // a report is due at once
+	}{
+		"first, taken":                         {0, 1, 1, 1, false},
+		"first, by one that takes whole ones":  {0, 1, 0, 0, false},
+		"next, taken":                          {1, 2, 2, 2, false},
+		"next, not taken":                      {1, 2, 0, 0, true},
+		"none sent, still held":                {1, 0, 1, 1, false},
+		"none sent, lost":                      {1, 0, 0, 0, true},
+		"none sent, another held":              {3, 0, 2, 0, true},
+		"none sent, of an earlier proxy's":     {0, 0, 9, 0, false},
+		"next, an earlier one is held instead": {1, 3, 2, 0, true},
+	} {
+		f := feedState{base: at(c.base), reportedAt: time.Second}
+		if got := f.difference(at(7)).Base; got != c.base {
+			t.Errorf("%s: sent from %d", name, got)
+		}
+		sent := report.Report{}
+		if c.sent != 0 {
+			sent = at(c.sent)
+		}
+		f.settle(sent, c.holds)
+		if f.base.Serial != c.want || (f.reportedAt == 0) != c.again {
+			t.Errorf("%s: base %d, due at once %v", name, f.base.Serial, f.reportedAt == 0)
+		}
+	}
+}
