Work of requests that wait for a first copy is counted at once

Cause: how many copies a model is given follows the work of its prompts, and that was counted only when a prompt was sent.

Change: the gate counts the prompt of a request that waits for what nobody holds; the request is not counted again when it is sent. A further copy of what is on its way has to pass the csf test, as only the first goes in without it.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -122,6 +122,7 @@
 	// Why: if what is ahead already takes longer than the deadline, waiting would only delay the no.
 	_, held, serve := g.routes.Choose(t.Target)
 	if held == 0 {
+		g.routes.CountWaiting(&t.Target)
 		g.tellWaiting()
 		g.onMiss()
 	}
--- a/internal/place/plan/miss.go
+++ b/internal/place/plan/miss.go
@@ -40,19 +40,7 @@
 	if i == nil || now-i.last < p.d.Cadence.Again {
 		return Decision{}, false
 	}
-	coming, copies := false, 0
-	for _, v := range views {
-		if v.Dark || v.Listed.Leaving {
-			continue
-		}
-		switch v.Items[it.String()] {
-		case order.Reserved, backend.Loading:
-			coming = true
-			copies++
-		case backend.Loaded:
-			copies++
-		}
-	}
+	copies, coming := copiesOf(it, views)
 	// Why: many misses for one item make one load; the next is thought of when it is there, unless its work is more
 	// than all of them will bear.
 	if coming && copies >= wanted {
@@ -73,11 +61,13 @@
 	if !alone && !pressed && copies >= wanted && !p.d.Cadence.ProxiesAsk {
 		return Decision{}, false
 	}
+	// Why: a further copy of what is on its way has to pass the test; only the first is taken without it.
+	first := copies == 0
 	if alone {
 		cheapest = m.LoadFor + m.ServeFor
 	}
 	d := Decision{At: p.d.Clock.Wall(), Core: p.d.Self, Item: it.String(), Cause: fmt.Sprintf("%d requests wait", waiting), Requests: requests, Accuracy: acc,
-		CheapestMs: cheapest.Milliseconds(), Penalty: penalty.Of(requests, cheapest), Csf: cfg.Limits.Csf, Alone: alone}
+		CheapestMs: cheapest.Milliseconds(), Penalty: penalty.Of(requests, cheapest), Csf: cfg.Limits.Csf, Alone: first}
 	if i.since >= 0 {
 		d.waited = now - i.since
 	}
@@ -86,11 +76,28 @@
 	// While the store has time to spare they cannot, and whoever asks would be turned away for nothing. A keeper
 	// that has not been heard of counts as busy.
 	spare := now-p.usedAt < useLife && p.use < cfg.Limits.PassSlack
-	d.Pass = alone && (spare || now-i.passed >= cfg.Limits.PassEvery)
+	d.Pass = first && (spare || now-i.passed >= cfg.Limits.PassEvery)
 	d.Candidates = p.candidates(cfg, it, m, views, now, labels.Everything())
 	return d, true
 }
 
+// copiesOf counts the replicas that hold an item or will; coming says that one of them does not hold it yet.
+func copiesOf(it conf.Item, views []order.News) (copies int, coming bool) {
+	for _, v := range views {
+		if v.Dark || v.Listed.Leaving {
+			continue
+		}
+		switch v.Items[it.String()] {
+		case order.Reserved, backend.Loading:
+			coming = true
+			copies++
+		case backend.Loaded:
+			copies++
+		}
+	}
+	return copies, coming
+}
+
 func (p *Planner) candidates(cfg conf.Effective, it conf.Item, m conf.Model, views []order.News, now time.Duration, in labels.Selector) []judge.Ranked {
 	zones := map[string]int{}
 	for _, v := range views {
--- a/internal/route/place.go
+++ b/internal/route/place.go
@@ -20,7 +20,9 @@
 		tokens = t.Prompt.uncached(k.warmth.warm(t.Prompt)[r.Listed.ID])
 		r.Live.unread.tokens.Add(int64(tokens))
 		pace, _ := k.predictor.Pace()
-		k.addWork(t.Item.Model, time.Duration(tokens)*pace)
+		if !t.Counted {
+			k.addWork(t.Item.Model, time.Duration(tokens)*pace)
+		}
 	}
 	if t.Route.Kind == "model" {
 		k.warmth.sent(t.Prompt, r.Listed.ID)
--- a/internal/route/press.go
+++ b/internal/route/press.go
@@ -40,6 +40,18 @@
 	k.pressing[item] = p
 }
 
+// CountWaiting counts the work of a request that has to wait, and says in the
+// target that it did. Why: what waits for a model's first copy tells how many copies its
+// work needs, and would otherwise only be counted once that copy is there and has too much to do.
+func (k *Keeper) CountWaiting(t *Target) {
+	if k.d.Ask || t.Route.Kind != "model" || t.Counted {
+		return
+	}
+	pace, _ := k.predictor.Pace()
+	k.addWork(t.Item.Model, time.Duration(t.Prompt.Size())*pace)
+	t.Counted = true
+}
+
 func (k *Keeper) addWork(model string, d time.Duration) {
 	k.pressMu.Lock()
 	defer k.pressMu.Unlock()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -141,6 +141,8 @@
 	Item   conf.Item
 	Prompt Prompt
 	Avoid  string // a replica that is taken only where no other can be
+	// Counted says that the work of this request has been counted while it waited.
+	Counted bool
 }
 
 // Lane groups requests that need the same.
