A request keeps its place at the only replica that could answer it

Cause: an attempt whose first piece had not come after half of its time was given up also where nobody else held the model. Its replica then counted as one that takes no connection for a second, and the same request went back to the end of the same queue, or waited until its caller had left. On the first grown site, 12 places a replica, 6 of the 8 requests that eleven of the proxies left unserved ended so (two attempts, outcome unknown), among them all whose adapter one replica held. Change: while the replica is still known to hold the item and no other could go on, or no retry is left for it, the silence is borne until the caller goes.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -122,9 +122,13 @@
 	// While it is, a silence before FirstAtLast or within the answer is borne; nil bears none.
 	Alive       func() bool
 	FirstAtLast time.Time
-	Heard       func()      // called whenever a piece comes
-	Again       bool        // another attempt may be made after a failure
-	Sendable    func() bool // asked right before the first byte leaves
+	// Only says that no other replica could answer. While it does, a silence before
+	// OnlyUntil is borne; nil bears none.
+	Only      func() bool
+	OnlyUntil time.Time
+	Heard     func()      // called whenever a piece comes
+	Again     bool        // another attempt may be made after a failure
+	Sendable  func() bool // asked right before the first byte leaves
 }
 
 // Reply is an answer that has begun.
@@ -251,7 +255,7 @@
 	defer ready.Done()
 	late = time.AfterFunc(time.Until(q.FirstBy), func() {
 		ready.Wait()
-		if q.Alive != nil && q.Alive() && time.Now().Before(q.FirstAtLast) {
+		if q.bearsSilence(time.Now()) {
 			late.Reset(patienceStep)
 			return
 		}
@@ -260,6 +264,14 @@
 	return late
 }
 
+// bearsSilence says that the first piece is waited for beyond FirstBy.
+func (q Request) bearsSilence(now time.Time) bool {
+	if q.Alive != nil && now.Before(q.FirstAtLast) && q.Alive() {
+		return true
+	}
+	return q.Only != nil && now.Before(q.OnlyUntil) && q.Only()
+}
+
 // begin waits for the first piece, or for the whole answer.
 func (r *Reply) begin(body io.Reader, whole bool) error {
 	if whole {
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -136,6 +136,46 @@
 	})
 }
 
+// The only replica that could answer is waited for; once another could, it is given up.
+func TestTheOnlyReplicaIsWaitedFor(t *testing.T) {
+	for name, c := range map[string]struct {
+		onlyFor time.Duration
+		ended   time.Duration
+		answers bool
+	}{
+		"nobody else, ever":           {time.Hour, 500 * time.Millisecond, true},
+		"another one after a while":   {420 * time.Millisecond, 450 * time.Millisecond, false},
+		"another one from the outset": {0, 300 * time.Millisecond, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := run.NewGroup(t.Context())
+			fab := simnet.New(1, func(string, string) time.Duration { return time.Millisecond })
+			b := newBackEnd(t, g, fab, func(conn net.Conn, _ int64) {
+				time.Sleep(500 * time.Millisecond)
+				_, _ = io.WriteString(conn, good)
+			})
+			s := NewSender(fab.Host("10.0.0.2"), Native{}, time.Second)
+			began := time.Now()
+			reply, failure := s.Send(t.Context(), Request{Addr: "10.0.0.1:90", Body: []byte("{}"), Number: 1, Sendable: func() bool { return true },
+				FirstBy: began.Add(300 * time.Millisecond), OnlyUntil: began.Add(time.Second),
+				Only: func() bool { return time.Since(began) < c.onlyFor }})
+			if (failure == nil) != c.answers {
+				t.Errorf("%s: got %v", name, failure)
+			}
+			if took := time.Since(began); took < c.ended || took > c.ended+10*time.Millisecond {
+				t.Errorf("%s: ended after %v", name, took)
+			}
+			if reply != nil {
+				_ = reply.Close()
+			}
+			s.Close()
+			_ = b.ln.Close()
+			time.Sleep(time.Second)
+			g.Stop()
+		})
+	}
+}
+
 func TestAnswersThatMustNotPassForWhole(t *testing.T) {
 	for name, c := range map[string]struct {
 		raw     string
--- a/internal/proxy/passage.go
+++ b/internal/proxy/passage.go
@@ -170,6 +170,11 @@
 	q.Whole = c.Target.Route.Service != "" && c.Target.Route.Repeatable && !c.Target.Route.Streaming
 	q.Again = c.Target.Route.Repeatable && w.number < c.Target.Route.Attempts
 	q.Heard = func() { w.p.routes.HeardFrom(r) }
+	if firstBy.Before(c.FirstBy) {
+		// Why: given up where nobody else could answer, a request only loses its place in the replica's queue.
+		q.Only = func() bool { return w.p.routes.Serves(c.Target, id) && !w.mayGoOn(r) }
+		q.OnlyUntil = c.FirstBy
+	}
 	if c.Target.Route.Resumable && c.Target.Route.GapTarget > 0 {
 		// Why: a pause that is too long is late already; what must be told is a replica that stands still from one
 		// that is slow, and its other answers tell.
--- /dev/null
+++ b/internal/proxy/passage_test.go
@@ -0,0 +1,62 @@
+package proxy
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"drumstall.example/internal/attempt"
+	"drumstall.example/internal/backend"
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/inventory"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/tick"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/news"
+	"drumstall.example/internal/place/order"
+	"drumstall.example/internal/route"
+	"drumstall.example/internal/state"
+)
+
+// A silent replica is the only one that could answer until another that holds
+// the model becomes known, or until its controller says that it is dark.
+func TestWhichReplicaIsTheOnlyOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := run.NewGroup(t.Context())
+		defer g.Stop()
+		table := news.NewTable()
+		routes := route.NewKeeper(route.Deps{Group: g, News: table, Clock: tick.Machine(), Zone: func() string { return "a" },
+			HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 64 }})
+		serial := uint64(0)
+		tell := func(id string, dark bool) {
+			serial++
+			n := order.News{Listed: inventory.Listed{ID: id, Model: true, Slots: 12}, Slots: 12, Dark: dark, Items: map[string]string{"m": backend.Loaded}}
+			table.Put(news.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Serial: serial}, Value: wire.Pack(n)})
+			time.Sleep(time.Second)
+		}
+		p := &Proxy{routes: routes, budget: attempt.NewBudget(1)}
+		target := route.Target{Route: conf.Route{Kind: "model", Repeatable: true, Attempts: 2}, Item: conf.Item{Model: "m"}}
+		tell("r1", false)
+		now := time.Now()
+		w := &passage{p: p, number: 1, call: Call{Target: target, FirstBy: now.Add(2 * time.Second)}}
+		q := w.request(routes.Now().Replicas["r1"], now.Add(time.Second))
+		only := func(when string, want bool) {
+			if q.Only() != want {
+				t.Errorf("%s: the only one: %v", when, !want)
+			}
+		}
+		only("alone", true)
+		tell("r2", false)
+		only("no retry left", true)
+		p.budget.First("models", 5)
+		only("two hold it", false)
+		tell("r2", true)
+		w.giveBack()
+		only("the other is dark", true)
+		tell("r1", true)
+		only("it is dark itself", false)
+		if q := w.request(routes.Now().Replicas["r1"], w.call.FirstBy); q.Only != nil {
+			t.Error("asked for although it has all the time there is")
+		}
+	})
+}
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -116,6 +116,12 @@
 	return false
 }
 
+// Serves says whether a replica is still known to hold what a request needs.
+func (k *Keeper) Serves(t Target, id string) bool {
+	r := k.Now().Replicas[id]
+	return r != nil && k.serves(t, t.Item.String(), id, r, k.clock.Since())
+}
+
 // serves says whether a replica holds the item that a request needs and may be sent to.
 func (k *Keeper) serves(t Target, item, id string, r *Replica, now time.Duration) bool {
 	isModel := t.Route.Kind == "model"
