gate: it stands still while nobody waits

Cause: the gate looked at those who wait every 20 ms, though most of the time nobody does: 50 wake-ups a second of each proxy.

Dispatching when a place comes free, at a new table and when a request comes is unchanged.

Tests (the gate had none): who waits is served when a place comes free and when a refusal is over, also after the gate has stood still; what nobody has is given up; withdrawn tickets are let go of. All pass with the gate as it was, too.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -15,6 +15,7 @@
 
 const (
 	beat  = 20 * time.Millisecond
+	sweep = 5 * beat // between two sweeps of tickets that no longer wait
 	depth = 4096
 	// reserve is the share of shots that only urgent classes may use.
 	reserve = 4
@@ -30,7 +31,8 @@
 	urgent  atomic.Int64
 	waiting atomic.Pointer[map[string]int]
 	again   *run.Nudge // dispatches soon
-	beats   int
+	beat    *run.Alarm // the next look at those who wait
+	sweep   *run.Alarm
 	hold    time.Duration
 	closed  atomic.Bool
 	onMiss  func() // tells at once that a request waits for what nobody holds
@@ -41,7 +43,8 @@
 func New(g *run.Group, routes *route.Keeper, hold time.Duration, onMiss func()) *Gate {
 	t := &Gate{routes: routes, hall: holding.NewHall(), now: time.Now, hold: hold, onMiss: onMiss}
 	t.waiting.Store(&map[string]int{})
-	t.desk = run.NewDesk(g, depth, beat, t.onBeat)
+	t.desk = run.NewDesk(g, depth, 0, nil)
+	t.beat, t.sweep = run.NewAlarm(t.desk, t.onBeat), run.NewAlarm(t.desk, t.onSweep)
 	t.again = run.NewNudge(t.desk, t.dispatch)
 	routes.OnTable(t.again.Now)
 	return t
@@ -111,6 +114,7 @@
 		return
 	}
 	c := g.hall.Class(t.Class, cl)
+	g.sweep.In(sweep)
 	if !g.hall.Put(c, t) {
 		drop(t, holding.Answer{Why: "the holding of class " + t.Class + " is full", RetryS: 1})
 		return
@@ -119,6 +123,7 @@
 	if !t.Waits() {
 		return
 	}
+	g.beat.In(beat)
 	// Why: if what is ahead already takes longer than the deadline, waiting would only delay the no.
 	_, held, serve := g.routes.Choose(t.Target)
 	if held == 0 {
@@ -200,12 +205,22 @@
 	}}
 }
 
+// onBeat looks at those who wait. Why: most of the time nobody does, and a proxy
+// that sleeps then costs nothing.
 func (g *Gate) onBeat() {
 	g.dispatch()
 	g.hopeless()
-	if g.beats++; g.beats%5 == 0 {
-		g.hall.Sweep()
-		g.tellWaiting()
+	if g.hall.Holds() {
+		g.beat.In(beat)
+	}
+}
+
+// onSweep lets go of tickets that no longer wait, and of classes without any.
+func (g *Gate) onSweep() {
+	g.hall.Sweep()
+	g.tellWaiting()
+	if g.hall.Known() {
+		g.sweep.In(sweep)
 	}
 }
 
--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,127 @@
+package gate
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"drumstall.example/internal/backend"
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/holding"
+	"drumstall.example/internal/inventory"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/news"
+	"drumstall.example/internal/place/order"
+	"drumstall.example/internal/route"
+	"drumstall.example/internal/state"
+)
+
+// inBubble is the clock of a test in simulated time.
+type inBubble struct{ began time.Time }
+
+func (c inBubble) Since() time.Duration { return time.Hour + time.Since(c.began) }
+func (inBubble) Wall() time.Time        { return time.Now() }
+
+// opened is a gate in simulated time, with a class and no replica.
+func opened(t *testing.T, f func(g *Gate, n *news.Table)) {
+	synctest.Test(t, func(*testing.T) {
+		group := run.NewGroup(context.Background())
+		defer group.Stop()
+		n := news.NewTable()
+		k := route.NewKeeper(route.Deps{Group: group, News: n, Clock: inBubble{time.Now()}, Zone: func() string { return "z" },
+			HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 1 }})
+		g := New(group, k, time.Second, func() {})
+		n.Put(news.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: conf.Kept{Serial: 1, Objects: map[string][]byte{"classes/c": []byte(`{}`)}}.Pack()})
+		synctest.Wait()
+		f(g, n)
+	})
+}
+
+func target() route.Target {
+	return route.Target{Route: conf.Route{Kind: "model", Class: "c"}, Item: conf.Item{Model: "m"}}
+}
+
+func holder(serial uint64) news.Entry {
+	return news.Entry{Key: order.Key("r"), Stamp: state.Stamp{Epoch: 1, Serial: serial},
+		Value: wire.Pack(order.News{Listed: inventory.Listed{ID: "r", Model: true}, Slots: 1, Items: map[string]string{"m": backend.Loaded}})}
+}
+
+func TestWhatNobodyHasIsGivenUp(t *testing.T) {
+	opened(t, func(g *Gate, _ *news.Table) {
+		began := time.Now()
+		a := g.Enter(context.Background(), target(), "c", time.Now().Add(time.Minute))
+		if took := time.Since(began); a.Replica != nil || a.Why != "nobody has it and no controller answers" || took < time.Second || took > time.Second+2*beat {
+			t.Errorf("got %+v after %v", a, took)
+		}
+	})
+}
+
+// A gate stands still while nobody waits; whoever comes later is looked after all the same.
+func TestAGateThatStoodStillLooksAfterWhoWaits(t *testing.T) {
+	opened(t, func(g *Gate, n *news.Table) {
+		for round := range 3 {
+			time.Sleep(10 * time.Second)
+			n.Put(holder(uint64(2*round + 1)))
+			synctest.Wait()
+			first := g.Enter(context.Background(), target(), "c", time.Now().Add(time.Minute))
+			if first.Replica == nil {
+				t.Fatalf("round %d: %+v", round, first)
+			}
+			var second holding.Answer
+			group := run.NewGroup(context.Background())
+			group.Go(func(ctx context.Context) { second = g.Enter(ctx, target(), "c", time.Now().Add(time.Minute)) })
+			time.Sleep(5 * time.Second)
+			if n := g.Waiting()["m"]; n != 1 {
+				t.Errorf("round %d: %d wait, want 1", round, n)
+			}
+			first.Done()
+			synctest.Wait()
+			group.Stop()
+			if second.Replica == nil {
+				t.Fatalf("round %d, who waited: %+v", round, second)
+			}
+			second.Done()
+			time.Sleep(2 * sweep)
+			synctest.Wait()
+			if n := len(g.Waiting()); n != 0 {
+				t.Errorf("round %d: %d items are waited for when nobody waits", round, n)
+			}
+		}
+	})
+}
+
+// A replica that is left out for a while is used as soon as that is over, with no
+// news that says so.
+func TestWhoWaitsIsServedWhenARefusalIsOver(t *testing.T) {
+	opened(t, func(g *Gate, n *news.Table) {
+		n.Put(holder(1))
+		synctest.Wait()
+		a := g.Enter(context.Background(), target(), "c", time.Now().Add(time.Minute))
+		a.Done()
+		g.routes.Refused(a.Replica)
+		began := time.Now()
+		if a = g.Enter(context.Background(), target(), "c", time.Now().Add(time.Minute)); a.Replica == nil {
+			t.Fatalf("got %+v", a)
+		}
+		if took := time.Since(began); took < time.Second/2 || took > time.Second+2*beat {
+			t.Errorf("served after %v", took)
+		}
+	})
+}
+
+func TestTicketsWithdrawnAreLetGo(t *testing.T) {
+	opened(t, func(g *Gate, _ *news.Table) {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		if a := g.Enter(ctx, target(), "c", time.Now().Add(time.Minute)); a.Replica != nil {
+			t.Errorf("got %+v", a)
+		}
+		time.Sleep(2 * sweep)
+		synctest.Wait()
+		if g.hall.Known() || len(g.Waiting()) != 0 {
+			t.Error("a withdrawn ticket is still held")
+		}
+	})
+}
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -157,6 +157,19 @@
 	}
 }
 
+// Known says whether there are classes that a sweep may let go of.
+func (h *Hall) Known() bool { return len(h.classes) > 0 }
+
+// Holds says whether there are tickets, whether they still wait or not.
+func (h *Hall) Holds() bool {
+	for _, c := range h.classes {
+		if c.size > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Order is the classes with tickets in the order in which they are served:
 // urgent ones first, then by rank, then whoever has had the least for its weight.
 func (h *Hall) Order() []*Class {
