Revert "In a large fleet a core is told by an edge every second beat"

What waits or is pressed differs between nearly all beats under load, so the beat tells all cores there anyway, and telling them less would decide later.

Conclusion: not worth its code. Fewer reports need what waits to be told only to the core that plans for the item (docs/CAPACITY.md, mechanism 1).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -111,9 +111,8 @@
 	a.watch.Start(a.group, s.Cadence.List, a.asksPlatform)
 	wire.Handle(a.feedMux, feed.Path, a.exchange)
 	wire.Handle(a.feedMux, feed.UrgentPath, a.takeUrgent)
-	a.reports.taken = map[string]takenReport{}
-	reports := run.NewDesk(a.group, 8, s.Cadence.Report, func() { a.reportOnBeat(a.group.Context()) })
-	a.urgent = run.NewNudge(reports, func() { a.reportNow(a.group.Context()) })
+	reports := run.NewDesk(a.group, 8, s.Cadence.Report, func() { a.report(a.group.Context()) })
+	a.urgent = run.NewNudge(reports, func() { a.report(a.group.Context()) })
 	a.group.Every(confirmBeat, a.confirm)
 	a.base.Go(a.post.Run)
 	for _, srv := range []*wire.Server{wire.NewServer(ln, a.mux), wire.NewServer(fl, a.feedMux)} {
