An answer that has begun is no longer given up as late

The timer that gives up an attempt whose first piece is late looks whether the replica is heard elsewhere and is then set again. Where the first piece came during that look, it was set again after it had been stopped, and ended the answer at the latest moment for a first piece, pieces coming or not. A look that found the replica silent gave up the answer that had begun meanwhile.

Ruled out: the replica's silence (pieces 124 ms apart at most), the deadline (8.6 s left), the allowance for retries as such (nothing had asked for one).

Change: given up or begun is decided once, under a lock, in a type of its own.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -196,10 +196,10 @@
 		cancel()
 		return nil, &Failure{Outcome: NotRun, Why: err.Error()}
 	}
-	late := q.lateness(cancel)
+	late := newLateness(q, cancel)
 	res, err := s.http.Do(req)
 	if err != nil {
-		late.Stop()
+		late.end()
 		cancel()
 		if p.withdraw() {
 			return nil, &Failure{Outcome: NotRun, Refused: !errors.Is(err, errWithdrawn) && !errors.Is(err, context.Canceled), Why: err.Error()}
@@ -208,7 +208,7 @@
 	}
 	d := s.protocol.Decode(q, res)
 	fail := func(f Failure) (*Reply, *Failure) {
-		late.Stop()
+		late.end()
 		cancel()
 		_ = res.Body.Close()
 		f.Load = d.Load
@@ -232,7 +232,7 @@
 	if err := r.begin(res.Body, q.Whole); err != nil {
 		return fail(Failure{Outcome: Unknown, Why: "broke off before the first piece: " + err.Error()})
 	}
-	if !late.Stop() && ctx.Err() != nil {
+	if !late.end() {
 		return fail(Failure{Outcome: Unknown, Why: "the first piece came too late"})
 	}
 	if q.Heard != nil {
@@ -243,23 +243,6 @@
 	return r, nil
 }
 
-// lateness gives an attempt up whose first piece does not come in time.
-func (q Request) lateness(giveUp func()) *time.Timer {
-	var late *time.Timer
-	var ready sync.WaitGroup
-	ready.Add(1)
-	defer ready.Done()
-	late = time.AfterFunc(time.Until(q.FirstBy), func() {
-		ready.Wait()
-		if q.Alive != nil && q.Alive() && time.Now().Before(q.FirstAtLast) {
-			late.Reset(patienceStep)
-			return
-		}
-		giveUp()
-	})
-	return late
-}
-
 // begin waits for the first piece, or for the whole answer.
 func (r *Reply) begin(body io.Reader, whole bool) error {
 	if whole {
