--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -200,10 +200,10 @@
 		cancel()
 		return nil, &Failure{Outcome: NotRun, Why: err.Error()}
 	}
-	late := q.lateness(cancel)
+	late := newLateness(q, cancel)
 	res, err := s.http.Do(req)
 	if err != nil {
-		late.Stop()
+		late.end()
 		cancel()
 		if p.withdraw() {
 			return nil, &Failure{Outcome: NotRun, Refused: !errors.Is(err, errWithdrawn) && !errors.Is(err, context.Canceled), Why: err.Error()}
@@ -212,7 +212,7 @@
 	}
 	d := s.protocol.Decode(q, res)
 	fail := func(f Failure) (*Reply, *Failure) {
-		late.Stop()
+		late.end()
 		cancel()
 		_ = res.Body.Close()
 		f.Load = d.Load
@@ -236,7 +236,7 @@
 	if err := r.begin(res.Body, q.Whole); err != nil {
 		return fail(Failure{Outcome: Unknown, Why: "broke off before the first piece: " + err.Error()})
 	}
-	if !late.Stop() && ctx.Err() != nil {
+	if !late.end() {
 		return fail(Failure{Outcome: Unknown, Why: "the first piece came too late"})
 	}
 	if q.Heard != nil {
@@ -247,31 +247,6 @@
 	return r, nil
 }
 
-// lateness gives an attempt up whose first piece does not come in time.
-func (q Request) lateness(giveUp func()) *time.Timer {
-	var late *time.Timer
-	var ready sync.WaitGroup
-	ready.Add(1)
-	defer ready.Done()
-	late = time.AfterFunc(time.Until(q.FirstBy), func() {
-		ready.Wait()
-		if q.bearsSilence(time.Now()) {
-			late.Reset(patienceStep)
-			return
-		}
-		giveUp()
-	})
-	return late
-}
-
-// bearsSilence says that the first piece is waited for beyond FirstBy.
-func (q Request) bearsSilence(now time.Time) bool {
-	if q.Alive != nil && now.Before(q.FirstAtLast) && q.Alive() {
-		return true
-	}
-	return q.Only != nil && now.Before(q.OnlyUntil) && q.Only()
-}
-
 // begin waits for the first piece, or for the whole answer.
 func (r *Reply) begin(body io.Reader, whole bool) error {
 	if whole {
