A planner that has heard of no replica refuses nothing

Cause: a core that has just started takes its slots at once, before the first word of any replica has reached it. A miss then had no candidate to ask, and "nobody was asked" was published as "no replica can load it now".

Ruled out: candidates that gave no answer (they count as undecided), and the wait for orders after a slot is taken (its answer is "soon", which holds requests for 5 s).

Change: a refusal is only published where a replica of models is known that answers its controller. Test: a planner without word of any, with only a silent one, or with only other services' refuses nothing.

--- a/internal/place/plan/decide.go
+++ b/internal/place/plan/decide.go
@@ -113,8 +113,9 @@
 		if p.log.Len() > decisions {
 			p.log.PopFront()
 		}
-		// Why: a refusal only matters where nobody holds the item, and only if every candidate was heard.
-		if d.claim || d.Taken == "" && (!d.Alone || undecided) {
+		// Why: a refusal only matters where nobody holds the item, and only if every candidate was heard. A core that
+		// has just started has heard of no replica yet; what it does not know of may hold the item.
+		if d.claim || d.Taken == "" && (!d.Alone || undecided || !heardOfAny(views)) {
 			return
 		}
 		it := conf.ParseItem(d.Item)
@@ -124,6 +125,11 @@
 	})
 }
 
+// heardOfAny says whether any replica of models is known that answers its controller.
+func heardOfAny(views []order.News) bool {
+	return slices.ContainsFunc(views, func(v order.News) bool { return v.Listed.Model && !v.Dark })
+}
+
 // reasons counts why candidates did not take an item.
 func (d Decision) reasons() string {
 	if d.Taken != "" {
--- a/internal/place/plan/plan_test.go
+++ b/internal/place/plan/plan_test.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
 	"drumstall.example/internal/place/judge"
@@ -38,3 +39,22 @@
 		}
 	}
 }
+
+// A core that has just started knows of no replica, or of none that answers; that is no
+// reason to have requests turned away (that would need an owner, and there is none here to ask).
+func TestAPlannerThatHasHeardOfNoReplicaRefusesNothing(t *testing.T) {
+	for name, views := range map[string][]order.News{
+		"no word of any":       nil,
+		"none that answers":    {{Listed: inventory.Listed{ID: "a", Model: true}, Dark: true}},
+		"only other services'": {{Listed: inventory.Listed{ID: "b"}}},
+	} {
+		g := run.NewGroup(context.Background())
+		p := &Planner{d: Deps{Group: g, Clock: tick.Machine(), Log: slog.New(slog.NewTextHandler(io.Discard, nil))}, items: map[conf.Item]*item{}}
+		p.desk = run.NewDesk(g, 8, 0, nil)
+		p.decide(t.Context(), conf.Effective{}, Decision{Item: "m", Alone: true}, views)
+		if got := p.Explain(t.Context(), "m"); len(got) != 1 || got[0].Taken != "" {
+			t.Errorf("%s: %+v", name, got)
+		}
+		g.Stop()
+	}
+}
