A voter that keeps a write after the majority has missed nothing

Cause: a write returns when a majority has synced it, and every voter that had not answered by then counted as having missed it. Nearly every write so had its slot's copies compared on all voters with the next half second: a whole slot read and hashed on each.

Ruled out: waiting for all voters, which makes a write as slow as the slowest.

Change: the answers that come after the majority's are read, and each strikes off the one write that it is about. What is not confirmed is repaired as before, and every slot is compared every 2 s as before; what counts as kept is not touched. Writes are told apart by their stamps; beyond 64 a voter is behind until its copy was looked at.

--- /dev/null
+++ b/internal/state/owner/late_test.go
@@ -0,0 +1,167 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"drumstall.example/internal/kernel/ring"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/sim/simhost"
+	"drumstall.example/internal/sim/simnet"
+	"drumstall.example/internal/state"
+	"drumstall.example/internal/state/acceptor"
+)
+
+// voters are three cores of a set, of which the first owns all slots and the last is far off.
+type voters struct {
+	group     *run.Group
+	owner     *Owner
+	far       *wire.Server
+	caller    *wire.Caller
+	servers   []*wire.Server
+	acceptors []*acceptor.Acceptor
+}
+
+func threeVoters(t *testing.T) *voters {
+	t.Helper()
+	const farOff = "10.0.0.3"
+	fabric := simnet.New(1, func(from, to string) time.Duration {
+		if from == farOff || to == farOff {
+			return 30 * time.Millisecond
+		}
+		return time.Millisecond
+	})
+	v := &voters{group: run.NewGroup(t.Context())}
+	log, clk := ring.New(io.Discard, 100).Logger(), simhost.NewClock()
+	set := state.CoreSet{Serial: 1}
+	for i := range 3 {
+		host := fmt.Sprintf("10.0.0.%d", i+1)
+		acc, err := acceptor.Open(v.group, "d", acceptor.Whose{Fleet: "f", Node: host}, vfs.NewMem(), clk, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ln, err := fabric.Host(host).Listen(host + ":7000")
+		if err != nil {
+			t.Fatal(err)
+		}
+		mux := wire.NewMux()
+		acc.Serve(mux)
+		server := wire.NewServer(ln, mux)
+		v.group.Go(server.Run)
+		v.servers, v.acceptors, v.far = append(v.servers, server), append(v.acceptors, acc), server
+		set.Cores = append(set.Cores, state.Core{Name: host, Disk: acc.Disk(), Addr: host + ":7000"})
+	}
+	for _, acc := range v.acceptors {
+		if _, err := acc.SetStanding(t.Context(), func(acceptor.Standing) (acceptor.Standing, bool) {
+			return acceptor.Standing{Phase: acceptor.Voter, Set: set}, true
+		}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	v.caller = wire.NewCaller(fabric.Host("10.0.0.1"))
+	v.owner = New(Deps{
+		Self: func() state.Core { return set.Cores[0] }, Group: v.group, Clock: clk, Log: log, Caller: v.caller, Acceptor: v.acceptors[0],
+		Addr: func(c state.Core) (string, bool) { return c.Addr, true },
+		Rank: func(int) []state.Core { return set.Cores }, Behind: func(state.Core) {}, Handback: time.Second,
+	})
+	until(t, 10*time.Second, func() bool { return v.owner.Holds(testKey) })
+	return v
+}
+
+func (v *voters) end() {
+	for _, s := range v.servers {
+		s.Close()
+	}
+	v.group.Stop()
+	// Why: dials that are under way end by themselves.
+	time.Sleep(5 * time.Second)
+	v.caller.Close()
+	for _, a := range v.acceptors {
+		_ = a.Close()
+	}
+}
+
+func (v *voters) write(t *testing.T, value byte) {
+	t.Helper()
+	if _, err := v.owner.Update(t.Context(), testKey, func(state.Record, bool) ([]byte, error) { return []byte{value}, nil }); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// owing is how many voters the owner believes to have missed a write of the slot.
+func (v *voters) owing(t *testing.T) (n int) {
+	t.Helper()
+	s := v.owner.slots[state.SlotOf(testKey)]
+	if err := s.desk.Ask(context.Background(), func() { n = len(s.owes) }); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// A voter that keeps a write a moment after the majority has missed nothing, so its
+// copy is not looked at for that; one that does not answer still is.
+func TestAVoterThatIsLateHasMissedNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := threeVoters(t)
+		defer v.end()
+		for i := range 20 {
+			v.write(t, byte(i))
+			if v.owing(t) != 1 {
+				t.Fatalf("write %d: %d voters owe an answer right after a majority gave theirs, want 1", i, v.owing(t))
+			}
+			time.Sleep(200 * time.Millisecond)
+			if n := v.owing(t); n != 0 {
+				t.Fatalf("write %d: %d voters count as having missed it", i, n)
+			}
+		}
+		v.far.Close()
+		v.write(t, 100)
+		v.write(t, 101)
+		time.Sleep(5 * time.Second)
+		if n := v.owing(t); n != 1 {
+			t.Errorf("%d voters count as having missed a write, want the one that is gone", n)
+		}
+	})
+}
+
+// Of two writes that a voter has not answered for, one answer settles one.
+func TestOneLateAnswerSettlesOneWrite(t *testing.T) {
+	s := &slot{owes: map[string]map[state.Stamp]bool{}}
+	first, second := state.Stamp{Epoch: 1, Serial: 1}, state.Stamp{Epoch: 1, Serial: 2}
+	s.owe("b", first)
+	s.owe("b", second)
+	s.confirmed("b", second)
+	s.confirmed("b", state.Stamp{Epoch: 2, Serial: 1})
+	if len(s.owes["b"]) != 1 {
+		t.Errorf("b owes %v, want the first write", s.owes["b"])
+	}
+	s.confirmed("b", first)
+	if len(s.owes) != 0 {
+		t.Errorf("owed: %v", s.owes)
+	}
+}
+
+// A voter that is gone for long is remembered in a bounded room, and no late answer
+// makes it one that has missed nothing.
+func TestAVoterThatOwesMuchIsBehindUntilItsRepair(t *testing.T) {
+	s := &slot{owes: map[string]map[state.Stamp]bool{}}
+	for serial := range uint64(10 * mostOwed) {
+		s.owe("b", state.Stamp{Epoch: 1, Serial: serial + 1})
+	}
+	if n := len(s.owes["b"]); n > mostOwed {
+		t.Errorf("%d writes are kept", n)
+	}
+	for serial := range uint64(10 * mostOwed) {
+		s.confirmed("b", state.Stamp{Epoch: 1, Serial: serial + 1})
+	}
+	if len(s.owes["b"]) == 0 {
+		t.Error("b counts as having missed nothing")
+	}
+}
--- a/internal/state/owner/owner.go
+++ b/internal/state/owner/owner.go
@@ -75,7 +75,7 @@
 func New(d Deps) *Owner {
 	o := &Owner{d: d, heard: map[string]time.Duration{}, began: d.Clock.Since()}
 	for i := range o.slots {
-		s := &slot{o: o, n: i, owes: map[string]bool{}, ticks: i}
+		s := &slot{o: o, n: i, owes: map[string]map[state.Stamp]bool{}, ticks: i}
 		s.desk = run.NewDesk(d.Group, 256, interval, s.onTick)
 		o.slots[i] = s
 	}
--- a/internal/state/owner/poll.go
+++ b/internal/state/owner/poll.go
@@ -19,29 +19,40 @@
 	return wire.Call[Q, A](ctx, o.d.Caller, addr, path, q)
 }
 
+// voterAnswer is what came of asking one voter.
+type voterAnswer struct {
+	i   int // of the voter in the core set
+	r   state.Reply
+	err error
+}
+
 // poll asks every voter side by side. It returns once a majority agreed or all
 // have answered; missed are voters without a yes at that moment.
 func (o *Owner) poll(set state.CoreSet, path string, q state.Ask, local func(context.Context, state.Ask) (state.Reply, error), early bool) (yes, noes []state.Reply, missed []state.Core) {
-	type answer struct {
-		i   int
-		r   state.Reply
-		err error
-	}
+	yes, noes, missed, _ = o.pollSome(set, path, q, local, early)
+	return yes, noes, missed
+}
+
+// pollSome is poll that also gives the answers that come later, one for each of
+// the voters that had not answered yet.
+func (o *Owner) pollSome(set state.CoreSet, path string, q state.Ask, local func(context.Context, state.Ask) (state.Reply, error), early bool) (yes, noes []state.Reply, missed []state.Core, late later) {
 	self := o.d.Self()
-	ch := run.Fan(o.d.Group, len(set.Cores), func(ctx context.Context, i int) answer {
+	ch := run.Fan(o.d.Group, len(set.Cores), func(ctx context.Context, i int) voterAnswer {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		c := set.Cores[i]
 		if c.Is(self) {
 			r, err := local(ctx, q)
-			return answer{i, r, err}
+			return voterAnswer{i, r, err}
 		}
 		r, err := callVoter[state.Ask, state.Reply](ctx, o, c, path, q)
-		return answer{i, r, err}
+		return voterAnswer{i, r, err}
 	})
 	agreed := map[int]bool{}
-	for range set.Cores {
+	late = later{left: len(set.Cores), answers: ch}
+	for late.left > 0 {
 		a := <-ch
+		late.left--
 		switch {
 		case a.err != nil:
 		case a.r.OK:
@@ -62,5 +73,11 @@
 			missed = append(missed, c)
 		}
 	}
-	return yes, noes, missed
+	return yes, noes, missed, late
+}
+
+// later is the answers that had not come when a majority had agreed.
+type later struct {
+	left    int
+	answers <-chan voterAnswer
 }
--- a/internal/state/owner/slot.go
+++ b/internal/state/owner/slot.go
@@ -27,7 +27,7 @@
 	waitUntil time.Duration           // the slot is not asked for before
 	strayed   time.Duration           // since when another core is preferred
 	ticks     int
-	owes      map[string]bool // voters known to have missed a write
+	owes      map[string]map[state.Stamp]bool // by voter: writes that it has not answered for
 }
 
 func (s *slot) held() bool {
--- a/internal/state/owner/take.go
+++ b/internal/state/owner/take.go
@@ -29,7 +29,7 @@
 	s.version = pr.Serial + 1
 	s.epoch.Store(q.Epoch)
 	s.strayed = 0
-	s.owes = map[string]bool{}
+	s.owes = map[string]map[state.Stamp]bool{}
 	for i := range recs {
 		recs[i].Stamp = state.Stamp{Epoch: q.Epoch, Serial: recs[i].Stamp.Serial}
 	}
--- a/internal/state/owner/write.go
+++ b/internal/state/owner/write.go
@@ -70,10 +70,12 @@
 		at = max(at, r.Stamp.Serial)
 	}
 	q := state.Ask{Set: set.Serial, From: o.d.Self(), Slot: s.n, Epoch: s.epoch.Load(), At: at, Full: full, Records: recs}
-	yes, noes, missed := o.poll(set, "/state/accept", q, o.d.Acceptor.Accept, true)
+	yes, noes, missed, late := o.pollSome(set, "/state/accept", q, o.d.Acceptor.Accept, true)
+	written := state.Stamp{Epoch: q.Epoch, Serial: at}
 	for _, c := range missed {
-		s.owes[c.Name] = true
+		s.owe(c.Name, written)
 	}
+	s.awaitLate(set, late, written)
 	if len(yes) < set.Quorum() {
 		for _, n := range noes {
 			s.seen = max(s.seen, n.Epoch)
@@ -96,3 +98,47 @@
 	}
 	return nil
 }
+
+// owe notes that a voter has not answered for a write.
+func (s *slot) owe(voter string, written state.Stamp) {
+	switch owed := s.owes[voter]; {
+	case owed == nil:
+		s.owes[voter] = map[state.Stamp]bool{written: true}
+	case owed[untold]:
+	case len(owed) >= mostOwed:
+		s.owes[voter] = map[state.Stamp]bool{untold: true}
+	default:
+		owed[written] = true
+	}
+}
+
+// mostOwed is how many writes of a voter are told apart; one that owes more is
+// behind until its copy has been looked at.
+const mostOwed = 64
+
+// untold stands for writes that are not told apart; no answer settles it.
+var untold = state.Stamp{}
+
+// awaitLate strikes off what voters confirm after a majority has. Why: a majority is
+// the quicker half; the others have nearly always kept the write a moment later, and need no repair.
+func (s *slot) awaitLate(set state.CoreSet, late later, written state.Stamp) {
+	if late.left == 0 {
+		return
+	}
+	s.o.d.Group.Go(func(context.Context) {
+		for range late.left {
+			if a := <-late.answers; a.err == nil && a.r.OK {
+				// Why: if the desk has no room for this, the hint stays, and a look at the voter's digest settles it.
+				_ = s.desk.Tell(func() { s.confirmed(set.Cores[a.i].Name, written) })
+			}
+		}
+	})
+}
+
+// confirmed strikes off one write that a voter owed an answer for.
+func (s *slot) confirmed(voter string, written state.Stamp) {
+	delete(s.owes[voter], written)
+	if len(s.owes[voter]) == 0 {
+		delete(s.owes, voter)
+	}
+}
