--- a/internal/core/consider.go
+++ b/internal/core/consider.go
@@ -18,11 +18,11 @@
 
 // considerHere has the controller of a replica, if it is here, consider a load.
 func (c *Core) considerHere(ctx context.Context, q order.Consider) (order.Considered, error) {
-	w := (*c.wardNow.Load())[q.Replica]
-	if w == nil {
+	controller := (*c.controllersNow.Load())[q.Replica]
+	if controller == nil {
 		return order.Considered{}, wire.Drop("not-owner", q.Replica+" is not controlled here")
 	}
-	return w.Consider(ctx, q)
+	return controller.Consider(ctx, q)
 }
 
 // considerAllHere asks the controllers of several replicas side by side, dry.
--- a/internal/core/wards.go
+++ b/internal/core/controllers.go
@@ -11,9 +11,9 @@
 	"drumstall.example/internal/place/plan"
 )
 
-type warded struct {
-	ward  *order.Ward
-	group *run.Group
+type controlled struct {
+	controller *order.Controller
+	group      *run.Group
 }
 
 // afloat tells the store's keeper of a load that may still start.
@@ -39,7 +39,7 @@
 	}
 }
 
-// tend opens and closes wards, as slots come and go and the platform lists.
+// tend opens and closes controllers, as slots come and go and the platform lists.
 func (c *Core) tend(context.Context) {
 	now := c.env.Clock.Since()
 	listed := map[string]inventory.Listed{}
@@ -63,32 +63,32 @@
 			listed[id] = v.Listed
 		}
 	}
-	for id, w := range c.wards {
+	for id, one := range c.controllers {
 		_, there := listed[id]
 		if there && c.own.Holds(order.Key(id)) {
-			w.ward.Listed(listed[id])
+			one.controller.Listed(listed[id])
 			continue
 		}
 		gone := !there && c.own.Holds(order.Key(id))
-		delete(c.wards, id)
+		delete(c.controllers, id)
 		c.group.Go(func(ctx context.Context) {
 			// Why: its last word must be out before its desk ends.
-			w.ward.Close(ctx, gone)
-			w.group.Stop()
+			one.controller.Close(ctx, gone)
+			one.group.Stop()
 		})
 	}
 	for id, l := range listed {
-		if c.wards[id] != nil || !c.own.Holds(order.Key(id)) {
+		if c.controllers[id] != nil || !c.own.Holds(order.Key(id)) {
 			continue
 		}
 		g := c.group.Child()
-		c.wards[id] = &warded{group: g, ward: order.NewWard(g, order.Deps{Clock: c.env.Clock, Log: c.log, Self: c.s.Name, Boot: c.boot,
+		c.controllers[id] = &controlled{group: g, controller: order.NewController(g, order.Deps{Clock: c.env.Clock, Log: c.log, Self: c.s.Name, Boot: c.boot,
 			Cadence: c.s.Cadence, Replicas: c.conn, Owner: c.own, News: c.news, Reports: c.reports, Conf: c.effective, Requests: c.planner.Requests,
 			Others: c.views.Views, Agents: c.agents, Platform: c.watch.HeardFor, Grant: c.grant, Afloat: c.afloat}, l)}
 	}
-	snap := map[string]*order.Ward{}
-	for id, w := range c.wards {
-		snap[id] = w.ward
+	snap := map[string]*order.Controller{}
+	for id, one := range c.controllers {
+		snap[id] = one.controller
 	}
-	c.wardNow.Store(&snap)
+	c.controllersNow.Store(&snap)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -79,34 +79,34 @@
 
 // Core is a running dscore.
 type Core struct {
-	s       Settings
-	env     Env
-	log     *slog.Logger
-	boot    string
-	began   time.Duration
-	group   *run.Group // what this core does
-	base    *run.Group // what it stands on: servers, datagrams, disk
-	acc     *acceptor.Acceptor
-	own     *owner.Owner
-	set     *coreset.Keeper
-	members *member.Table
-	touch   *touch.Keeper
-	news    *news.Table
-	spread  *news.Spreader
-	planner *plan.Planner
-	reports *report.Table
-	views   *plan.ViewCache
-	watch   *inventory.Watch
-	conn    backend.Client
-	caller  *wire.Caller
-	mux     *wire.Mux
-	post    *wire.Post
-	servers []*wire.Server
-	conf    atomic.Pointer[conf.Effective]
-	serial  atomic.Uint64
-	wards   map[string]*warded // owned by the ward desk
-	wardNow atomic.Pointer[map[string]*order.Ward]
-	absent  map[string]time.Duration
+	s              Settings
+	env            Env
+	log            *slog.Logger
+	boot           string
+	began          time.Duration
+	group          *run.Group // what this core does
+	base           *run.Group // what it stands on: servers, datagrams, disk
+	acc            *acceptor.Acceptor
+	own            *owner.Owner
+	set            *coreset.Keeper
+	members        *member.Table
+	touch          *touch.Keeper
+	news           *news.Table
+	spread         *news.Spreader
+	planner        *plan.Planner
+	reports        *report.Table
+	views          *plan.ViewCache
+	watch          *inventory.Watch
+	conn           backend.Client
+	caller         *wire.Caller
+	mux            *wire.Mux
+	post           *wire.Post
+	servers        []*wire.Server
+	conf           atomic.Pointer[conf.Effective]
+	serial         atomic.Uint64
+	controllers    map[string]*controlled // owned by the desk of tend
+	controllersNow atomic.Pointer[map[string]*order.Controller]
+	absent         map[string]time.Duration
 	// tendSoon looks at once at which replicas are to be controlled here.
 	tendSoon *run.Nudge
 	holders  [state.Slots]atomic.Pointer[string] // who held each slot when last asked
@@ -133,7 +133,7 @@
 	c := &Core{s: s, env: env, log: env.Log.Logger().With("node", s.Name), boot: NewBoot(),
 		base: run.NewGroup(context.Background()), news: news.NewTable(), reports: report.NewTable(),
 		caller: wire.NewCaller(env.Net), mux: wire.NewMux(),
-		wards: map[string]*warded{}, absent: map[string]time.Duration{}}
+		controllers: map[string]*controlled{}, absent: map[string]time.Duration{}}
 	c.group = c.base.Child()
 	c.began = env.Clock.Since()
 	c.s.Bounds, c.s.Cadence = s.Bounds.OrDefault(), s.Cadence.OrDefault()
@@ -144,7 +144,7 @@
 	if s.Lister == nil {
 		s.Lister = inventory.NewLister(env.Net, s.Platform, c.log)
 	}
-	c.wardNow.Store(&map[string]*order.Ward{})
+	c.controllersNow.Store(&map[string]*order.Controller{})
 	empty := conf.Empty()
 	c.conf.Store(&empty)
 	ln, err := env.Net.Listen(s.Addr)
--- a/internal/place/order/book.go
+++ b/internal/place/order/book.go
@@ -12,18 +12,18 @@
 
 // planned is what will be used once all tasks are done: everything but what
 // is about to go.
-func (w *Ward) planned() (mib, places int) {
-	return w.sum(func(l *line) bool { return l.State != Leaving && l.State != backend.Unloading })
+func (c *Controller) planned() (mib, places int) {
+	return c.sum(func(l *line) bool { return l.State != Leaving && l.State != backend.Unloading })
 }
 
 // there is what may be on the replica at this moment, known or suspected; room
 // kept for later loads is not, unless an owner before us may have ordered it.
-func (w *Ward) there() (mib, places int) {
-	return w.sum(func(l *line) bool { return l.State != Reserved || l.inherited })
+func (c *Controller) there() (mib, places int) {
+	return c.sum(func(l *line) bool { return l.State != Reserved || l.inherited })
 }
 
-func (w *Ward) sum(counts func(*line) bool) (mib, places int) {
-	for item, l := range w.book {
+func (c *Controller) sum(counts func(*line) bool) (mib, places int) {
+	for item, l := range c.book {
 		switch {
 		case !counts(l):
 		case item.Adapter == "":
@@ -36,14 +36,14 @@
 	return mib, places
 }
 
-func (w *Ward) reserve(item conf.Item, size int) {
-	if w.book[item] == nil {
-		w.book[item] = &line{Line: Line{State: Reserved, SizeMib: size}, lastUsed: w.d.Clock.Since()}
+func (c *Controller) reserve(item conf.Item, size int) {
+	if c.book[item] == nil {
+		c.book[item] = &line{Line: Line{State: Reserved, SizeMib: size}, lastUsed: c.d.Clock.Since()}
 	}
 }
 
-func (w *Ward) withdrawItem(item conf.Item) {
-	for other, l := range w.book {
+func (c *Controller) withdrawItem(item conf.Item) {
+	for other, l := range c.book {
 		if item.Covers(other) {
 			if l.State == backend.Loaded {
 				l.State = Leaving
@@ -53,14 +53,14 @@
 }
 
 // undo puts back what a task that will not be carried out had claimed.
-func (w *Ward) undo(t *task) {
+func (c *Controller) undo(t *task) {
 	for _, item := range []conf.Item{{Model: t.item.Model}, t.item} {
-		if l := w.book[item]; l != nil && l.State == Reserved {
-			delete(w.book, item)
+		if l := c.book[item]; l != nil && l.State == Reserved {
+			delete(c.book, item)
 		}
 	}
 	for _, v := range t.victims {
-		for other, l := range w.book {
+		for other, l := range c.book {
 			if v.Covers(other) && l.State == Leaving {
 				l.State = backend.Loaded
 			}
@@ -69,25 +69,25 @@
 }
 
 // keep writes the book to the control state; orders only follow from what is kept.
-func (w *Ward) keep() bool {
-	b := Book{Incarnation: w.vitals.Incarnation, Lines: map[string]Line{}}
-	for item, l := range w.book {
+func (c *Controller) keep() bool {
+	b := Book{Incarnation: c.vitals.Incarnation, Lines: map[string]Line{}}
+	for item, l := range c.book {
 		b.Lines[item.String()] = l.Line
 	}
-	ctx, cancel := context.WithTimeout(w.d.Group.Context(), 2*time.Second)
+	ctx, cancel := context.WithTimeout(c.d.Group.Context(), 2*time.Second)
 	defer cancel()
-	_, err := w.d.Owner.Update(ctx, Key(w.listed.ID), func(state.Record, bool) ([]byte, error) { return wire.Pack(b), nil })
+	_, err := c.d.Owner.Update(ctx, Key(c.listed.ID), func(state.Record, bool) ([]byte, error) { return wire.Pack(b), nil })
 	if err != nil {
-		w.d.Log.Info("book not kept", "replica", w.listed.ID, "problem", err)
+		c.d.Log.Info("book not kept", "replica", c.listed.ID, "problem", err)
 		return false
 	}
 	return true
 }
 
 // taken says whether a task wants the item gone.
-func (w *Ward) taken(item conf.Item) bool {
-	for i := range w.tasks.Len() {
-		for _, v := range w.tasks.At(i).victims {
+func (c *Controller) taken(item conf.Item) bool {
+	for i := range c.tasks.Len() {
+		for _, v := range c.tasks.At(i).victims {
 			if v.Covers(item) {
 				return true
 			}
@@ -96,9 +96,9 @@
 	return false
 }
 
-func (w *Ward) reservedBy(item conf.Item) bool {
-	for i := range w.tasks.Len() {
-		t := w.tasks.At(i)
+func (c *Controller) reservedBy(item conf.Item) bool {
+	for i := range c.tasks.Len() {
+		t := c.tasks.At(i)
 		if item.Covers(t.item) {
 			return true
 		}
--- a/internal/place/order/consider.go
+++ b/internal/place/order/consider.go
@@ -12,51 +12,51 @@
 
 // Consider runs the paper's test for an item on this replica, and takes the
 // load on if it passes.
-func (w *Ward) Consider(ctx context.Context, q Consider) (Considered, error) {
+func (c *Controller) Consider(ctx context.Context, q Consider) (Considered, error) {
 	var a Considered
-	err := w.desk.Ask(ctx, func() {
+	err := c.desk.Ask(ctx, func() {
 		// Why: who asked has gone on without the answer, and may have asked another.
 		if ctx.Err() != nil {
 			return
 		}
-		a = w.consider(q)
+		a = c.consider(q)
 	})
 	return a, err
 }
 
-func (w *Ward) consider(q Consider) Considered {
+func (c *Controller) consider(q Consider) Considered {
 	item := conf.ParseItem(q.Item)
-	cfg := w.d.Conf()
+	cfg := c.d.Conf()
 	model, known := cfg.Models[item.Model]
-	_, _, may := w.d.Owner.MayOrder(Key(w.listed.ID))
+	_, _, may := c.d.Owner.MayOrder(Key(c.listed.ID))
 	switch {
 	case !known || item.Adapter != "" && !model.Adapters[item.Adapter]:
 		return Considered{Why: "not in the configuration"}
 	case !may:
 		return Considered{Why: "the hold does not allow orders yet", Soon: true}
-	case !w.fresh():
+	case !c.fresh():
 		return Considered{Why: "no fresh report from the replica"}
-	case w.leaving():
+	case c.leaving():
 		return Considered{Why: "the replica is leaving"}
-	case w.queued(w.quick(item)) >= w.mostTasks(item):
+	case c.queued(c.quick(item)) >= c.mostTasks(item):
 		return Considered{Why: "enough orders wait already", Soon: true}
 	}
-	if l := w.book[item]; l != nil && l.State != Leaving && l.State != backend.Unloading {
-		return Considered{Taken: true, Why: "on its way or there already", ReadyMs: w.readyMs(model, item)}
+	if l := c.book[item]; l != nil && l.State != Leaving && l.State != backend.Unloading {
+		return Considered{Taken: true, Why: "on its way or there already", ReadyMs: c.readyMs(model, item)}
 	}
-	for i := range w.tasks.Len() {
-		if w.tasks.At(i).item == item {
-			return Considered{Taken: true, Why: "on its way already", ReadyMs: w.readyMs(model, item)}
+	for i := range c.tasks.Len() {
+		if c.tasks.At(i).item == item {
+			return Considered{Taken: true, Why: "on its way already", ReadyMs: c.readyMs(model, item)}
 		}
-		if w.tasks.At(i).item.Model == item.Model && !(w.quick(item) && w.quick(w.tasks.At(i).item)) {
+		if c.tasks.At(i).item.Model == item.Model && !(c.quick(item) && c.quick(c.tasks.At(i).item)) {
 			return Considered{Why: "another order about the model waits", Soon: true}
 		}
 	}
-	base := w.book[conf.Item{Model: item.Model}]
+	base := c.book[conf.Item{Model: item.Model}]
 	if base != nil && (base.State == Leaving || base.State == backend.Unloading) {
 		return Considered{Why: "the model is being unloaded", Soon: true}
 	}
-	mib, places := w.planned()
+	mib, places := c.planned()
 	needMib, needPlaces := 0, 0
 	added := 0
 	if base == nil {
@@ -66,16 +66,16 @@
 		added += model.AdapterMib
 	}
 	if added > 0 {
-		needMib = mib + added - w.vitals.CapacityMib
-		if added > w.vitals.CapacityMib {
+		needMib = mib + added - c.vitals.CapacityMib
+		if added > c.vitals.CapacityMib {
 			return Considered{Why: "can never hold it"}
 		}
 	}
 	if item.Adapter != "" {
-		if w.vitals.AdapterPlaces == 0 {
+		if c.vitals.AdapterPlaces == 0 {
 			return Considered{Why: "no places for adapters"}
 		}
-		needPlaces = places + 1 - w.vitals.AdapterPlaces
+		needPlaces = places + 1 - c.vitals.AdapterPlaces
 	}
 	alone := q.Alone || q.Claim
 	out := Considered{Need: needMib, Starts: 1}
@@ -85,7 +85,7 @@
 	var victims []conf.Item
 	wanted := q.Penalty
 	if needMib > 0 {
-		order, idle, used := w.idle(cfg, item, false)
+		order, idle, used := c.idle(cfg, item, false)
 		out.IdleModels = idle
 		v := penalty.Test(needMib, wanted, cfg.Limits.Csf, alone, order)
 		out.Why, out.Sum = v.Why, v.Sum
@@ -97,7 +97,7 @@
 			it := conf.ParseItem(x.Item)
 			victims = append(victims, it)
 			// Why: adapters go with their model, so their places get free too.
-			for other := range w.book {
+			for other := range c.book {
 				if other.Model == it.Model && other.Adapter != "" {
 					needPlaces--
 				}
@@ -105,7 +105,7 @@
 		}
 	}
 	if needPlaces > 0 {
-		order, idle, used := w.idle(cfg, item, true)
+		order, idle, used := c.idle(cfg, item, true)
 		out.IdleAdapters = idle
 		rest := order[:0:0]
 		for _, x := range order {
@@ -136,29 +136,29 @@
 		out.Victims = append(out.Victims, v.String())
 	}
 	if q.Dry {
-		out.Taken, out.ReadyMs = true, w.readyMs(model, item)
+		out.Taken, out.ReadyMs = true, c.readyMs(model, item)
 		return out
 	}
-	t := &task{item: item, victims: victims, since: w.d.Clock.Since(), begun: w.d.Clock.Since(), worth: q.Penalty, cost: time.Duration(q.CostMs) * time.Millisecond}
+	t := &task{item: item, victims: victims, since: c.d.Clock.Since(), begun: c.d.Clock.Since(), worth: q.Penalty, cost: time.Duration(q.CostMs) * time.Millisecond}
 	// Why: room is kept from this moment, so two loads can never count on the same place.
 	if base == nil {
-		w.reserve(conf.Item{Model: item.Model}, model.SizeMib)
+		c.reserve(conf.Item{Model: item.Model}, model.SizeMib)
 	}
 	if item.Adapter != "" {
-		w.reserve(item, model.AdapterMib)
+		c.reserve(item, model.AdapterMib)
 	}
 	for _, v := range victims {
-		w.withdrawItem(v)
+		c.withdrawItem(v)
 	}
-	if !w.keep() {
-		w.undo(t)
+	if !c.keep() {
+		c.undo(t)
 		out.Why = "the control state did not keep it"
 		return out
 	}
-	w.tasks.PushBack(t)
-	w.publish()
-	w.soon.Now()
-	out.Taken, out.ReadyMs = true, w.readyMs(model, item)
+	c.tasks.PushBack(t)
+	c.publish()
+	c.soon.Now()
+	out.Taken, out.ReadyMs = true, c.readyMs(model, item)
 	return out
 }
 
--- a/internal/place/order/ward.go
+++ b/internal/place/order/controller.go
@@ -61,7 +61,7 @@
 	Lines       map[string]Line `cbor:"2,keyasint"`
 }
 
-// Deps is what a ward needs from the core.
+// Deps is what a controller needs from the core.
 type Deps struct {
 	Group    *run.Group
 	Clock    tick.Clock
@@ -94,8 +94,8 @@
 	unsure bool
 }
 
-// Ward controls one replica.
-type Ward struct {
+// Controller controls one replica.
+type Controller struct {
 	d          Deps
 	listed     inventory.Listed
 	desk       *run.Desk
@@ -123,92 +123,92 @@
 	traits      backend.Traits
 }
 
-// NewWard starts to control a replica.
-func NewWard(g *run.Group, d Deps, l inventory.Listed) *Ward {
+// NewController starts to control a replica.
+func NewController(g *run.Group, d Deps, l inventory.Listed) *Controller {
 	d.Group = g
-	w := &Ward{d: d, listed: l, book: map[conf.Item]*line{}, vitalsAt: -1 << 62, lookedAt: -1 << 62, staying: -1, held: map[string]bool{}, traits: d.Replicas.Traits()}
-	w.desk = run.NewDesk(g, 64, d.Cadence.ReplicaBusy, w.onBeat)
-	w.soon = run.NewNudge(w.desk, w.work)
-	return w
+	c := &Controller{d: d, listed: l, book: map[conf.Item]*line{}, vitalsAt: -1 << 62, lookedAt: -1 << 62, staying: -1, held: map[string]bool{}, traits: d.Replicas.Traits()}
+	c.desk = run.NewDesk(g, 64, d.Cadence.ReplicaBusy, c.onBeat)
+	c.soon = run.NewNudge(c.desk, c.work)
+	return c
 }
 
-// Listed tells the ward what the platform says now.
-func (w *Ward) Listed(l inventory.Listed) { _ = w.desk.Tell(func() { w.listed = l }) }
+// Listed tells the controller what the platform says now.
+func (c *Controller) Listed(l inventory.Listed) { _ = c.desk.Tell(func() { c.listed = l }) }
 
-func (w *Ward) leaving() bool {
-	return w.listed.Leaving || w.vitals.Leaving || inventory.Marked(w.d.News, w.listed.ID) || w.d.Conf().Drained(w.listed.Labels, w.listed.Zone)
+func (c *Controller) leaving() bool {
+	return c.listed.Leaving || c.vitals.Leaving || inventory.Marked(c.d.News, c.listed.ID) || c.d.Conf().Drained(c.listed.Labels, c.listed.Zone)
 }
 
-func (w *Ward) onBeat() {
-	now := w.d.Clock.Since()
-	idle := w.tasks.Len() == 0 && w.epoch > 0
+func (c *Controller) onBeat() {
+	now := c.d.Clock.Since()
+	idle := c.tasks.Len() == 0 && c.epoch > 0
 	// Why: a tick may come a little early, and must not wait for the next one then.
-	early := now-w.lookedAt < w.d.Cadence.ReplicaIdle-w.d.Cadence.ReplicaBusy/2
-	if early && (idle || w.expects() > now) {
+	early := now-c.lookedAt < c.d.Cadence.ReplicaIdle-c.d.Cadence.ReplicaBusy/2
+	if early && (idle || c.expects() > now) {
 		return
 	}
-	w.work()
+	c.work()
 }
 
 // expects is when the task in front may next have got on. Why: a replica that
 // loads for a second or more need not be asked all the while.
-func (w *Ward) expects() time.Duration {
-	if w.tasks.Len() == 0 || !w.traits.TellsBusy {
+func (c *Controller) expects() time.Duration {
+	if c.tasks.Len() == 0 || !c.traits.TellsBusy {
 		return 0
 	}
-	t := w.tasks.Front()
+	t := c.tasks.Front()
 	if t.phase != loaded || t.item.Adapter != "" {
 		return 0
 	}
-	load := time.Duration(w.loadMs(w.d.Conf().Models[t.item.Model], t.item.Model)) * time.Millisecond
+	load := time.Duration(c.loadMs(c.d.Conf().Models[t.item.Model], t.item.Model)) * time.Millisecond
 	return t.since + load*9/10
 }
 
-func (w *Ward) work() {
-	key := Key(w.listed.ID)
-	if w.closed || !w.d.Owner.Holds(key) {
+func (c *Controller) work() {
+	key := Key(c.listed.ID)
+	if c.closed || !c.d.Owner.Holds(key) {
 		return
 	}
-	epoch, _, _ := w.d.Owner.MayOrder(key)
-	if epoch != w.epoch {
-		w.takeOver(epoch)
+	epoch, _, _ := c.d.Owner.MayOrder(key)
+	if epoch != c.epoch {
+		c.takeOver(epoch)
 	}
-	w.lookedAt = w.d.Clock.Since()
-	w.look()
-	w.unmark()
-	w.advance()
-	w.afloat()
-	w.publish()
+	c.lookedAt = c.d.Clock.Since()
+	c.look()
+	c.unmark()
+	c.advance()
+	c.afloat()
+	c.publish()
 }
 
 // takeOver starts from the book the owner before us kept.
-func (w *Ward) takeOver(epoch uint64) {
-	ctx, cancel := context.WithTimeout(w.d.Group.Context(), time.Second)
+func (c *Controller) takeOver(epoch uint64) {
+	ctx, cancel := context.WithTimeout(c.d.Group.Context(), time.Second)
 	defer cancel()
-	rec, found, err := w.d.Owner.Get(ctx, Key(w.listed.ID))
+	rec, found, err := c.d.Owner.Get(ctx, Key(c.listed.ID))
 	if err != nil {
 		return
 	}
-	w.epoch, w.serial, w.known = epoch, 0, false
-	w.tasks.Clear()
-	w.book = map[conf.Item]*line{}
-	now := w.d.Clock.Since()
+	c.epoch, c.serial, c.known = epoch, 0, false
+	c.tasks.Clear()
+	c.book = map[conf.Item]*line{}
+	now := c.d.Clock.Since()
 	var b Book
 	if found && wire.Unpack(rec.Value, &b) == nil {
 		for item, l := range b.Lines {
 			// Why: what may have been ordered counts until the replica's own report says otherwise.
-			w.book[conf.ParseItem(item)] = &line{Line: l, ordered: now, lastUsed: now, inherited: true}
+			c.book[conf.ParseItem(item)] = &line{Line: l, ordered: now, lastUsed: now, inherited: true}
 		}
 	}
 }
 
 // Close ends control; the platform no longer lists the replica, or another core holds it.
-func (w *Ward) Close(ctx context.Context, gone bool) {
-	_ = w.desk.Ask(ctx, func() {
-		w.closed = true
-		if gone && w.epoch > 0 {
-			w.serial++
-			w.d.News.Put(news.Entry{Key: Key(w.listed.ID), Stamp: w.stampNow(), Gone: true})
+func (c *Controller) Close(ctx context.Context, gone bool) {
+	_ = c.desk.Ask(ctx, func() {
+		c.closed = true
+		if gone && c.epoch > 0 {
+			c.serial++
+			c.d.News.Put(news.Entry{Key: Key(c.listed.ID), Stamp: c.stampNow(), Gone: true})
 		}
 	})
 }
--- a/internal/place/order/expect_test.go
+++ b/internal/place/order/expect_test.go
@@ -23,19 +23,19 @@
 	cfg := conf.Empty()
 	cfg.Models = map[string]conf.Model{"m": {LoadFor: 2 * time.Second}, "n": {LoadFor: 3 * time.Second}}
 	c := &clock{time.Minute}
-	w := &Ward{d: Deps{Clock: c, Conf: func() conf.Effective { return cfg }}}
+	ctl := &Controller{d: Deps{Clock: c, Conf: func() conf.Effective { return cfg }}}
 	front := &task{item: conf.Item{Model: "m"}, phase: grant, wait: 4 * time.Second}
-	w.tasks.PushBack(front)
-	w.tasks.PushBack(&task{item: conf.Item{Model: "n"}})
-	first := w.expect()
-	w.etas = first
+	ctl.tasks.PushBack(front)
+	ctl.tasks.PushBack(&task{item: conf.Item{Model: "n"}})
+	first := ctl.expect()
+	ctl.etas = first
 	want := map[string]time.Duration{"m": time.Minute + 6*time.Second, "n": time.Minute + 9500*time.Millisecond}
 	same := func(when string) {
 		t.Helper()
-		w.etas = w.expect()
+		ctl.etas = ctl.expect()
 		for item, at := range want {
-			if w.etas[item] != at {
-				t.Errorf("%s: %s is expected at %v, want %v", when, item, w.etas[item], at)
+			if ctl.etas[item] != at {
+				t.Errorf("%s: %s is expected at %v, want %v", when, item, ctl.etas[item], at)
 			}
 		}
 	}
@@ -53,8 +53,8 @@
 	}
 	// Somebody dearer came first.
 	front.phase, front.wait = grant, 5*time.Second
-	w.etas = w.expect()
-	if later := w.etas["m"]; later != c.now+7*time.Second {
+	ctl.etas = ctl.expect()
+	if later := ctl.etas["m"]; later != c.now+7*time.Second {
 		t.Errorf("it is expected at %v, want %v", later, c.now+7*time.Second)
 	}
 }
@@ -64,34 +64,34 @@
 func TestTheDearestLoadOfAReplicaGoesFirst(t *testing.T) {
 	c := &clock{time.Minute}
 	asked := map[string]float64{"m": 10, "n": 1, "o": 40}
-	w := &Ward{d: Deps{Clock: c, Conf: conf.Empty, Requests: func(it string) float64 { return asked[it] }}, book: map[conf.Item]*line{}}
-	w.vitals.CapacityMib = 100
+	ctl := &Controller{d: Deps{Clock: c, Conf: conf.Empty, Requests: func(it string) float64 { return asked[it] }}, book: map[conf.Item]*line{}}
+	ctl.vitals.CapacityMib = 100
 	put := func(item, state string, mib int) {
-		w.book[conf.Item{Model: item}] = &line{Line: Line{State: state, SizeMib: mib}}
+		ctl.book[conf.Item{Model: item}] = &line{Line: Line{State: state, SizeMib: mib}}
 	}
 	put("old", Leaving, 80)
 	put("n", Reserved, 30)
 	put("m", Reserved, 20)
 	put("o", Reserved, 40)
 	// n's victim leaves room over for o; m fits as it is.
-	w.tasks.PushBack(&task{item: conf.Item{Model: "n"}, cost: time.Second, begun: c.now, victims: []conf.Item{{Model: "old"}}})
-	w.tasks.PushBack(&task{item: conf.Item{Model: "o"}, cost: time.Second, begun: c.now})
-	w.tasks.PushBack(&task{item: conf.Item{Model: "m"}, cost: time.Second, begun: c.now})
+	ctl.tasks.PushBack(&task{item: conf.Item{Model: "n"}, cost: time.Second, begun: c.now, victims: []conf.Item{{Model: "old"}}})
+	ctl.tasks.PushBack(&task{item: conf.Item{Model: "o"}, cost: time.Second, begun: c.now})
+	ctl.tasks.PushBack(&task{item: conf.Item{Model: "m"}, cost: time.Second, begun: c.now})
 	first := func(want string) {
 		t.Helper()
-		w.dearestFirst(c.now)
-		if got := w.tasks.Front().item.Model; got != want {
+		ctl.dearestFirst(c.now)
+		if got := ctl.tasks.Front().item.Model; got != want {
 			t.Errorf("%s goes first, want %s", got, want)
 		}
 	}
 	first("m")
 	asked["m"], asked["n"] = 1, 30 // others have begun to ask
 	first("n")
-	w.tasks.Front().phase = gone // it moves things
+	ctl.tasks.Front().phase = gone // it moves things
 	asked["m"] = 90
 	first("n")
-	delete(w.book, conf.Item{Model: "old"})
-	w.tasks.Front().phase = grant
+	delete(ctl.book, conf.Item{Model: "old"})
+	ctl.tasks.Front().phase = grant
 	first("m")
 	asked["m"] = 20 // o is worth more and there is room now
 	first("o")
@@ -109,20 +109,20 @@
 	g := run.NewGroup(t.Context())
 	g.Stop()
 	c := &clock{time.Minute}
-	w := &Ward{d: Deps{Clock: c, Group: g, Log: ring.New(io.Discard, 9).Logger(), Conf: conf.Empty, Owner: owner.New(owner.Deps{Group: g, Clock: c})}, book: map[conf.Item]*line{}, known: true}
-	w.vitals.CapacityMib = 100
+	ctl := &Controller{d: Deps{Clock: c, Group: g, Log: ring.New(io.Discard, 9).Logger(), Conf: conf.Empty, Owner: owner.New(owner.Deps{Group: g, Clock: c})}, book: map[conf.Item]*line{}, known: true}
+	ctl.vitals.CapacityMib = 100
 	put := func(item, state string, mib int) {
-		w.book[conf.Item{Model: item}] = &line{Line: Line{State: state, SizeMib: mib}}
+		ctl.book[conf.Item{Model: item}] = &line{Line: Line{State: state, SizeMib: mib}}
 	}
 	put("old", Leaving, 70)
 	put("m", Reserved, 30)
 	put("n", Reserved, 30)
 	put("o", Reserved, 30)
-	w.tasks.PushBack(&task{item: conf.Item{Model: "m"}, victims: []conf.Item{{Model: "old"}}})
-	w.tasks.PushBack(&task{item: conf.Item{Model: "n"}})
-	w.tasks.PushBack(&task{item: conf.Item{Model: "o"}})
-	w.drop(0, "the store had no room")
-	if w.tasks.Len() != 1 || w.tasks.Front().item.Model != "n" || w.book[conf.Item{Model: "o"}] != nil || w.book[conf.Item{Model: "old"}].State != backend.Loaded {
-		t.Errorf("%d loads are left, the first for %v", w.tasks.Len(), w.tasks.Front().item)
+	ctl.tasks.PushBack(&task{item: conf.Item{Model: "m"}, victims: []conf.Item{{Model: "old"}}})
+	ctl.tasks.PushBack(&task{item: conf.Item{Model: "n"}})
+	ctl.tasks.PushBack(&task{item: conf.Item{Model: "o"}})
+	ctl.drop(0, "the store had no room")
+	if ctl.tasks.Len() != 1 || ctl.tasks.Front().item.Model != "n" || ctl.book[conf.Item{Model: "o"}] != nil || ctl.book[conf.Item{Model: "old"}].State != backend.Loaded {
+		t.Errorf("%d loads are left, the first for %v", ctl.tasks.Len(), ctl.tasks.Front().item)
 	}
 }
--- a/internal/place/order/hold_test.go
+++ b/internal/place/order/hold_test.go
@@ -59,7 +59,7 @@
 	return c.Conn.Write(b)
 }
 
-// A hold runs out while a beat of the ward is under way: it has asked the replica
+// A hold runs out while a beat of the controller is under way: it has asked the replica
 // and the store's keeper, both far off, and the order it meant to give must not leave any more.
 func TestNoOrderLeavesAfterTheHold(t *testing.T) {
 	orders := 0
@@ -94,7 +94,7 @@
 					cfg.Models[fmt.Sprint("m", i)] = conf.Model{SizeMib: 1000, LoadFor: 100 * time.Millisecond, ServeFor: time.Second}
 				}
 				conn := backend.NewConn(out)
-				w := NewWard(g, Deps{Clock: clk, Log: log, Self: "a", Boot: "b", Cadence: bounds.DefaultCadence(), Replicas: conn, Owner: own, News: news.NewTable(), Reports: report.NewTable(),
+				ctl := NewController(g, Deps{Clock: clk, Log: log, Self: "a", Boot: "b", Cadence: bounds.DefaultCadence(), Replicas: conn, Owner: own, News: news.NewTable(), Reports: report.NewTable(),
 					Conf: func() conf.Effective { return cfg }, Requests: func(string) float64 { return 0 }, Others: func() []News { return nil },
 					Agents: func() map[string]bool { return nil }, Platform: func() time.Duration { return 0 }, Afloat: func(context.Context, string) {},
 					Grant: func(context.Context, string, float64) (time.Duration, bool) {
@@ -104,13 +104,13 @@
 				for taken := 0; taken < bounds.DefaultCadence().Tasks; {
 					time.Sleep(50 * time.Millisecond)
 					for i := range 12 {
-						if a, err := w.Consider(t.Context(), Consider{Replica: "r", Item: fmt.Sprint("m", i), Alone: true}); err == nil && a.Taken {
+						if a, err := ctl.Consider(t.Context(), Consider{Replica: "r", Item: fmt.Sprint("m", i), Alone: true}); err == nil && a.Taken {
 							taken++
 						}
 					}
 				}
 				time.Sleep(time.Duration(100+37*try) * time.Millisecond)
-				// From here on nothing renews the hold, and the ward goes on with what it has been given to do.
+				// From here on nothing renews the hold, and the controller goes on with what it has been given to do.
 				held.Freeze()
 				_, left, _ := own.MayOrder(Key("r"))
 				over := time.Now().Add(left)
--- a/internal/place/order/takeover_test.go
+++ b/internal/place/order/takeover_test.go
@@ -37,22 +37,22 @@
 	synctest.Test(t, func(t *testing.T) {
 		replica := &reporting{busy: true, items: map[conf.Item]backend.Line{}}
 		clk := simhost.NewClock()
-		w := &Ward{d: Deps{Group: run.NewGroup(t.Context()), Clock: clk, Log: ring.New(io.Discard, 10).Logger(), Replicas: replica,
+		ctl := &Controller{d: Deps{Group: run.NewGroup(t.Context()), Clock: clk, Log: ring.New(io.Discard, 10).Logger(), Replicas: replica,
 			News: news.NewTable(), Conf: conf.Empty}, listed: inventory.Listed{ID: "r", Addr: "10.0.0.1:1", Model: true},
 			book: map[conf.Item]*line{}, held: map[string]bool{}, traits: replica.Traits()}
 		coming := conf.Item{Model: "m"}
-		w.book[coming] = &line{Line: Line{State: Reserved, SizeMib: 80}, ordered: clk.Since(), inherited: true}
+		ctl.book[coming] = &line{Line: Line{State: Reserved, SizeMib: 80}, ordered: clk.Since(), inherited: true}
 		for range 40 {
 			time.Sleep(100 * time.Millisecond)
-			w.look()
-			if mib, _ := w.there(); mib != 80 {
+			ctl.look()
+			if mib, _ := ctl.there(); mib != 80 {
 				t.Fatalf("the replica carries an order out, and %d MiB count as taken", mib)
 			}
 		}
 		replica.busy = false
 		time.Sleep(100 * time.Millisecond)
-		w.look()
-		if mib, _ := w.there(); mib != 0 {
+		ctl.look()
+		if mib, _ := ctl.there(); mib != 0 {
 			t.Errorf("nothing is carried out any more, and %d MiB count as taken", mib)
 		}
 	})
--- a/internal/place/order/task.go
+++ b/internal/place/order/task.go
@@ -45,44 +45,44 @@
 // dearestFirst moves the task that is worth most now to the front, unless the one
 // there has begun to move things. Why: the store's keeper lets the dearest start, but a replica's controller asks for
 // one at a time; behind a cheap one the dearest would not even be heard of.
-func (w *Ward) dearestFirst(now time.Duration) {
-	for i := range w.tasks.Len() {
-		t := w.tasks.At(i)
+func (c *Controller) dearestFirst(now time.Duration) {
+	for i := range c.tasks.Len() {
+		t := c.tasks.At(i)
 		// Why: what is worth how much changes while it waits: others have begun to ask, or those that asked have gone.
-		if n := w.d.Requests(t.item.String()); n > 0 && t.cost > 0 {
+		if n := c.d.Requests(t.item.String()); n > 0 && t.cost > 0 {
 			t.worth = penalty.Of(n, t.cost)
 		}
 	}
-	for i := w.tasks.Len() - 1; i > 0; i-- {
-		if t := w.tasks.At(i); t.waits() && now-t.begun > paceLimit {
-			w.drop(i, "the store had no room")
+	for i := c.tasks.Len() - 1; i > 0; i-- {
+		if t := c.tasks.At(i); t.waits() && now-t.begun > paceLimit {
+			c.drop(i, "the store had no room")
 		}
 	}
-	if w.tasks.Len() < 2 || !w.tasks.Front().waits() {
+	if c.tasks.Len() < 2 || !c.tasks.Front().waits() {
 		return
 	}
 	best := 0
-	for i := 1; i < w.tasks.Len(); i++ {
-		if t := w.tasks.At(i); t.waits() && w.worthOfTime(t) > w.worthOfTime(w.tasks.At(best)) && w.fits(t) {
+	for i := 1; i < c.tasks.Len(); i++ {
+		if t := c.tasks.At(i); t.waits() && c.worthOfTime(t) > c.worthOfTime(c.tasks.At(best)) && c.fits(t) {
 			best = i
 		}
 	}
-	if w.worthOfTime(w.tasks.At(best)) > overtakes*w.worthOfTime(w.tasks.Front()) {
-		w.tasks.PushFront(w.tasks.Remove(best))
+	if c.worthOfTime(c.tasks.At(best)) > overtakes*c.worthOfTime(c.tasks.Front()) {
+		c.tasks.PushFront(c.tasks.Remove(best))
 	}
 }
 
 // worthOfTime is what a task is worth by the time that its loads take. Why: an
 // adapter is there in a twentieth of the time that a model takes, and holds the others up by no more.
-func (w *Ward) worthOfTime(t *task) float64 {
-	return t.worth / float64(max(1, w.taskMs(w.d.Conf().Models[t.item.Model], t.item)))
+func (c *Controller) worthOfTime(t *task) float64 {
+	return t.worth / float64(max(1, c.taskMs(c.d.Conf().Models[t.item.Model], t.item)))
 }
 
 // fits says whether a task finds room with what is there now but for its own
 // victims. Why: one may have been taken on for room that another's victims leave over, and must wait for that one.
-func (w *Ward) fits(t *task) bool {
-	mib, places := w.there()
-	for item, l := range w.book {
+func (c *Controller) fits(t *task) bool {
+	mib, places := c.there()
+	for item, l := range c.book {
 		for _, v := range t.victims {
 			switch {
 			case !v.Covers(item):
@@ -94,49 +94,49 @@
 			}
 		}
 	}
-	for i := range w.tasks.Len() {
+	for i := range c.tasks.Len() {
 		// Why: one that only waits for the store has its room made already, and that is nobody else's.
-		u := w.tasks.At(i)
+		u := c.tasks.At(i)
 		if u != t && u.phase != grant {
 			continue
 		}
-		if l := w.book[conf.Item{Model: u.item.Model}]; l != nil && l.State == Reserved {
+		if l := c.book[conf.Item{Model: u.item.Model}]; l != nil && l.State == Reserved {
 			mib += l.SizeMib
 		}
 		if u.item.Adapter != "" {
-			if l := w.book[u.item]; l != nil && l.State == Reserved {
+			if l := c.book[u.item]; l != nil && l.State == Reserved {
 				mib += l.SizeMib
 			}
 			places++
 		}
 	}
-	return mib <= w.vitals.CapacityMib && (t.item.Adapter == "" || places <= w.vitals.AdapterPlaces)
+	return mib <= c.vitals.CapacityMib && (t.item.Adapter == "" || places <= c.vitals.AdapterPlaces)
 }
 
 // fail gives up the task in front.
-func (w *Ward) fail(why string) { w.drop(0, why) }
+func (c *Controller) fail(why string) { c.drop(0, why) }
 
-func (w *Ward) drop(i int, why string) {
-	w.let(i, why)
+func (c *Controller) drop(i int, why string) {
+	c.let(i, why)
 	// Why: its victims stay after all, and whoever counted on the room they would have left over has none; it would
 	// hold up the others until it noticed.
-	for j := w.tasks.Len() - 1; j >= 0 && w.overbooked(); j-- {
-		if w.tasks.At(j).waits() {
-			w.let(j, "the room it counted on is not given up")
+	for j := c.tasks.Len() - 1; j >= 0 && c.overbooked(); j-- {
+		if c.tasks.At(j).waits() {
+			c.let(j, "the room it counted on is not given up")
 		}
 	}
-	w.keep()
+	c.keep()
 }
 
 // let takes a task out and puts back what it had claimed.
-func (w *Ward) let(i int, why string) {
-	t := w.tasks.Remove(i)
-	w.d.Log.Info("load given up", "replica", w.listed.ID, "item", t.item.String(), "why", why)
-	w.undo(t)
+func (c *Controller) let(i int, why string) {
+	t := c.tasks.Remove(i)
+	c.d.Log.Info("load given up", "replica", c.listed.ID, "item", t.item.String(), "why", why)
+	c.undo(t)
 }
 
 // overbooked says that all tasks together need more room than there will be.
-func (w *Ward) overbooked() bool {
-	mib, places := w.planned()
-	return w.known && (mib > w.vitals.CapacityMib || places > w.vitals.AdapterPlaces)
+func (c *Controller) overbooked() bool {
+	mib, places := c.planned()
+	return c.known && (mib > c.vitals.CapacityMib || places > c.vitals.AdapterPlaces)
 }
--- a/internal/place/order/tell.go
+++ b/internal/place/order/tell.go
@@ -13,22 +13,22 @@
 
 // loadMs is how long a load takes here, as seen before or else as configured. A
 // model that the replica has held comes from its own disk.
-func (w *Ward) loadMs(m conf.Model, name string) int {
+func (c *Controller) loadMs(m conf.Model, name string) int {
 	switch {
-	case w.held[name] && w.perMibAgain > 0:
-		return int(w.perMibAgain * float64(m.SizeMib))
-	case w.perMib > 0:
-		return int(w.perMib * float64(m.SizeMib))
+	case c.held[name] && c.perMibAgain > 0:
+		return int(c.perMibAgain * float64(m.SizeMib))
+	case c.perMib > 0:
+		return int(c.perMib * float64(m.SizeMib))
 	}
 	return int(m.LoadFor.Milliseconds())
 }
 
 // readyMs is when an item that is taken on now will probably be there.
-func (w *Ward) readyMs(m conf.Model, item conf.Item) int {
-	if w.quick(item) && w.traits.AdaptersUnpaced {
-		return w.taskMs(m, item) + quickMargin + w.busyMs()
+func (c *Controller) readyMs(m conf.Model, item conf.Item) int {
+	if c.quick(item) && c.traits.AdaptersUnpaced {
+		return c.taskMs(m, item) + quickMargin + c.busyMs()
 	}
-	return w.taskMs(m, item) + slowMargin + w.queued(false)*int(m.LoadFor.Milliseconds())
+	return c.taskMs(m, item) + slowMargin + c.queued(false)*int(m.LoadFor.Milliseconds())
 }
 
 const (
@@ -43,16 +43,16 @@
 )
 
 // quick says that a load takes no model from the store: it is an adapter's whose model is there.
-func (w *Ward) quick(item conf.Item) bool {
-	base := w.book[conf.Item{Model: item.Model}]
+func (c *Controller) quick(item conf.Item) bool {
+	base := c.book[conf.Item{Model: item.Model}]
 	return item.Adapter != "" && base != nil && base.State == backend.Loaded
 }
 
 // queued counts the tasks that are quick, or those that are not.
-func (w *Ward) queued(quick bool) int {
+func (c *Controller) queued(quick bool) int {
 	n := 0
-	for i := range w.tasks.Len() {
-		if w.quick(w.tasks.At(i).item) == quick {
+	for i := range c.tasks.Len() {
+		if c.quick(c.tasks.At(i).item) == quick {
 			n++
 		}
 	}
@@ -60,54 +60,54 @@
 }
 
 // mostTasks is how many tasks of the same kind may wait for an item to be taken on.
-func (w *Ward) mostTasks(item conf.Item) int {
-	if w.quick(item) {
+func (c *Controller) mostTasks(item conf.Item) int {
+	if c.quick(item) {
 		return quickTasks
 	}
-	return w.d.Cadence.Tasks
+	return c.d.Cadence.Tasks
 }
 
 // taskMs is how long the loads of an item take, its model's included where that is not there.
-func (w *Ward) taskMs(m conf.Model, item conf.Item) int {
+func (c *Controller) taskMs(m conf.Model, item conf.Item) int {
 	if item.Adapter == "" {
-		return w.loadMs(m, item.Model)
+		return c.loadMs(m, item.Model)
 	}
 	own := adapterMs
-	if w.perAdapter > 0 {
-		own = int(w.perAdapter.Milliseconds())
+	if c.perAdapter > 0 {
+		own = int(c.perAdapter.Milliseconds())
 	}
-	if w.quick(item) {
+	if c.quick(item) {
 		return own
 	}
-	return own + w.loadMs(m, item.Model)
+	return own + c.loadMs(m, item.Model)
 }
 
 // busyMs is how long the load that is under way still takes.
-func (w *Ward) busyMs() int {
-	if w.tasks.Len() == 0 || w.tasks.Front().phase != loaded {
+func (c *Controller) busyMs() int {
+	if c.tasks.Len() == 0 || c.tasks.Front().phase != loaded {
 		return 0
 	}
-	t := w.tasks.Front()
-	return max(0, w.taskMs(w.d.Conf().Models[t.item.Model], t.item)-int((w.d.Clock.Since()-t.since).Milliseconds()))
+	t := c.tasks.Front()
+	return max(0, c.taskMs(c.d.Conf().Models[t.item.Model], t.item)-int((c.d.Clock.Since()-t.since).Milliseconds()))
 }
 
-func (w *Ward) learn(t *task, now time.Duration) {
-	m := w.d.Conf().Models[t.item.Model]
-	w.d.Log.Info("loaded", "replica", w.listed.ID, "item", t.item.String(), "tookMs", (now - t.since).Milliseconds(), "again", w.held[t.item.Model])
+func (c *Controller) learn(t *task, now time.Duration) {
+	m := c.d.Conf().Models[t.item.Model]
+	c.d.Log.Info("loaded", "replica", c.listed.ID, "item", t.item.String(), "tookMs", (now - t.since).Milliseconds(), "again", c.held[t.item.Model])
 	if t.item.Adapter != "" {
-		if took := now - t.since; w.perAdapter == 0 {
-			w.perAdapter = took
+		if took := now - t.since; c.perAdapter == 0 {
+			c.perAdapter = took
 		} else {
-			w.perAdapter += (took - w.perAdapter) / 4
+			c.perAdapter += (took - c.perAdapter) / 4
 		}
 		return
 	}
 	if m.SizeMib == 0 {
 		return
 	}
-	seen := &w.perMib
-	if w.held[t.item.Model] && w.traits.KeepsOnDisk {
-		seen = &w.perMibAgain
+	seen := &c.perMib
+	if c.held[t.item.Model] && c.traits.KeepsOnDisk {
+		seen = &c.perMibAgain
 	}
 	took := float64((now - t.since).Milliseconds()) / float64(m.SizeMib)
 	if *seen == 0 {
@@ -116,55 +116,55 @@
 	*seen = 0.7**seen + 0.3*took
 }
 
-func (w *Ward) stampNow() state.Stamp { return state.Stamp{Epoch: w.epoch, Serial: w.serial} }
+func (c *Controller) stampNow() state.Stamp { return state.Stamp{Epoch: c.epoch, Serial: c.serial} }
 
 // publish tells the news what has changed.
-func (w *Ward) publish() {
-	if w.epoch == 0 {
+func (c *Controller) publish() {
+	if c.epoch == 0 {
 		return
 	}
-	mib, places := w.planned()
-	listed := w.listed
-	listed.Leaving = w.leaving()
-	n := News{Listed: listed, Controller: w.d.Self, Items: map[string]string{}, CapacityMib: w.vitals.CapacityMib,
-		FreeMib: w.vitals.CapacityMib - mib, AdapterPlaces: w.vitals.AdapterPlaces, AdapterFree: w.vitals.AdapterPlaces - places,
-		Slots: w.vitals.Slots, ServeMs: coarse(int(w.vitals.ServeFor.Milliseconds())), Dark: !w.fresh()}
-	for item, l := range w.book {
+	mib, places := c.planned()
+	listed := c.listed
+	listed.Leaving = c.leaving()
+	n := News{Listed: listed, Controller: c.d.Self, Items: map[string]string{}, CapacityMib: c.vitals.CapacityMib,
+		FreeMib: c.vitals.CapacityMib - mib, AdapterPlaces: c.vitals.AdapterPlaces, AdapterFree: c.vitals.AdapterPlaces - places,
+		Slots: c.vitals.Slots, ServeMs: coarse(int(c.vitals.ServeFor.Milliseconds())), Dark: !c.fresh()}
+	for item, l := range c.book {
 		n.Items[item.String()] = l.State
 	}
-	w.etas = w.expect()
-	packed := wire.Pack([]any{n, w.etas})
-	if w.serial > 0 && bytes.Equal(packed, w.packed) {
+	c.etas = c.expect()
+	packed := wire.Pack([]any{n, c.etas})
+	if c.serial > 0 && bytes.Equal(packed, c.packed) {
 		return
 	}
-	w.serial++
-	w.packed = packed
+	c.serial++
+	c.packed = packed
 	// Why: whoever reads it counts from when it came, so what is left is told anew with each piece of news.
 	n.ReadyMs = map[string]int{}
-	for item, at := range w.etas {
-		n.ReadyMs[item] = int(max(0, at-w.d.Clock.Since()).Milliseconds())
+	for item, at := range c.etas {
+		n.ReadyMs[item] = int(max(0, at-c.d.Clock.Since()).Milliseconds())
 	}
-	w.d.News.Put(news.Entry{Key: Key(w.listed.ID), Stamp: w.stampNow(), Value: wire.Pack(n)})
+	c.d.News.Put(news.Entry{Key: Key(c.listed.ID), Stamp: c.stampNow(), Value: wire.Pack(n)})
 }
 
 // expect is when each item on its way will probably be there. What was said
 // before stands while it is about right, so that it makes no news.
-func (w *Ward) expect() map[string]time.Duration {
+func (c *Controller) expect() map[string]time.Duration {
 	out := map[string]time.Duration{}
-	models := w.d.Conf().Models
-	now, sofar := w.d.Clock.Since(), time.Duration(0)
-	for i := range w.tasks.Len() {
-		t := w.tasks.At(i)
+	models := c.d.Conf().Models
+	now, sofar := c.d.Clock.Since(), time.Duration(0)
+	for i := range c.tasks.Len() {
+		t := c.tasks.At(i)
 		if i > 0 {
 			sofar += 500 * time.Millisecond
 		}
-		load := time.Duration(w.taskMs(models[t.item.Model], t.item)) * time.Millisecond
+		load := time.Duration(c.taskMs(models[t.item.Model], t.item)) * time.Millisecond
 		if t.phase == loaded {
 			load = max(load-(now-t.since), 100*time.Millisecond)
 		}
 		sofar += t.wait + load
 		at := now + sofar
-		if was, said := w.etas[t.item.String()]; said && at-was < aboutRight && was-at < aboutRight {
+		if was, said := c.etas[t.item.String()]; said && at-was < aboutRight && was-at < aboutRight {
 			at = was
 		}
 		out[t.item.String()] = at
--- a/internal/place/order/victims.go
+++ b/internal/place/order/victims.go
@@ -15,33 +15,33 @@
 
 // idle ranks the items that may go: loaded, nobody using or waiting for them,
 // not pinned by a claim; and sums up those that may but for being used.
-func (w *Ward) idle(cfg conf.Effective, wanted conf.Item, adapters bool) (order []penalty.Victim, list []judge.Idle, used int) {
-	now := w.d.Clock.Since()
-	waiting, pressed := w.d.Reports.Waiting(now), w.d.Reports.Pressed(now)
-	others := w.d.Others()
+func (c *Controller) idle(cfg conf.Effective, wanted conf.Item, adapters bool) (order []penalty.Victim, list []judge.Idle, used int) {
+	now := c.d.Clock.Since()
+	waiting, pressed := c.d.Reports.Waiting(now), c.d.Reports.Pressed(now)
+	others := c.d.Others()
 	facts := map[string]judge.Idle{}
-	for item, l := range w.book {
+	for item, l := range c.book {
 		if (item.Adapter != "") != adapters || l.State != backend.Loaded || item.Model == wanted.Model && !adapters || item == wanted {
 			continue
 		}
-		if w.pinned(cfg, item, others) {
+		if c.pinned(cfg, item, others) {
 			continue
 		}
-		busy, kids := l.inflight > 0 || w.d.Reports.Inflight(w.listed.ID, item.String(), now) > 0 || waiting[item] > 0, 0
+		busy, kids := l.inflight > 0 || c.d.Reports.Inflight(c.listed.ID, item.String(), now) > 0 || waiting[item] > 0, 0
 		// Why: a copy of what many press for, and what has only just come, are about to be used; to let go of them takes
 		// the store's time twice.
 		busy = busy || pressed[item] >= pressedFew || l.awaited(now)
-		pen, stays := w.penaltyOf(cfg, item, others, now), false
+		pen, stays := c.penaltyOf(cfg, item, others, now), false
 		if !adapters {
-			for other, o := range w.book {
+			for other, o := range c.book {
 				if other.Model != item.Model || other.Adapter == "" {
 					continue
 				}
 				kids++
-				pen += w.penaltyOf(cfg, other, others, now)
+				pen += c.penaltyOf(cfg, other, others, now)
 				// Why: a model is in use as long as any adapter on it is, and moves only when it can go too.
 				busy = busy || waiting[other] > 0 || o.State != backend.Loaded || o.inflight > 0
-				stays = stays || w.pinned(cfg, other, others)
+				stays = stays || c.pinned(cfg, other, others)
 			}
 		}
 		size := l.SizeMib
@@ -55,7 +55,7 @@
 			used += size
 			continue
 		}
-		f := judge.Idle{Name: item.String(), SizeMib: size, Penalty: pen, IdleFor: now - l.lastUsed, Copies: copies(others, w.listed.ID, item), Adapters: kids}
+		f := judge.Idle{Name: item.String(), SizeMib: size, Penalty: pen, IdleFor: now - l.lastUsed, Copies: copies(others, c.listed.ID, item), Adapters: kids}
 		list = append(list, f)
 		facts[f.Name] = f
 	}
@@ -91,13 +91,13 @@
 // penaltyOf is what it would cost not to hold an item here: its predicted
 // requests times the time to serve one from the cheapest other holder, or,
 // where there is none, the time to load it again and serve it (ours).
-func (w *Ward) penaltyOf(cfg conf.Effective, item conf.Item, others []News, now time.Duration) float64 {
-	cheapest := Cheapest(others, w.listed.ID, item, w.d.Reports, now, cfg)
+func (c *Controller) penaltyOf(cfg conf.Effective, item conf.Item, others []News, now time.Duration) float64 {
+	cheapest := Cheapest(others, c.listed.ID, item, c.d.Reports, now, cfg)
 	if cheapest == 0 {
 		m := cfg.Models[item.Model]
 		cheapest = m.LoadFor + m.ServeFor
 	}
-	return penalty.Of(w.d.Requests(item.String()), cheapest)
+	return penalty.Of(c.d.Requests(item.String()), cheapest)
 }
 
 // Cheapest is the predicted time to serve from the cheapest holder other than
@@ -121,14 +121,14 @@
 	return best
 }
 
-func (w *Ward) pinned(cfg conf.Effective, item conf.Item, others []News) bool {
+func (c *Controller) pinned(cfg conf.Effective, item conf.Item, others []News) bool {
 	for _, want := range cfg.Claimed() {
-		if !item.Covers(want.Item) || !want.Group.Matches(labels.Set(w.listed.Labels)) {
+		if !item.Covers(want.Item) || !want.Group.Matches(labels.Set(c.listed.Labels)) {
 			continue
 		}
 		n := 0
 		for _, o := range others {
-			if o.Listed.ID != w.listed.ID && !o.Dark && !o.Listed.Leaving && want.Group.Matches(labels.Set(o.Listed.Labels)) && o.Items[want.Item.String()] == backend.Loaded {
+			if o.Listed.ID != c.listed.ID && !o.Dark && !o.Listed.Leaving && want.Group.Matches(labels.Set(o.Listed.Labels)) && o.Items[want.Item.String()] == backend.Loaded {
 				n++
 			}
 		}
--- a/internal/place/order/victims_test.go
+++ b/internal/place/order/victims_test.go
@@ -11,8 +11,8 @@
 )
 
 // idleNames is what may go from a replica that holds some models.
-func idleNames(w *Ward, cfg conf.Effective) []string {
-	order, _, _ := w.idle(cfg, conf.Item{Model: "wanted"}, false)
+func idleNames(ctl *Controller, cfg conf.Effective) []string {
+	order, _, _ := ctl.idle(cfg, conf.Item{Model: "wanted"}, false)
 	var out []string
 	for _, v := range order {
 		out = append(out, v.Item)
@@ -28,23 +28,23 @@
 	cfg.Models = map[string]conf.Model{"fresh": {}, "pressed": {}, "used": {}, "old": {}}
 	c := &clock{time.Minute}
 	reports := report.NewTable()
-	w := &Ward{d: Deps{Clock: c, Reports: reports, Others: func() []News { return nil }, Requests: func(string) float64 { return 0 }}, book: map[conf.Item]*line{}}
+	ctl := &Controller{d: Deps{Clock: c, Reports: reports, Others: func() []News { return nil }, Requests: func(string) float64 { return 0 }}, book: map[conf.Item]*line{}}
 	for name := range cfg.Models {
-		w.book[conf.Item{Model: name}] = &line{Line: Line{State: backend.Loaded, SizeMib: 10}, lastUsed: 10 * time.Second}
+		ctl.book[conf.Item{Model: name}] = &line{Line: Line{State: backend.Loaded, SizeMib: 10}, lastUsed: 10 * time.Second}
 	}
-	w.book[conf.Item{Model: "fresh"}].loadedAt = c.now - 200*time.Millisecond
-	used := w.book[conf.Item{Model: "used"}]
+	ctl.book[conf.Item{Model: "fresh"}].loadedAt = c.now - 200*time.Millisecond
+	used := ctl.book[conf.Item{Model: "used"}]
 	used.loadedAt, used.lastUsed = c.now-200*time.Millisecond, c.now-100*time.Millisecond
 	reports.Put(report.Report{Agent: "e", Boot: "b", Serial: 1, Pressed: map[string]int{"pressed": pressedFew, "old": pressedFew - 1}}, c.now)
-	if got := idleNames(w, cfg); !slices.Equal(got, []string{"old", "used"}) {
+	if got := idleNames(ctl, cfg); !slices.Equal(got, []string{"old", "used"}) {
 		t.Errorf("may go: %v, want old and used", got)
 	}
 	c.now += awaitedFor
-	if got := idleNames(w, cfg); !slices.Equal(got, []string{"fresh", "old", "used"}) {
+	if got := idleNames(ctl, cfg); !slices.Equal(got, []string{"fresh", "old", "used"}) {
 		t.Errorf("a second later: %v, want fresh, old and used", got)
 	}
 	c.now += report.Fresh
-	if got := idleNames(w, cfg); len(got) != 4 {
+	if got := idleNames(ctl, cfg); len(got) != 4 {
 		t.Errorf("when nobody presses any more: %v, want all", got)
 	}
 }
