A silent replica is let go of only when another has begun to go on

Ruled out: asking only replicas known to have a place (the word is old), bearing all silences until a controller calls the replica dark (callers leave before). Change: the other replica is asked beside the silent one, whose next piece ends the trial; only a trial that has begun to answer takes over. An answer that ends during a trial is followed by it.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -126,9 +126,12 @@
 	// OnlyUntil is borne; nil bears none.
 	Only      func() bool
 	OnlyUntil time.Time
-	Heard     func()      // called whenever a piece comes
-	Again     bool        // another attempt may be made after a failure
-	Sendable  func() bool // asked right before the first byte leaves
+	// GoneOn is asked when an answer that has begun is silent for too long: has another
+	// replica begun to go on with it? Until it has, the silence is borne; nil ends the answer at once.
+	GoneOn   func() bool
+	Heard    func()      // called whenever a piece comes
+	Again    bool        // another attempt may be made after a failure
+	Sendable func() bool // asked right before the first byte leaves
 }
 
 // Reply is an answer that has begun.
@@ -143,6 +146,7 @@
 	cancel      context.CancelFunc
 	stall       time.Duration
 	alive       func() bool
+	goneOn      func() bool
 	heard       func()
 	reading     atomic.Bool
 	silence     *time.Timer
@@ -165,15 +169,17 @@
 	return n, err
 }
 
-// stalled ends an answer that brings nothing, unless its replica is heard on others.
+// stalled ends an answer that brings nothing, unless its replica is heard on others, or
+// nobody has gone on with it.
 func (r *Reply) stalled() {
-	switch {
-	case !r.reading.Load():
-	case r.alive != nil && r.alive():
+	if !r.reading.Load() {
+		return
+	}
+	if r.alive != nil && r.alive() || r.goneOn != nil && !r.goneOn() {
 		r.silence.Reset(patienceStep)
-	default:
-		r.cancel()
+		return
 	}
+	r.cancel()
 }
 
 // Close ends the attempt.
@@ -229,7 +235,7 @@
 		return fail(Failure{Outcome: Ran, Why: "replica's answer has no end that can be told"})
 	}
 	r := &Reply{Status: res.StatusCode, Header: d.Header, ContentType: res.Header.Get("Content-Type"), Length: res.ContentLength, Load: d.Load,
-		raw: res.Body, cancel: cancel, stall: s.stall, alive: q.Alive, heard: q.Heard}
+		raw: res.Body, cancel: cancel, stall: s.stall, alive: q.Alive, goneOn: q.GoneOn, heard: q.Heard}
 	if q.Stall > 0 {
 		r.stall = q.Stall
 	}
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -4,13 +4,9 @@
 	"bytes"
 	"context"
 	"io"
-	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/pkg/errors"
-
-	"drumstall.example/internal/attempt"
 )
 
 // maxEvent bounds one event of a stream.
@@ -34,6 +30,7 @@
 	last    uint64 // number of the last event passed on
 	known   bool   // last has a value
 	ended   bool
+	handover
 }
 
 func newEventStream(ctx context.Context, w *passage, from *begun) *eventStream {
@@ -41,6 +38,7 @@
 	if n, err := strconv.ParseUint(w.call.LastEvent, 10, 64); err == nil {
 		s.last, s.known = n, true
 	}
+	w.stream.Store(s)
 	return s
 }
 
@@ -65,11 +63,17 @@
 		s.chunk = make([]byte, maxChunk)
 	}
 	n, err := s.from.Read(s.chunk)
+	if s.isTakenOver() {
+		return s.resume(errTakenOver)
+	}
 	s.partial = append(s.partial, s.chunk[:n]...)
 	if len(s.partial) > maxEvent {
 		return errEventTooLong
 	}
 	s.take(err == io.EOF)
+	if n > 0 {
+		s.progress()
+	}
 	switch {
 	case err == io.EOF:
 		s.ended = true
@@ -143,32 +147,18 @@
 func (s *eventStream) resume(broke error) error {
 	_ = s.from.Close()
 	s.partial = nil
-	w := s.passage
-	route := w.call.Target.Route
-	if s.ctx.Err() != nil || w.number >= route.Attempts || !time.Now().Before(w.call.Deadline) {
-		return broke
-	}
-	w.call.Target.Avoid = s.from.replica
-	w.call.FirstBy = w.call.Deadline
-	w.outcome = attempt.Unknown
-	if s.known {
-		w.call.LastEvent = strconv.FormatUint(s.last, 10)
-	}
-	next, refusal := w.begin(s.ctx)
-	w.giveBack()
-	if refusal != nil {
-		return errors.Wrap(broke, refusal.Detail)
+	next, err := s.successor(broke)
+	if err != nil {
+		return err
 	}
 	s.from = next
-	if next.reply.Status != http.StatusOK {
-		return errors.Wrapf(broke, "the replica that was to go on answered %d", next.reply.Status)
-	}
 	return nil
 }
 
-// Close ends the attempt that is under way.
+// Close ends the attempts that are under way.
 func (s *eventStream) Close() error {
 	err := s.from.Close()
+	s.abandon()
 	s.passage.giveBack()
 	return err
 }
--- a/internal/proxy/passage.go
+++ b/internal/proxy/passage.go
@@ -18,7 +18,8 @@
 	number   int // attempts so far
 	arrived  int // of which so many may have reached a replica
 	outcome  attempt.Outcome
-	reserved atomic.Bool // a retry is set aside for this request
+	reserved atomic.Bool                 // a retry is set aside for this request
+	stream   atomic.Pointer[eventStream] // of an answer that another replica may go on with
 }
 
 // begun is a reply and the place that it takes at its replica.
@@ -179,7 +180,8 @@
 		// Why: a pause that is too long is late already; what must be told is a replica that stands still from one
 		// that is slow, and its other answers tell.
 		q.Stall = stallTimes * c.Target.Route.GapTarget
-		q.Alive = func() bool { return w.p.routes.Alive(r) || !w.mayGoOn(r) }
+		q.Alive = func() bool { return w.stream.Load().isTakingOver(id) || w.p.routes.Alive(r) || !w.mayGoOn(r) }
+		q.GoneOn = func() bool { return w.stream.Load().takeOver() }
 		q.FirstAtLast = time.Now().Add(time.Until(c.FirstBy) / 2)
 	}
 	return q
