Reports are asked for when they may show something

Ruled out: a slower beat (every load would show later). An adapter that waits for its model is asked about as the model is. Tests: when reports are asked for (the adapter's case fails before); the learned delay against four true ones. Also: a test's counter of calls is atomic (found by the race detector).

--- a/internal/core/consider_test.go
+++ b/internal/core/consider_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +15,7 @@
 
 // askedCore answers about replicas by name, by one message or one by one, and counts the calls.
 type askedCore struct {
-	calls  int
+	calls  atomic.Int64
 	batch  bool // it knows the call about several replicas
 	garble bool // it answers about fewer than it was asked about
 }
@@ -25,7 +26,7 @@
 		return order.Considered{Taken: q.Replica != "full" && q.Dry && q.Item == "m", Why: q.Replica}
 	}
 	wire.Handle(mux, considerPath, func(_ context.Context, q order.Consider) (order.Considered, error) {
-		a.calls++
+		a.calls.Add(1)
 		if q.Replica == "elsewhere" {
 			return order.Considered{}, wire.Drop("not-owner", "not here")
 		}
@@ -35,7 +36,7 @@
 		return mux
 	}
 	wire.Handle(mux, considerAllPath, func(_ context.Context, q order.ConsiderAll) (order.ConsideredAll, error) {
-		a.calls++
+		a.calls.Add(1)
 		var out order.ConsideredAll
 		for _, r := range q.Replicas {
 			one := q.Ask
@@ -75,8 +76,8 @@
 func TestReplicasOfOneCoreAreAskedAboutAtOnce(t *testing.T) {
 	a := &askedCore{batch: true}
 	got := asked(t, a, "r1", "full", "r2")
-	if a.calls != 1 || len(got) != 3 || !got[0].Taken || got[1].Taken || !got[2].Taken || got[2].Why != "r2" {
-		t.Errorf("%d calls, %+v", a.calls, got)
+	if a.calls.Load() != 1 || len(got) != 3 || !got[0].Taken || got[1].Taken || !got[2].Taken || got[2].Why != "r2" {
+		t.Errorf("%d calls, %+v", a.calls.Load(), got)
 	}
 }
 
@@ -84,8 +85,8 @@
 func TestAnEarlierVersionIsAskedAboutEachReplica(t *testing.T) {
 	a := &askedCore{}
 	got := asked(t, a, "r1", "elsewhere", "full")
-	if a.calls != 3 || len(got) != 3 || !got[0].Taken || !got[1].Silent || got[1].Taken || got[2].Taken || got[2].Silent {
-		t.Errorf("%d calls, %+v", a.calls, got)
+	if a.calls.Load() != 3 || len(got) != 3 || !got[0].Taken || !got[1].Silent || got[1].Taken || got[2].Taken || got[2].Silent {
+		t.Errorf("%d calls, %+v", a.calls.Load(), got)
 	}
 }
 
--- a/internal/place/order/carry.go
+++ b/internal/place/order/carry.go
@@ -44,7 +44,7 @@
 	}
 }
 
-func (t *task) next(p phase, now time.Duration) { t.phase, t.since = p, now }
+func (t *task) next(p phase, now time.Duration) { t.phase, t.since, t.looks = p, now, 0 }
 
 // step carries a task on by at most one phase.
 func (c *Controller) step(t *task) {
@@ -59,6 +59,7 @@
 		}
 		return
 	}
+	c.looked(t)
 	switch t.phase {
 	case withdraw:
 		c.publish()
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -121,6 +121,7 @@
 	lookedAt    time.Duration
 	soon        *run.Nudge
 	traits      backend.Traits
+	delay       reportDelay
 }
 
 // NewController starts to control a replica.
@@ -150,20 +151,6 @@
 	c.work()
 }
 
-// expects is when the task in front may next have got on. Why: a replica that
-// loads for a second or more need not be asked all the while.
-func (c *Controller) expects() time.Duration {
-	if c.tasks.Len() == 0 || !c.traits.TellsBusy {
-		return 0
-	}
-	t := c.tasks.Front()
-	if t.phase != loaded || t.item.Adapter != "" {
-		return 0
-	}
-	load := time.Duration(c.loadMs(c.d.Conf().Models[t.item.Model], t.item.Model)) * time.Millisecond
-	return t.since + load*9/10
-}
-
 func (c *Controller) work() {
 	key := Key(c.listed.ID)
 	if c.closed || !c.d.Owner.Holds(key) {
--- a/internal/place/order/expect_test.go
+++ b/internal/place/order/expect_test.go
@@ -126,3 +126,65 @@
 		t.Errorf("%d loads are left, the first for %v", ctl.tasks.Len(), ctl.tasks.Front().item)
 	}
 }
+
+// What a report cannot show yet is not asked for. An adapter whose model has to be
+// loaded first was once asked about all the while.
+func TestReportsAreAskedForWhenTheyMayShowSomething(t *testing.T) {
+	cfg := conf.Empty()
+	cfg.Models = map[string]conf.Model{"m": {LoadFor: 2 * time.Second}}
+	model, adapter := conf.Item{Model: "m"}, conf.Item{Model: "m", Adapter: "a"}
+	const late = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		item  conf.Item
+		phase phase
+		there bool // the model is
+		after time.Duration
+	}{
+		"a model's load":            {model, loaded, false, 1800 * time.Millisecond},
+		"an adapter's, model there": {adapter, loaded, true, late},
+		"an adapter's, model first": {adapter, loaded, false, 1800 * time.Millisecond},
+		"an unload":                 {model, gone, false, late},
+		"leave of the store":        {model, grant, false, -time.Minute},
+	} {
+		ctl := &Controller{d: Deps{Clock: &clock{time.Minute}, Conf: func() conf.Effective { return cfg }}, book: map[conf.Item]*line{},
+			traits: backend.Traits{TellsBusy: true}, delay: reportDelay{least: late}}
+		if c.there {
+			ctl.book[model] = &line{Line: Line{State: backend.Loaded}}
+		}
+		ctl.tasks.PushBack(&task{item: c.item, phase: c.phase, since: time.Minute})
+		if got := ctl.expects() - time.Minute; got != c.after {
+			t.Errorf("%s: after %v, want %v", name, got, c.after)
+		}
+	}
+}
+
+// With reports that are so late, few looks are in vain, and none is put off by more
+// than a step; what took long once does not keep the next one waiting.
+func TestHowLateReportsAreIsLearned(t *testing.T) {
+	const step = 40 * time.Millisecond
+	for _, late := range []time.Duration{0, 30 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond} {
+		var r reportDelay
+		vain := 0
+		for n := range 60 {
+			at, looks := r.least, 1
+			for ; at < late; at += step {
+				looks++
+			}
+			if n >= 20 {
+				vain += looks - 1
+				if at-late > 2*step {
+					t.Errorf("reports late by %v: seen after %v", late, at)
+				}
+			}
+			r.learn(looks, at, step)
+		}
+		if vain > 50 {
+			t.Errorf("reports late by %v: %d looks in vain in 40 loads", late, vain)
+		}
+	}
+	r := reportDelay{least: 100 * time.Millisecond}
+	r.learn(50, 2*time.Second, step)
+	if r.least > 100*time.Millisecond+step {
+		t.Errorf("after a long one it is %v", r.least)
+	}
+}
--- a/internal/place/order/task.go
+++ b/internal/place/order/task.go
@@ -33,6 +33,7 @@
 	cost    time.Duration // of one request without it
 	wait    time.Duration // until the store has room, as last told
 	asked   int           // victims whose unload has been ordered
+	looks   int           // reports that have come since the last order
 }
 
 // waits says that a task holds nothing up yet and may let another go first.
--- a/internal/place/order/tell.go
+++ b/internal/place/order/tell.go
@@ -95,6 +95,7 @@
 	m := c.d.Conf().Models[t.item.Model]
 	c.d.Log.Info("loaded", "replica", c.listed.ID, "item", t.item.String(), "tookMs", (now - t.since).Milliseconds(), "again", c.held[t.item.Model])
 	if t.item.Adapter != "" {
+		c.learnDelay(t)
 		if took := now - t.since; c.perAdapter == 0 {
 			c.perAdapter = took
 		} else {
