--- /dev/null
+++ b/internal/sim/capacity/agents_test.go
@@ -0,0 +1,128 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"drumstall.example/internal/agent"
+	"drumstall.example/internal/core"
+	"drumstall.example/internal/feed"
+	"drumstall.example/internal/kernel/bounds"
+	"drumstall.example/internal/kernel/ring"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/tick"
+	"drumstall.example/internal/kernel/wire"
+)
+
+func cadence() bounds.Cadence {
+	return bounds.Cadence{ReplicaIdle: 700 * time.Millisecond, ReplicaBusy: 40 * time.Millisecond, List: 900 * time.Millisecond,
+		ListSpare: 1200 * time.Millisecond, Plan: 50 * time.Millisecond, Again: 300 * time.Millisecond, Share: 500 * time.Millisecond,
+		Report: 500 * time.Millisecond, Keep: 20 * time.Second, Hold: 8 * time.Second, Ask: 350 * time.Millisecond, Tasks: 3, Handback: time.Minute, Start: 6 * time.Second}
+}
+
+func freeAddr() string {
+	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// fleet runs cores and agents for real and counts what an agent sends; a loop stands for each proxy.
+func fleet(cores, agents, replicas, items int) {
+	cn := &counted{Net: wire.Host()}
+	env := func() core.Env {
+		return core.Env{Net: wire.Host(), Clock: tick.Machine(), FS: vfs.NewMem(), Log: ring.New(io.Discard, 10)}
+	}
+	var addrs []string
+	for range cores {
+		addrs = append(addrs, freeAddr())
+	}
+	var cs []*core.Core
+	for i, a := range addrs {
+		c, err := core.Start(core.Settings{Fleet: "x", Name: fmt.Sprintf("core-%d", i), Zone: zone(i), Addr: a, Seeds: addrs, Folder: "d", Founders: addrs, MayFound: true, Cadence: cadence(), Lister: list{replicas}, Replicas: fake{}}, env())
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		cs = append(cs, c)
+	}
+	var as []*agent.Agent
+	ctx, g := context.Background(), run.NewGroup(context.Background())
+	var feeds, feedBytes atomic.Int64
+	for i := range agents {
+		f := freeAddr()
+		e := env()
+		e.Net = cn
+		a, err := agent.Start(agent.Settings{Name: nodeName(i), Zone: zone(i), Addr: freeAddr(), Feed: f, Seeds: addrs, Cadence: cadence(), Lister: list{replicas}}, e)
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		as = append(as, a)
+		caller := wire.NewCaller(wire.Host())
+		g.Go(func(ctx context.Context) {
+			up := feed.Up{Boot: "0123456789abcdef", Report: aReport(i, replicas, items, 8), HoldMs: 200}
+			for ctx.Err() == nil {
+				up.Report.Serial++
+				d, err := wire.Call[feed.Up, feed.Down](ctx, caller, f, feed.Path, up)
+				if err == nil {
+					up.AgentBoot, up.Cursor, up.Confirmed = d.AgentBoot, d.Cursor, d.Confirmed
+				}
+				run.Wait(ctx, 2*time.Millisecond)
+				n, b := caller.Sent()
+				_ = n
+				if i == 0 {
+					feeds.Store(n)
+					feedBytes.Store(b)
+				}
+			}
+		})
+	}
+	time.Sleep(14 * time.Second)
+	type sent struct{ calls, bytes, grams int64 }
+	at := make([]sent, len(as))
+	for i, a := range as {
+		at[i].calls, at[i].bytes, at[i].grams = a.Sent()
+	}
+	f0, fb0 := feeds.Load(), feedBytes.Load()
+	o0, i0, g0, b0 := cn.out.Load(), cn.in.Load(), cn.gramsOut.Load(), cn.gramBytes.Load()
+	c0, t0 := cpu(), time.Now()
+	time.Sleep(10 * time.Second)
+	took := time.Since(t0).Seconds()
+	spent := (cpu() - c0).Seconds() / took * 100
+	var sum sent
+	for i, a := range as {
+		x, y, z := a.Sent()
+		sum.calls, sum.bytes, sum.grams = sum.calls+x-at[i].calls, sum.bytes+y-at[i].bytes, sum.grams+z-at[i].grams
+	}
+	n := float64(len(as)) * took
+	fmt.Printf("   on the wire, an agent: out %.0f in %.0f bytes/s by TCP for %.0f of bodies, %.1f datagrams/s of %.0f bytes\n", float64(cn.out.Load()-o0)/n, float64(cn.in.Load()-i0)/n, float64(sum.bytes)/n, float64(cn.gramsOut.Load()-g0)/n, float64(cn.gramBytes.Load()-b0)/float64(cn.gramsOut.Load()-g0))
+	st := cs[0].Status(ctx).(map[string]any)
+	fmt.Printf("cores %d agents %d replicas %d items %d: an agent makes %.1f calls/s, %.0f bytes/s in them and their answers, %.1f datagrams/s; feed %.1f calls/s %.0f bytes/s; all together %.0f %% of a processor; news %v\n",
+		cores, agents, replicas, items, float64(sum.calls)/n, float64(sum.bytes)/n, float64(sum.grams)/n, float64(feeds.Load()-f0)/took, float64(feedBytes.Load()-fb0)/took, spent, st["counts"].(map[string]int64)["news"])
+	g.Stop()
+	for _, a := range as {
+		a.Kill()
+	}
+	for _, c := range cs {
+		_ = c.Kill()
+	}
+}
+
+func fleets() {
+	for _, n := range []int{10, 20, 40} {
+		fleet(3, n, 40, 50)
+	}
+	for _, r := range []int{20, 80, 160} {
+		fleet(3, 10, r, 50)
+	}
+	for _, n := range []int{200, 800} {
+		fleet(3, 10, 40, n)
+	}
+	fleet(5, 10, 40, 50)
+}
