--- a/internal/sim/capacity/agents_test.go
+++ b/internal/sim/capacity/agents_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -34,7 +35,7 @@
 
 // fleet runs cores and agents for real and counts what an agent sends; a loop stands for each proxy.
 func fleet(cores, agents, replicas, items int) {
-	cn := &counted{Net: wire.Host()}
+	cn := &Meter{Net: wire.Host()}
 	env := func() core.Env {
 		return core.Env{Net: wire.Host(), Clock: tick.Machine(), FS: vfs.NewMem(), Log: ring.New(io.Discard, 10)}
 	}
@@ -58,7 +59,7 @@
 		f := freeAddr()
 		e := env()
 		e.Net = cn
-		a, err := agent.Start(agent.Settings{Name: nodeName(i), Zone: zone(i), Addr: freeAddr(), Feed: f, Seeds: addrs, Cadence: cadence(), Lister: list{replicas}}, e)
+		a, err := agent.Start(agent.Settings{Name: NodeName(i), Zone: zone(i), Addr: freeAddr(), Feed: f, Seeds: addrs, Cadence: cadence(), Lister: list{replicas}}, e)
 		if err != nil {
 			fmt.Println(err)
 			return
@@ -90,7 +91,7 @@
 		at[i].calls, at[i].bytes, at[i].grams = a.Sent()
 	}
 	f0, fb0 := feeds.Load(), feedBytes.Load()
-	o0, i0, g0, b0 := cn.out.Load(), cn.in.Load(), cn.gramsOut.Load(), cn.gramBytes.Load()
+	callsBefore, gramsBefore := onTheWire(cn)
 	c0, t0 := cpu(), time.Now()
 	time.Sleep(10 * time.Second)
 	took := time.Since(t0).Seconds()
@@ -101,7 +102,9 @@
 		sum.calls, sum.bytes, sum.grams = sum.calls+x-at[i].calls, sum.bytes+y-at[i].bytes, sum.grams+z-at[i].grams
 	}
 	n := float64(len(as)) * took
-	fmt.Printf("   on the wire, an agent: out %.0f in %.0f bytes/s by TCP for %.0f of bodies, %.1f datagrams/s of %.0f bytes\n", float64(cn.out.Load()-o0)/n, float64(cn.in.Load()-i0)/n, float64(sum.bytes)/n, float64(cn.gramsOut.Load()-g0)/n, float64(cn.gramBytes.Load()-b0)/float64(cn.gramsOut.Load()-g0))
+	callsAfter, gramsAfter := onTheWire(cn)
+	called, grams := callsAfter.Minus(callsBefore), gramsAfter.Minus(gramsBefore)
+	fmt.Printf("   on the wire, an agent: out %.0f in %.0f bytes/s by TCP for %.0f of bodies, %.1f datagrams/s of %.0f bytes\n", float64(called.Out)/n, float64(called.In)/n, float64(sum.bytes)/n, float64(grams.Messages)/n, float64(grams.Out)/float64(grams.Messages))
 	st := cs[0].Status(ctx).(map[string]any)
 	fmt.Printf("cores %d agents %d replicas %d items %d: an agent makes %.1f calls/s, %.0f bytes/s in them and their answers, %.1f datagrams/s; feed %.1f calls/s %.0f bytes/s; all together %.0f %% of a processor; news %v\n",
 		cores, agents, replicas, items, float64(sum.calls)/n, float64(sum.bytes)/n, float64(sum.grams)/n, float64(feeds.Load()-f0)/took, float64(feedBytes.Load()-fb0)/took, spent, st["counts"].(map[string]int64)["news"])
@@ -114,6 +117,19 @@
 	}
 }
 
+// onTheWire is the traffic of the calls that were made, and of the datagrams.
+func onTheWire(m *Meter) (calls, grams Traffic) {
+	for kind, t := range m.Counts() {
+		switch {
+		case strings.HasPrefix(kind, Asked):
+			calls = calls.Plus(t)
+		case strings.HasPrefix(kind, Datagram):
+			grams = grams.Plus(t)
+		}
+	}
+	return calls, grams
+}
+
 func fleets() {
 	for _, n := range []int{10, 20, 40} {
 		fleet(3, n, 40, 50)
--- a/internal/sim/capacity/capacity_test.go
+++ b/internal/sim/capacity/capacity_test.go
@@ -1,5 +1,3 @@
-// Package capacity measures the slopes of docs/CAPACITY.md: how messages, processor time and memory grow
-// with nodes, replicas, models, adapters and routes.
 package capacity
 
 import (
--- a/internal/sim/capacity/document_test.go
+++ b/internal/sim/capacity/document_test.go
@@ -7,6 +7,8 @@
 	"drumstall.example/internal/conf"
 )
 
+const contentType = "application/vnd.drumstall.platform+json"
+
 func document(models, adapters, routes, services int) []byte {
 	var b strings.Builder
 	b.WriteString(`{"version":1001,"routes":[`)
@@ -26,7 +28,7 @@
 			if m > s {
 				b.WriteByte(',')
 			}
-			fmt.Fprintf(&b, `{"name":"%s","sizeMb":140000,"loadTimeS":42.5,"adapters":%d,"adapterSizeMb":200}`, modelName(m), adapters/models)
+			fmt.Fprintf(&b, `{"name":"%s","sizeMb":140000,"loadTimeS":42.5,"adapters":%d,"adapterSizeMb":200}`, ModelName(m), adapters/models)
 		}
 		b.WriteString(`]}}`)
 	}
--- a/internal/sim/capacity/measure_test.go
+++ b/internal/sim/capacity/measure_test.go
@@ -12,16 +12,15 @@
 func size(v any) float64 { return float64(len(wire.Pack(v))) }
 
 func fit(name, of string, xs []int, f func(x int) float64) {
-	var sx, sy, sxx, sxy float64
-	n := float64(len(xs))
+	var points, values []float64
 	line := ""
 	for _, x := range xs {
 		y := f(x)
 		line += fmt.Sprintf(" %d:%.5g", x, y)
-		sx, sy, sxx, sxy = sx+float64(x), sy+y, sxx+float64(x)*float64(x), sxy+float64(x)*y
+		points, values = append(points, float64(x)), append(values, y)
 	}
-	slope := (n*sxy - sx*sy) / (n*sxx - sx*sx)
-	fmt.Printf("%-42s per %-16s slope %10.4g  at 0 %10.4g  |%s\n", name, of, slope, (sy-slope*sx)/n, line)
+	slope, atZero := Fit(points, values)
+	fmt.Printf("%-42s per %-16s slope %10.4g  at 0 %10.4g  |%s\n", name, of, slope, atZero, line)
 }
 
 func cpu() time.Duration {
--- a/internal/sim/capacity/memory_test.go
+++ b/internal/sim/capacity/memory_test.go
@@ -35,7 +35,7 @@
 		return heap(func() any {
 			m := map[string]uint64{}
 			for i := range x {
-				m[nodeName(i)+"/0123456789abcdef"] = 1
+				m[NodeName(i)+"/0123456789abcdef"] = 1
 			}
 			return m
 		})
--- a/internal/sim/capacity/messages_test.go
+++ b/internal/sim/capacity/messages_test.go
@@ -13,8 +13,11 @@
 	"drumstall.example/internal/state"
 )
 
+func zone(i int) string       { return fmt.Sprintf("r%d-z%d", i%3, i%7) }
+func stamp(i int) state.Stamp { return state.Stamp{Epoch: 40, Serial: uint64(1000 + i)} }
+
 func listed(i int) inventory.Listed {
-	return inventory.Listed{ID: replicaID(i), Addr: fmt.Sprintf("10.3.%d.%d:9000", i/200, i%200), Zone: zone(i), Model: true, Slots: 32,
+	return inventory.Listed{ID: ReplicaID(i), Addr: fmt.Sprintf("10.3.%d.%d:9000", i/200, i%200), Zone: zone(i), Model: true, Slots: 32,
 		Labels: map[string]string{"service": fmt.Sprintf("service-%02d", i%12), "version": "2026-11-01"}}
 }
 
@@ -23,25 +26,25 @@
 	for j := range items {
 		m := (i*2 + j%2) % 1200
 		if j < 2 {
-			n.Items[modelName(m)] = "loaded"
+			n.Items[ModelName(m)] = "loaded"
 		} else {
-			n.Items[fmt.Sprintf("%s/a%d", modelName(m), j)] = "loaded"
+			n.Items[fmt.Sprintf("%s/a%d", ModelName(m), j)] = "loaded"
 		}
 	}
 	return n
 }
 
 func aReport(node, replicas, demand, inflight int) report.Report {
-	r := report.Report{Agent: nodeName(node), Boot: "0123456789abcdef", Serial: 100000, Conf: 1000, Demand: map[string]uint64{}, Inflight: map[string]map[string]int{},
+	r := report.Report{Agent: NodeName(node), Boot: "0123456789abcdef", Serial: 100000, Conf: 1000, Demand: map[string]uint64{}, Inflight: map[string]map[string]int{},
 		Waiting: map[string]int{}, Acked: map[string]state.Stamp{}, Zone: zone(node), Serving: true}
 	for i := range replicas {
-		r.Acked[replicaID(i)] = stamp(i)
+		r.Acked[ReplicaID(i)] = stamp(i)
 	}
 	for i := range demand {
-		r.Demand[itemName(i)] = uint64(1000 + i)
+		r.Demand[ItemName(i)] = uint64(1000 + i)
 	}
 	for i := range inflight {
-		r.Inflight[replicaID(i)] = map[string]int{itemName(i): 3}
+		r.Inflight[ReplicaID(i)] = map[string]int{ItemName(i): 3}
 	}
 	return r
 }
@@ -52,7 +55,7 @@
 	r.Serial++
 	r.Demand = maps.Clone(base.Demand)
 	for i := range items {
-		r.Demand[itemName(i)]++
+		r.Demand[ItemName(i)]++
 	}
 	return r
 }
@@ -63,13 +66,13 @@
 	r.Serial++
 	r.Acked = maps.Clone(base.Acked)
 	for i := range replicas {
-		r.Acked[replicaID(i)] = stamp(i + 100000)
+		r.Acked[ReplicaID(i)] = stamp(i + 100000)
 	}
 	return r
 }
 
 func aNode(i int) member.Node {
-	return member.Node{Name: nodeName(i), Role: member.RoleAgent, Zone: zone(i), Addr: fmt.Sprintf("10.2.%d.%d:7000", i/200, i%200), Inc: 1764650000000, Boot: "0123456789abcdef", Build: "5fe69a9"}
+	return member.Node{Name: NodeName(i), Role: member.RoleAgent, Zone: zone(i), Addr: fmt.Sprintf("10.2.%d.%d:7000", i/200, i%200), Inc: 1764650000000, Boot: "0123456789abcdef", Build: "5fe69a9"}
 }
 
 func roll(n int) member.Roll {
--- a/internal/sim/capacity/processor_test.go
+++ b/internal/sim/capacity/processor_test.go
@@ -107,7 +107,7 @@
 		n, v := uint64(1<<20), wire.Pack(replicaNews(1, 10))
 		return func() {
 			n++
-			t.Put(news.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+			t.Put(news.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
 		}
 	})
 	costs("news.After(last)", "key in table", its, func(x int) func() {
@@ -116,7 +116,7 @@
 		_, c, _ := t.After(0)
 		return func() {
 			n++
-			t.Put(news.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+			t.Put(news.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
 			sink, c, _ = t.After(c)
 		}
 	})
@@ -162,7 +162,7 @@
 				case <-done:
 				default:
 				}
-				t.Put(news.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+				t.Put(news.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
 				<-done
 			}
 		})
@@ -179,13 +179,13 @@
 		}
 		gg.Stop()
 		snap := k.Now()
-		target := route.Target{Route: snap.Conf.Resolve(snap.Conf.Routes["route-0002"], 0), Item: conf.Item{Model: modelName(2)}}
+		target := route.Target{Route: snap.Conf.Resolve(snap.Conf.Routes["route-0002"], 0), Item: conf.Item{Model: ModelName(2)}}
 		return func() { b, held, _ := k.Choose(target); sink = b; _ = held }
 	})
 	costs("plan.Shared read and laid in (clone)", "item", its, func(x int) func() {
 		s := plan.Shared{From: "core-1", Next: map[string]float64{}}
 		for i := range x {
-			s.Next[itemName(i)] = 12.25 + float64(i)/7
+			s.Next[ItemName(i)] = 12.25 + float64(i)/7
 		}
 		b := wire.Pack(s)
 		held := map[string]float64{}
--- a/internal/sim/capacity/sizes_test.go
+++ b/internal/sim/capacity/sizes_test.go
@@ -30,7 +30,7 @@
 	fit("replica's news", "item held", []int{2, 10, 20, 40}, func(x int) float64 { return size(replicaNews(1, x)) })
 	fit("roll", "node", nodes, func(x int) float64 { return size(roll(x)) })
 	fit("probe", "node told along", []int{1, 2, 4, 6}, func(x int) float64 {
-		return size(note{Seq: 1 << 40, From: "10.2.1.1:7000", Name: nodeName(1), Nodes: roll(x).Nodes})
+		return size(note{Seq: 1 << 40, From: "10.2.1.1:7000", Name: NodeName(1), Nodes: roll(x).Nodes})
 	})
 	fit("kept configuration", "model", []int{12, 120, 600, 1200}, func(x int) float64 { return float64(len(kept(x, x*33, 20, 12).Pack())) })
 	fit("kept configuration", "adapter", []int{0, 4800, 12000, 40000}, func(x int) float64 { return float64(len(kept(1200, x, 20, 12).Pack())) })
@@ -54,25 +54,25 @@
 	fit("news heads", "key in buckets", []int{10, 100, 600, 3000}, func(x int) float64 {
 		h := news.Heads{Bucket: []int{1}, Have: map[string]state.Stamp{}}
 		for i := range x {
-			h.Have[order.Key(replicaID(i))] = stamp(i)
+			h.Have[order.Key(ReplicaID(i))] = stamp(i)
 		}
 		return size(h)
 	})
 	fit("headline in a datagram", "headline", []int{1, 5, 10, 20}, func(x int) float64 {
 		b := bundle{From: "10.2.1.1:7000"}
 		for i := range x {
-			b.Entries = append(b.Entries, news.Entry{Key: order.Key(replicaID(i)), Stamp: stamp(i), Head: true})
+			b.Entries = append(b.Entries, news.Entry{Key: order.Key(ReplicaID(i)), Stamp: stamp(i), Head: true})
 		}
 		return size(b)
 	})
-	fmt.Printf("expect entry %.0f bytes\n", size(news.Entry{Key: plan.ExpectKey(itemName(1)), Stamp: stamp(1), Value: wire.Pack(plan.Expect{ReadyMs: 43000})}))
+	fmt.Printf("expect entry %.0f bytes\n", size(news.Entry{Key: plan.ExpectKey(ItemName(1)), Stamp: stamp(1), Value: wire.Pack(plan.Expect{ReadyMs: 43000})}))
 	hour := func(seen int) demand.Hour {
 		h := demand.Hour{Hour: 1 << 27, Seen: map[string]uint64{}}
 		for i := range h.Counts {
 			h.Counts[i] = uint32(i % 4)
 		}
 		for i := range seen {
-			h.Seen[nodeName(i)+"/0123456789abcdef"] = uint64(1000 + i)
+			h.Seen[NodeName(i)+"/0123456789abcdef"] = uint64(1000 + i)
 		}
 		return h
 	}
@@ -81,12 +81,12 @@
 		q := state.Ask{Set: 7, From: state.Core{Name: "core-1", Disk: "0123456789abcdef", Addr: "10.1.0.1:7000"}, Slot: 3, Epoch: 40, Full: true}
 		v := hour(0).Pack()
 		for i := range x {
-			q.Records = append(q.Records, state.Record{Key: plan.DemandKey(conf.ParseItem(itemName(i)), int64(i)), Stamp: stamp(i), Value: v})
+			q.Records = append(q.Records, state.Record{Key: plan.DemandKey(conf.ParseItem(ItemName(i)), int64(i)), Stamp: stamp(i), Value: v})
 		}
 		return size(q)
 	})
 	fit("book of a replica", "item held", []int{2, 10, 20, 40}, func(x int) float64 {
-		b := order.Book{Incarnation: replicaID(1), Lines: map[string]order.Line{}}
+		b := order.Book{Incarnation: ReplicaID(1), Lines: map[string]order.Line{}}
 		for k := range replicaNews(1, x).Items {
 			b.Lines[k] = order.Line{State: "loaded", SizeMib: 140000}
 		}
@@ -96,7 +96,7 @@
 	fit("predictions told (plan.Shared)", "item", its, func(x int) float64 {
 		s := plan.Shared{From: "core-1", Next: map[string]float64{}}
 		for i := range x {
-			s.Next[itemName(i)] = 12.25 + float64(i)/7
+			s.Next[ItemName(i)] = 12.25 + float64(i)/7
 		}
 		return size(s)
 	})
@@ -107,12 +107,12 @@
 		return size(feed.Up{Boot: "0123456789abcdef", AgentBoot: "0123456789abcdef", Cursor: 100000, Confirmed: true, Conf: stamp(1), Report: aReport(1, 0, x, 8), HoldMs: 200})
 	})
 	fit("feed.Down", "entry", []int{0, 1, 4, 16}, func(x int) float64 {
-		d := feed.Down{AgentBoot: "0123456789abcdef", Cursor: 1, Confirmed: true, Conf: stamp(1), HeardMs: 12, Edges: 410, Agent: nodeName(1), Zone: zone(1)}
+		d := feed.Down{AgentBoot: "0123456789abcdef", Cursor: 1, Confirmed: true, Conf: stamp(1), HeardMs: 12, Edges: 410, Agent: NodeName(1), Zone: zone(1)}
 		for i := range 16 {
 			d.Partners = append(d.Partners, aNode(i).Addr)
 		}
 		for i := range x {
-			d.Entries = append(d.Entries, news.Entry{Key: order.Key(replicaID(i)), Stamp: stamp(i), Value: wire.Pack(replicaNews(i, 10))})
+			d.Entries = append(d.Entries, news.Entry{Key: order.Key(ReplicaID(i)), Stamp: stamp(i), Value: wire.Pack(replicaNews(i, 10))})
 		}
 		return size(d)
 	})
--- a/internal/sim/capacity/slots_test.go
+++ b/internal/sim/capacity/slots_test.go
@@ -54,7 +54,7 @@
 	fmt.Println("== whole table of a slot, as an acceptor answers it")
 	h := demand.Hour{Hour: 1 << 27, Seen: map[string]uint64{}}
 	for i := range 410 {
-		h.Seen[nodeName(i)+"/0123456789abcdef"] = uint64(1000 + i)
+		h.Seen[NodeName(i)+"/0123456789abcdef"] = uint64(1000 + i)
 	}
 	v := h.Pack()
 	for _, items := range []int{1, 4, 13, 14} {
@@ -63,7 +63,7 @@
 			r := state.Reply{OK: true, Epoch: 41}
 			for i := range items {
 				for hour := range int64(demand.KeptHours) {
-					r.Records = append(r.Records, state.Record{Key: plan.DemandKey(conf.ParseItem(itemName(i)), hour), Stamp: stamp(i), Value: v})
+					r.Records = append(r.Records, state.Record{Key: plan.DemandKey(conf.ParseItem(ItemName(i)), hour), Stamp: stamp(i), Value: v})
 				}
 			}
 			return r, nil
