Reports tell the cores of what is in flight by difference too

Cause: dsscale at 41 nodes before 60 replicas: a node that has 156 requests in flight sends 2,840 bytes in each of 14 reports a second, 2,200 of them what is in flight, told whole each time; 39.7 of its 48 KB/s. At 600 replicas that part is 3,300 bytes a report. Ruled out: the calls themselves (332 bytes of HTTP each, both ways), whole reports every 10 s (4.4 KB each at that size). Change: a core says that it reads such differences; an agent then sends only the items on replicas whose number has changed, 0 for those that ended, where that is less than all of it. A core of an earlier version gets what is in flight whole, as before; so does whoever lacks the base. Little in flight is told whole as before, so small fleets send what they sent.

--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -29,8 +29,9 @@
 
 // takenReport is the newest report that a core has taken.
 type takenReport struct {
-	report  report.Report
-	wholeAt time.Duration // when it was last given a whole one
+	report   report.Report
+	wholeAt  time.Duration // when it was last given a whole one
+	inflight bool          // it reads what is in flight as a difference too
 }
 
 // report passes the proxy's report to every core, as the difference from what
@@ -45,6 +46,8 @@
 		core  int // whose it is, as an index of cores
 		taken bool
 		whole bool // it was given the whole report
+		// inflight says that the core reads what is in flight as a difference.
+		inflight bool
 	}
 	cores := a.members.Live(member.RoleCore)
 	bodies := a.reports.bodies(l.r, cores, now)
@@ -55,7 +58,7 @@
 			whole = true
 			got, err = a.tellReport(ctx, cores[i].Addr, wire.Pack(l.r))
 		}
-		return answer{core: i, taken: err == nil && !got.Whole && got.Differences, whole: whole}
+		return answer{core: i, taken: err == nil && !got.Whole && got.Differences, whole: whole, inflight: got.InflightDifferences}
 	})
 	taken := make(map[string]takenReport, len(cores))
 	for range cores {
@@ -68,7 +71,7 @@
 		case got.whole:
 			before.wholeAt = now
 		}
-		before.report = l.r
+		before.report, before.inflight = l.r, got.inflight
 		taken[addr] = before
 	}
 	a.reports.taken = taken
@@ -92,24 +95,37 @@
 	whole  bool
 }
 
-// bodies packs a report for each core, once for all that have the same of it.
+// variant is a form of a report: whole, or the difference from the one of a serial.
+type variant struct {
+	serial   uint64 // 0 is the whole report
+	inflight bool   // what is in flight is a difference too
+}
+
+// bodies packs a report for each core, once for all that are sent the same form of it.
 func (r *reports) bodies(latest report.Report, cores []member.Node, now time.Duration) []body {
-	packed := map[uint64]cbor.RawMessage{}
+	packed := map[variant]cbor.RawMessage{}
 	out := make([]body, len(cores))
 	for i, c := range cores {
 		base, found := r.taken[c.Addr]
 		if !found || base.report.Boot != latest.Boot || now-base.wholeAt > wholeEvery {
 			base = takenReport{}
 		}
-		serial := base.report.Serial
-		if _, done := packed[serial]; !done {
-			if serial == 0 {
-				packed[serial] = wire.Pack(latest)
-			} else {
-				packed[serial] = wire.Pack(latest.Since(base.report))
-			}
+		form := variant{serial: base.report.Serial, inflight: base.inflight}
+		if _, done := packed[form]; !done {
+			packed[form] = pack(latest, base)
 		}
-		out[i] = body{packed: packed[serial], whole: serial == 0}
+		out[i] = body{packed: packed[form], whole: form.serial == 0}
 	}
 	return out
 }
+
+// pack packs a report for a core that has another, or none.
+func pack(latest report.Report, base takenReport) cbor.RawMessage {
+	switch {
+	case base.report.Serial == 0:
+		return wire.Pack(latest)
+	case base.inflight:
+		return wire.Pack(latest.SinceInflight(base.report))
+	}
+	return wire.Pack(latest.Since(base.report))
+}
--- a/internal/agent/report_test.go
+++ b/internal/agent/report_test.go
@@ -40,3 +40,33 @@
 		}
 	}
 }
+
+// What is in flight goes as a difference only to cores that read it so; another
+// gets it whole in the difference, as before.
+func TestInflightDifferencesGoToCoresThatReadThem(t *testing.T) {
+	flights := func(n int) map[string]map[string]int {
+		out := map[string]map[string]int{}
+		for i := range n {
+			out[string(rune('a'+i))] = map[string]int{"m": 1}
+		}
+		return out
+	}
+	cores := []member.Node{{Addr: "reads"}, {Addr: "earlier version"}, {Addr: "new"}}
+	first := report.Report{Agent: "e", Boot: "b", Serial: 1, Inflight: flights(9)}
+	latest := report.Report{Agent: "e", Boot: "b", Serial: 2, Inflight: flights(10)}
+	now := time.Hour
+	r := reports{taken: map[string]takenReport{
+		"reads":           {report: first, wholeAt: now, inflight: true},
+		"earlier version": {report: first, wholeAt: now},
+	}}
+	got := r.bodies(latest, cores, now)
+	for i, want := range []struct {
+		since bool
+		told  int
+	}{{true, 1}, {false, 10}, {false, 10}} {
+		d := unpacked(t, got[i])
+		if d.InflightSince != want.since || len(d.Inflight) != want.told {
+			t.Errorf("%s: difference %t with %d; want %+v", cores[i].Addr, d.InflightSince, len(d.Inflight), want)
+		}
+	}
+}
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -48,6 +48,6 @@
 	wire.Handle(c.mux, "/place/report", func(ctx context.Context, r report.Report) (report.Taken, error) {
 		outcome, err := c.planner.Report(ctx, r)
 		// Why: the word is of the moment before; what was learned since is told with the next.
-		return report.Taken{Touch: c.touch.Word(), Whole: outcome == report.NoBase, Differences: true}, err
+		return report.Taken{Touch: c.touch.Word(), Whole: outcome == report.NoBase, Differences: true, InflightDifferences: true}, err
 	})
 }
--- a/internal/place/report/difference.go
+++ b/internal/place/report/difference.go
@@ -19,6 +19,16 @@
 	return out
 }
 
+// SinceInflight is Since with what is in flight as a difference too, where that is
+// less. Only who says that it reads such a report may be sent one.
+func (r Report) SinceInflight(base Report) Report {
+	out := r.Since(base)
+	if changes := inflightChanges(r.Inflight, base.Inflight); places(changes) < places(r.Inflight) {
+		out.Inflight, out.InflightSince = changes, true
+	}
+	return out
+}
+
 // On is the whole report that a difference makes of its base; false where the
 // base is another one. A whole report needs none.
 func (r Report) On(base Report) (Report, bool) {
@@ -30,6 +40,9 @@
 	}
 	out := r
 	out.Base, out.Unacked = 0, nil
+	if r.InflightSince {
+		out.Inflight, out.InflightSince = inflightMerged(base.Inflight, r.Inflight), false
+	}
 	out.Demand = merged(base.Demand, r.Demand)
 	out.WorkMs = merged(base.WorkMs, r.WorkMs)
 	out.Acked = merged(base.Acked, r.Acked)
@@ -62,3 +75,50 @@
 	maps.Copy(out, changes)
 	return out
 }
+
+// inflightChanges is what is in flight now and was not, or in another number; 0 is
+// what is no longer in flight.
+func inflightChanges(now, before map[string]map[string]int) map[string]map[string]int {
+	out := map[string]map[string]int{}
+	for replica, items := range now {
+		if different := changed(items, before[replica]); len(different) > 0 {
+			out[replica] = different
+		}
+	}
+	for replica, items := range before {
+		for item := range items {
+			if _, still := now[replica][item]; still {
+				continue
+			}
+			if out[replica] == nil {
+				out[replica] = map[string]int{}
+			}
+			out[replica][item] = 0
+		}
+	}
+	return out
+}
+
+// inflightMerged lays changes of what is in flight over what was; neither is changed.
+func inflightMerged(before, changes map[string]map[string]int) map[string]map[string]int {
+	out := make(map[string]map[string]int, len(before)+len(changes))
+	maps.Copy(out, before)
+	for replica, items := range changes {
+		now := make(map[string]int, len(before[replica])+len(items))
+		maps.Copy(now, before[replica])
+		maps.Copy(now, items)
+		maps.DeleteFunc(now, func(_ string, n int) bool { return n == 0 })
+		if out[replica] = now; len(now) == 0 {
+			delete(out, replica)
+		}
+	}
+	return out
+}
+
+// places counts items on replicas.
+func places(inflight map[string]map[string]int) (n int) {
+	for _, items := range inflight {
+		n += len(items)
+	}
+	return n
+}
--- a/internal/place/report/report.go
+++ b/internal/place/report/report.go
@@ -30,6 +30,8 @@
 	WorkMs   map[string]uint64         `cbor:"12,keyasint,omitempty"` // model: replicas' time to read its prompts, so far
 	Base     uint64                    `cbor:"13,keyasint,omitempty"` // serial of the report that this one is the difference from; 0 is a whole one
 	Unacked  []string                  `cbor:"14,keyasint,omitempty"` // replicas that are no longer in Acked, in a difference
+	// InflightSince says that Inflight holds, in a difference, only what has changed; 0 is no longer in flight.
+	InflightSince bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Taken is a core's answer to a report.
@@ -38,6 +40,8 @@
 	Whole bool       `cbor:"2,keyasint,omitempty"` // the core does not have what the report is the difference from
 	// Differences says that the core reads differences; one of an earlier version does not.
 	Differences bool `cbor:"3,keyasint,omitempty"`
+	// InflightDifferences says that it reads those of Inflight too.
+	InflightDifferences bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Dated is a report and when it came, on this core's clock.
