A keeper of the store's pace goes by the age of the grants that it finds

Cause: after the return one core takes the slot of the pace, and 5 s later hands it back to the core that is preferred. Each of them counted every grant written down from its own start, so loads waited out the window of 5.5 s twice. The log of a failing run: slot taken at 19.9 s, given up for the preferred core at 25.0, taken at 25.4, first load at 31.0.

Ruled out: the quorum (a change was taken after 4 s in all runs), the lease between controllers (every slot held after 3.4 s), disks.

Change: an age that was written down plus the time that nobody held the slot is the least that can have passed since a grant, so a grant that is taken over counts from there, not from the change. While any grant counts, its age is written anew every second, and once more when none does. TestGrantsWrittenDownCountFromTheChange held the old reckoning; TestGrantsWrittenDownKeepTheirAge replaces it and is as strict: no grant counts a moment less than the window and a life since it was given, nor longer. It and the test of the second take-over failed before.

--- a/internal/place/pace/pace.go
+++ b/internal/place/pace/pace.go
@@ -57,22 +57,23 @@
 const settle = 1100 * time.Millisecond
 
 // Resume is a keeper that took over at an instant from one that wrote down its
-// grants: before is how long ago each of them was given at the latest. Why: when the word
-// itself was given nobody knows, so each that may still count does so from now.
+// grants: before is how long ago each of them was given at the least, the oldest first. Why: a grant
+// that is older than that counts for less long, so each counts as if it were no older.
 func Resume(now, window time.Duration, before []time.Duration) *Keeper {
 	k := NewKeeper(now, window, true)
 	k.from = now + settle
 	for _, age := range before {
 		if age <= window+GrantLife {
-			k.grants.PushBack(now)
-			k.recent.PushBack(now)
+			k.grants.PushBack(now - age)
+			k.recent.PushBack(now - age)
 		}
 	}
 	return k
 }
 
-// Ages is how long ago each grant was given that still counts.
+// Ages is how long ago each grant was given that still counts, the oldest first.
 func (k *Keeper) Ages(now time.Duration) []time.Duration {
+	k.forget(now)
 	var out []time.Duration
 	for i := range k.grants.Len() {
 		out = append(out, now-k.grants.At(i))
@@ -108,12 +109,17 @@
 	return out
 }
 
-// Grant allows a load start now, or says how long it will probably take.
-func (k *Keeper) Grant(now time.Duration, loads int, who string, worth float64) (wait time.Duration, ok bool) {
-	// Why: a start comes up to a life after its grant, so grants are counted over the window and a life.
+// forget drops the grants that count no more. Why: a start comes up to a life
+// after its grant, so grants are counted over the window and a life.
+func (k *Keeper) forget(now time.Duration) {
 	for k.grants.Len() > 0 && now-k.grants.Front() > k.window+GrantLife {
 		k.grants.PopFront()
 	}
+}
+
+// Grant allows a load start now, or says how long it will probably take.
+func (k *Keeper) Grant(now time.Duration, loads int, who string, worth float64) (wait time.Duration, ok bool) {
+	k.forget(now)
 	for name, f := range k.afloat {
 		if now-f.told > k.floatLife() {
 			delete(k.afloat, name)
--- a/internal/place/plan/pacing.go
+++ b/internal/place/plan/pacing.go
@@ -14,6 +14,17 @@
 	AgesMs []int64 `cbor:"1,keyasint"` // how long ago each grant was given that still counts
 }
 
+// grantsEvery is how often the ages of grants are written down anew while any counts. Why: a
+// keeper that takes over goes by the ages it finds, and what is written ages only when it is written again.
+const grantsEvery = time.Second
+
+// pacer is the keeper of the store's pace that this core has, under an epoch.
+type pacer struct {
+	epoch  uint64
+	keeper *pace.Keeper
+	kept   int // grants in what was written down last
+}
+
 // Grant allows a load start within the store's pace; only the owner of the
 // pace may.
 func (p *Planner) Grant(ctx context.Context, q Granting) (Granted, error) {
@@ -48,8 +59,21 @@
 	_, err := p.d.Owner.Update(ctx, PaceKey, func(state.Record, bool) ([]byte, error) { return wire.Pack(w), nil })
 	if err != nil {
 		p.d.Log.Info("grants not kept", "error", err)
+		return false
 	}
-	return err == nil
+	p.pacer.kept = len(w.AgesMs)
+	return true
+}
+
+// refreshGrants writes the ages of the grants down anew, until none counts any more.
+func (p *Planner) refreshGrants(ctx context.Context) {
+	_ = p.paceDesk.Ask(ctx, func() {
+		epoch, _, _ := p.d.Owner.MayOrder(PaceKey)
+		if p.pacer.keeper == nil || p.pacer.epoch != epoch || p.pacer.kept == 0 || !p.d.Owner.Holds(PaceKey) {
+			return
+		}
+		p.writeGrants(ctx, p.d.Clock.Since())
+	})
 }
 
 // Afloat tells which loads were ordered and may still start, and for how many
@@ -92,12 +116,14 @@
 	var before Grants
 	switch {
 	case epoch == 1:
+		p.pacer.kept = 0
 		p.pacer.keeper = pace.NewKeeper(now, p.d.Store.Window, true)
 	case found && wire.Unpack(rec.Value, &before) == nil:
 		ages := make([]time.Duration, len(before.AgesMs))
 		for i, ms := range before.AgesMs {
 			ages[i] = time.Duration(ms)*time.Millisecond + p.d.Owner.FreeFor(PaceKey)
 		}
+		p.pacer.kept = len(ages)
 		p.pacer.keeper = pace.Resume(now, p.d.Store.Window, ages)
 	default:
 		p.pacer.keeper = pace.NewKeeper(now, p.d.Store.Window, false)
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -18,7 +18,6 @@
 	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/demand"
 	"drumstall.example/internal/place/order"
-	"drumstall.example/internal/place/pace"
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/state"
 	"drumstall.example/internal/state/owner"
@@ -61,26 +60,23 @@
 
 // Planner plans for the items whose slots this core holds.
 type Planner struct {
-	d       Deps
-	desk    *run.Desk
-	items   map[conf.Item]*item
-	minutes *demand.Minutes
-	unit    time.Duration
-	soon    *run.Nudge
-	work    workRates
-	loaded  map[int]uint64 // slot: epoch whose history has been read
-	next    atomic.Pointer[map[string]float64]
-	shared  map[string]float64
-	use     float64       // of the store's pace, as its keeper last told
-	usedAt  time.Duration // when it did
-	log     deque.Deque[Decision]
-	unmet   map[string]string
-	busy    atomic.Bool
-	claimAt map[conf.Item]time.Duration
-	pacer   struct {
-		epoch  uint64
-		keeper *pace.Keeper
-	}
+	d        Deps
+	desk     *run.Desk
+	items    map[conf.Item]*item
+	minutes  *demand.Minutes
+	unit     time.Duration
+	soon     *run.Nudge
+	work     workRates
+	loaded   map[int]uint64 // slot: epoch whose history has been read
+	next     atomic.Pointer[map[string]float64]
+	shared   map[string]float64
+	use      float64       // of the store's pace, as its keeper last told
+	usedAt   time.Duration // when it did
+	log      deque.Deque[Decision]
+	unmet    map[string]string
+	busy     atomic.Bool
+	claimAt  map[conf.Item]time.Duration
+	pacer    pacer
 	paceDesk *run.Desk
 	expSer   uint64
 }
@@ -95,6 +91,7 @@
 	p.soon = run.NewNudge(p.desk, p.onBeat)
 	d.Group.Every(d.Cadence.Share, p.share)
 	d.Group.Every(d.Cadence.Keep, p.keep)
+	d.Group.Every(grantsEvery, p.refreshGrants)
 	return p
 }
 
