--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,6 +13,7 @@
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/core"
 	"drumstall.example/internal/feed"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/run"
@@ -20,7 +21,6 @@
 	"drumstall.example/internal/member"
 	"drumstall.example/internal/member/fanout"
 	"drumstall.example/internal/member/touch"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/report"
 )
 
@@ -55,8 +55,8 @@
 	boot      string
 	group     *run.Group
 	base      *run.Group
-	news      *news.Table
-	spread    *news.Spreader
+	gossip    *gossip.Table
+	spread    *gossip.Spreader
 	members   *member.Table
 	watch     *inventory.Watch
 	caller    *wire.Caller
@@ -83,14 +83,14 @@
 // Start begins to take part.
 func Start(s Settings, env core.Env) (*Agent, error) {
 	a := &Agent{s: s, env: env, log: env.Log.Logger().With("node", s.Name), boot: core.NewBoot(), base: run.NewGroup(context.Background()),
-		news: news.NewTable(), caller: wire.NewCaller(env.Net), mux: wire.NewMux(), feedMux: wire.NewMux()}
+		gossip: gossip.NewTable(), caller: wire.NewCaller(env.Net), mux: wire.NewMux(), feedMux: wire.NewMux()}
 	a.group = a.base.Child()
 	a.s.Bounds, a.s.Cadence = s.Bounds.OrDefault(), s.Cadence.OrDefault()
 	s = a.s
 	if s.Lister == nil {
 		s.Lister = inventory.NewLister(env.Net, s.Platform, a.log)
 	}
-	a.watch = inventory.NewWatch(s.Lister, env.Clock, a.log, a.news)
+	a.watch = inventory.NewWatch(s.Lister, env.Clock, a.log, a.gossip)
 	a.touch = touch.New(env.Clock, func() time.Duration { return a.watch.HeardFor() })
 	ln, err := env.Net.Listen(s.Addr)
 	if err != nil {
@@ -109,7 +109,7 @@
 	a.post = wire.NewPost(pc)
 	self := member.Node{Name: s.Name, Role: member.RoleAgent, Zone: s.Zone, Addr: s.Addr, Boot: a.boot, Inc: uint64(max(env.Clock.Wall().UnixMilli(), 1)), Build: env.BuildName()}
 	a.members = member.New(a.group, env.Clock, a.log, a.post, a.caller, a.mux, self, s.Seeds, a.touch)
-	a.spread = news.NewSpreader(a.group, a.news, a.log, a.post, a.caller, a.mux, func() string { return s.Addr }, a.members.Peers, a.newsTree, a.touch)
+	a.spread = gossip.NewSpreader(a.group, a.gossip, a.log, a.post, a.caller, a.mux, func() string { return s.Addr }, a.members.Peers, a.gossipTree, a.touch)
 	a.watch.Start(a.group, s.Cadence.List, a.asksPlatform)
 	wire.Handle(a.feedMux, feed.Path, a.exchange)
 	wire.Handle(a.feedMux, feed.UrgentPath, a.takeUrgent)
@@ -129,8 +129,8 @@
 	return a.s.Cadence.ListSpare == 0 || a.touch.For() > a.s.Cadence.ListSpare
 }
 
-// newsTree is whom this agent tells its news in a large fleet.
-func (a *Agent) newsTree() news.Tree {
+// gossipTree is whom this agent tells its news in a large fleet.
+func (a *Agent) gossipTree() gossip.Tree {
 	return fanout.View{Self: a.members.Self(), Nodes: a.members.Nodes()}.Tree()
 }
 
@@ -189,7 +189,7 @@
 			continue
 		}
 		if got.Found {
-			a.news.Put(got.Entry)
+			a.gossip.Put(got.Entry)
 		}
 		a.confirmed.Store(true)
 		a.log.Info("configuration confirmed", "by", n.Name)
@@ -213,22 +213,22 @@
 func (a *Agent) exchange(ctx context.Context, up feed.Up) (feed.Down, error) {
 	a.asked.Store(int64(a.env.Clock.Since()))
 	for _, e := range up.Entries {
-		a.news.Put(e)
+		a.gossip.Put(e)
 	}
 	if len(up.Partners) > 0 {
 		a.members.Meet(up.Partners[:min(len(up.Partners), maxPartners)])
 	}
 	// Why: a surviving proxy has in force what this machine had; with that here, nothing goes back.
-	if up.Confirmed && !up.Conf.Newer(a.news.StampOf(conf.Key)) {
+	if up.Confirmed && !up.Conf.Newer(a.gossip.StampOf(conf.Key)) {
 		a.confirmed.Store(true)
 	}
 	if !up.NoReport {
 		a.takeFed(up.Report)
 	}
 	if up.AgentBoot == a.boot {
-		a.awaitNews(ctx, up)
+		a.awaitGossip(ctx, up)
 	}
-	d := feed.Down{AgentBoot: a.boot, Confirmed: a.confirmed.Load(), Conf: a.news.StampOf(conf.Key), HeardMs: min(a.touch.For().Milliseconds()+1, 1<<40),
+	d := feed.Down{AgentBoot: a.boot, Confirmed: a.confirmed.Load(), Conf: a.gossip.StampOf(conf.Key), HeardMs: min(a.touch.For().Milliseconds()+1, 1<<40),
 		Edges: len(a.members.Live(member.RoleAgent)), Agent: a.s.Name, Zone: a.s.Zone}
 	if fed := a.fed.Load(); fed != nil && fed.Boot == up.Boot {
 		d.Holds = fed.Serial
@@ -239,7 +239,7 @@
 	if up.AgentBoot != a.boot {
 		cursor, d.WantAll = 0, true
 	}
-	d.Entries, d.Cursor, _ = a.news.After(cursor)
+	d.Entries, d.Cursor, _ = a.gossip.After(cursor)
 	return d, nil
 }
 
@@ -261,13 +261,13 @@
 	a.keepReport(whole)
 }
 
-// awaitNews holds an answer back until there is something to tell.
-func (a *Agent) awaitNews(ctx context.Context, up feed.Up) {
+// awaitGossip holds an answer back until there is something to tell.
+func (a *Agent) awaitGossip(ctx context.Context, up feed.Up) {
 	hold := min(time.Duration(up.HoldMs)*time.Millisecond, maxHold)
 	if hold <= 0 {
 		return
 	}
-	fresh, _, changed := a.news.After(up.Cursor)
+	fresh, _, changed := a.gossip.After(up.Cursor)
 	if len(fresh) == 0 {
 		run.WaitOn(ctx, changed, hold)
 	}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -14,7 +14,7 @@
 	"drumstall.example/internal/kernel/wire"
 )
 
-// Key is where the configuration lies in the control state and in the news.
+// Key is where the configuration lies in the control state and in the gossip.
 const Key = "config/main"
 
 // MaxBytes bounds one submission, in bytes.
@@ -47,7 +47,7 @@
 	Partial = "partial"
 )
 
-// Pack encodes for the control state and the news.
+// Pack encodes for the control state and the gossip.
 func (k Kept) Pack() []byte { return wire.Pack(k) }
 
 // Unpack reads what Pack wrote; an error says that it is not that.
--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/run"
-	"drumstall.example/internal/news"
 )
 
 // pushLimit is how long live nodes are given to take a configuration that is pushed to them.
@@ -14,8 +14,8 @@
 // announce tells a configuration to all live nodes, and waits until they have it or
 // ctx ends. Why: who has it before the acknowledgement needs no luck to have it in time;
 // the rest get it by gossip.
-func (c *Core) announce(ctx context.Context, e news.Entry) {
-	c.news.Put(e)
+func (c *Core) announce(ctx context.Context, e gossip.Entry) {
+	c.gossip.Put(e)
 	told := make(chan struct{})
 	// Why: it is kept, whether or not whoever sent it still waits, so it must come into force everywhere.
 	started := c.group.Go(func(ctx context.Context) {
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -7,14 +7,14 @@
 	"github.com/pkg/errors"
 
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/news"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/operator"
 	"drumstall.example/internal/state"
 )
 
 func (c *Core) effective() conf.Effective { return *c.conf.Load() }
 
-func (c *Core) onNews(e news.Entry) {
+func (c *Core) onGossip(e gossip.Entry) {
 	if e.Key != conf.Key {
 		return
 	}
@@ -70,7 +70,7 @@
 	if err != nil {
 		return operator.Submitted{}, err
 	}
-	c.announce(ctx, news.Entry{Key: conf.Key, Stamp: rec.Stamp, Value: rec.Value})
+	c.announce(ctx, gossip.Entry{Key: conf.Key, Stamp: rec.Stamp, Value: rec.Value})
 	return out, nil
 }
 
@@ -79,7 +79,7 @@
 	if err != nil || !found {
 		return Newest{}, err
 	}
-	return Newest{Found: true, Entry: news.Entry{Key: rec.Key, Stamp: rec.Stamp, Value: rec.Value}}, nil
+	return Newest{Found: true, Entry: gossip.Entry{Key: rec.Key, Stamp: rec.Stamp, Value: rec.Value}}, nil
 }
 
 // Submit takes a configuration from an operator at whichever core.
--- a/internal/core/controllers.go
+++ b/internal/core/controllers.go
@@ -48,7 +48,7 @@
 			listed[l.ID] = l
 		}
 	}
-	// Why: with the platform dark the replicas go on, so those known from the news stay controlled.
+	// Why: with the platform dark the replicas go on, so those known from the gossip stay controlled.
 	heard := c.watch.HeardFor() < 5*time.Second
 	for _, v := range c.views.Views() {
 		id := v.Listed.ID
@@ -83,7 +83,7 @@
 		}
 		g := c.group.Child()
 		c.controllers[id] = &controlled{group: g, controller: order.NewController(g, order.Deps{Clock: c.env.Clock, Log: c.log, Self: c.s.Name, Boot: c.boot,
-			Cadence: c.s.Cadence, Replicas: c.conn, Owner: c.own, News: c.news, Reports: c.reports, Conf: c.effective, Requests: c.planner.Requests,
+			Cadence: c.s.Cadence, Replicas: c.conn, Owner: c.own, Gossip: c.gossip, Reports: c.reports, Conf: c.effective, Requests: c.planner.Requests,
 			Others: c.views.Views, Agents: c.agents, Platform: c.watch.HeardFor, Grant: c.grant, Afloat: c.afloat}, l)}
 	}
 	snap := map[string]*order.Controller{}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,4 +1,4 @@
-// Package core puts a dscore together: control state, membership, news,
+// Package core puts a dscore together: control state, membership, gossip,
 // placement and the operators' face.
 package core
 
@@ -16,6 +16,7 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/ring"
@@ -25,7 +26,6 @@
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member"
 	"drumstall.example/internal/member/touch"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/operator"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/plan"
@@ -91,8 +91,8 @@
 	set            *coreset.Keeper
 	members        *member.Table
 	touch          *touch.Keeper
-	news           *news.Table
-	spread         *news.Spreader
+	gossip         *gossip.Table
+	spread         *gossip.Spreader
 	planner        *plan.Planner
 	reports        *report.Table
 	views          *plan.ViewCache
@@ -131,7 +131,7 @@
 // Start opens the data folder and begins to take part.
 func Start(s Settings, env Env) (*Core, error) {
 	c := &Core{s: s, env: env, log: env.Log.Logger().With("node", s.Name), boot: NewBoot(),
-		base: run.NewGroup(context.Background()), news: news.NewTable(), reports: report.NewTable(),
+		base: run.NewGroup(context.Background()), gossip: gossip.NewTable(), reports: report.NewTable(),
 		caller: wire.NewCaller(env.Net), mux: wire.NewMux(),
 		controllers: map[string]*controlled{}, absent: map[string]time.Duration{}}
 	c.group = c.base.Child()
@@ -170,14 +170,14 @@
 		return nil, err
 	}
 	c.post = wire.NewPost(pc)
-	c.watch = inventory.NewWatch(s.Lister, env.Clock, c.log, c.news)
+	c.watch = inventory.NewWatch(s.Lister, env.Clock, c.log, c.gossip)
 	c.touch = touch.New(env.Clock, func() time.Duration { return c.watch.HeardFor() }, c.heardMost)
 	self := member.Node{Name: s.Name, Role: member.RoleCore, Zone: s.Zone, Addr: s.Addr, Boot: c.boot, Disk: c.acc.Disk(),
 		Phase: string(c.acc.Standing().Phase), Inc: uint64(max(env.Clock.Wall().UnixMilli(), 1)), Face: s.Operator, Build: env.BuildName()}
 	c.members = member.New(c.group, env.Clock, c.log, c.post, c.caller, c.mux, self, s.Seeds, c.touch)
-	c.news.OnNew(c.onNews)
-	c.views = plan.NewViewCache(c.news)
-	c.spread = news.NewSpreader(c.group, c.news, c.log, c.post, c.caller, c.mux, func() string { return s.Addr }, c.members.Peers, c.newsTree, c.touch)
+	c.gossip.OnNew(c.onGossip)
+	c.views = plan.NewViewCache(c.gossip)
+	c.spread = gossip.NewSpreader(c.group, c.gossip, c.log, c.post, c.caller, c.mux, func() string { return s.Addr }, c.members.Peers, c.gossipTree, c.touch)
 	c.acc.Serve(c.mux)
 	ownQuarantine := s.Bounds.Lease
 	if c.conn.Traits().KnowsByName {
@@ -185,7 +185,7 @@
 	}
 	c.own = owner.New(owner.Deps{Self: c.self, Group: c.group, Clock: env.Clock, Log: c.log, Caller: c.caller, Acceptor: c.acc,
 		Addr: c.addrOf, Rank: c.voters, Behind: func(v state.Core) { c.set.Behind(v) }, Quarantine: s.Bounds.Lease, OwnQuarantine: ownQuarantine, Handback: s.Cadence.Handback, OnTake: c.onTake})
-	c.planner = plan.New(plan.Deps{Group: c.group, Clock: env.Clock, Log: c.log, Self: s.Name, Cadence: s.Cadence, Store: s.Bounds.Store, Owner: c.own, News: c.news,
+	c.planner = plan.New(plan.Deps{Group: c.group, Clock: env.Clock, Log: c.log, Self: s.Name, Cadence: s.Cadence, Store: s.Bounds.Store, Owner: c.own, Gossip: c.gossip,
 		Reports: c.reports, Conf: c.effective, Views: c.views.Views, Ask: c.consider, AskAll: c.considerAll, Tell: c.tellShared})
 	c.set = coreset.New(coreset.Deps{Self: c.self, Want: s.Cores, Founders: s.Founders, MayFound: s.MayFound, Target: 2*s.Bounds.Tolerated + 1, Replaces: s.Replaces, Group: c.group, Log: c.log, Caller: c.caller,
 		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf, Gone: c.goneFor, Heard: c.heardFor}, c.mux)
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -6,9 +6,9 @@
 	"github.com/pkg/errors"
 
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/state"
 )
 
@@ -21,15 +21,15 @@
 	for _, r := range recs {
 		if r.Key == conf.Key {
 			// Why: the owner before us may have died between keeping it and telling it.
-			c.news.Put(news.Entry{Key: r.Key, Stamp: r.Stamp, Value: r.Value})
+			c.gossip.Put(gossip.Entry{Key: r.Key, Stamp: r.Stamp, Value: r.Value})
 		}
 	}
 }
 
 // Newest is the newest configuration under the owner's hold.
 type Newest struct {
-	Found bool       `cbor:"1,keyasint"`
-	Entry news.Entry `cbor:"2,keyasint"`
+	Found bool         `cbor:"1,keyasint"`
+	Entry gossip.Entry `cbor:"2,keyasint"`
 }
 
 var errNotOwner = wire.Drop("not-owner", "the key is not held here")
--- a/internal/core/roll.go
+++ b/internal/core/roll.go
@@ -4,11 +4,11 @@
 	"sort"
 	"time"
 
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/share"
 	"drumstall.example/internal/member"
 	"drumstall.example/internal/member/fanout"
 	"drumstall.example/internal/member/touch"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/state"
 	"drumstall.example/internal/state/acceptor"
 )
@@ -70,8 +70,8 @@
 	return min(c.members.HeardFor(v.Name), c.own.HeardFor(v))
 }
 
-// newsTree is whom this core tells its news in a large fleet.
-func (c *Core) newsTree() news.Tree {
+// gossipTree is whom this core tells its news in a large fleet.
+func (c *Core) gossipTree() gossip.Tree {
 	return fanout.View{Self: c.members.Self(), Nodes: c.members.Nodes(), HeardFor: c.members.HeardFor}.Tree()
 }
 
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -87,7 +87,7 @@
 		}
 		cancel()
 	}
-	known, dropped := c.news.Len()
+	known, dropped := c.gossip.Len()
 	calls, bytes := c.caller.Sent()
 	inflight := map[string]int{}
 	views := c.views.Views()
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -8,11 +8,11 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/holding"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/route"
 	"drumstall.example/internal/state"
@@ -25,15 +25,15 @@
 func (inBubble) Wall() time.Time        { return time.Now() }
 
 // opened is a gate in simulated time, with a class and no replica.
-func opened(t *testing.T, f func(g *Gate, n *news.Table)) {
+func opened(t *testing.T, f func(g *Gate, n *gossip.Table)) {
 	synctest.Test(t, func(*testing.T) {
 		group := run.NewGroup(context.Background())
 		defer group.Stop()
-		n := news.NewTable()
-		k := route.NewKeeper(route.Deps{Group: group, News: n, Clock: inBubble{time.Now()}, Zone: func() string { return "z" },
+		n := gossip.NewTable()
+		k := route.NewKeeper(route.Deps{Group: group, Gossip: n, Clock: inBubble{time.Now()}, Zone: func() string { return "z" },
 			HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 1 }})
 		g := New(group, k, time.Second, func() {})
-		n.Put(news.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: conf.Kept{Serial: 1, Objects: map[string][]byte{"classes/c": []byte(`{}`)}}.Pack()})
+		n.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: conf.Kept{Serial: 1, Objects: map[string][]byte{"classes/c": []byte(`{}`)}}.Pack()})
 		synctest.Wait()
 		f(g, n)
 	})
@@ -43,13 +43,13 @@
 	return route.Target{Route: conf.Route{Kind: "model", Class: "c"}, Item: conf.Item{Model: "m"}}
 }
 
-func holder(serial uint64) news.Entry {
-	return news.Entry{Key: order.Key("r"), Stamp: state.Stamp{Epoch: 1, Serial: serial},
-		Value: wire.Pack(order.News{Listed: inventory.Listed{ID: "r", Model: true}, Slots: 1, Items: map[string]string{"m": backend.Loaded}})}
+func holder(serial uint64) gossip.Entry {
+	return gossip.Entry{Key: order.Key("r"), Stamp: state.Stamp{Epoch: 1, Serial: serial},
+		Value: wire.Pack(order.Status{Listed: inventory.Listed{ID: "r", Model: true}, Slots: 1, Items: map[string]string{"m": backend.Loaded}})}
 }
 
 func TestWhatNobodyHasIsGivenUp(t *testing.T) {
-	opened(t, func(g *Gate, _ *news.Table) {
+	opened(t, func(g *Gate, _ *gossip.Table) {
 		began := time.Now()
 		a := g.Enter(context.Background(), target(), "c", time.Now().Add(time.Minute))
 		if took := time.Since(began); a.Replica != nil || a.Why != "nobody has it and no controller answers" || took < time.Second || took > time.Second+2*beat {
@@ -60,7 +60,7 @@
 
 // A gate stands still while nobody waits; whoever comes later is looked after all the same.
 func TestAGateThatStoodStillLooksAfterWhoWaits(t *testing.T) {
-	opened(t, func(g *Gate, n *news.Table) {
+	opened(t, func(g *Gate, n *gossip.Table) {
 		for round := range 3 {
 			time.Sleep(10 * time.Second)
 			n.Put(holder(uint64(2*round + 1)))
@@ -95,7 +95,7 @@
 // A replica that is left out for a while is used as soon as that is over, with no
 // news that says so.
 func TestWhoWaitsIsServedWhenARefusalIsOver(t *testing.T) {
-	opened(t, func(g *Gate, n *news.Table) {
+	opened(t, func(g *Gate, n *gossip.Table) {
 		n.Put(holder(1))
 		synctest.Wait()
 		a := g.Enter(context.Background(), target(), "c", time.Now().Add(time.Minute))
@@ -112,7 +112,7 @@
 }
 
 func TestTicketsWithdrawnAreLetGo(t *testing.T) {
-	opened(t, func(g *Gate, _ *news.Table) {
+	opened(t, func(g *Gate, _ *gossip.Table) {
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
 		if a := g.Enter(ctx, target(), "c", time.Now().Add(time.Minute)); a.Replica != nil {
--- a/internal/gate/work_test.go
+++ b/internal/gate/work_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/run"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/route"
 	"drumstall.example/internal/state"
 )
@@ -25,11 +25,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		group := run.NewGroup(context.Background())
 		defer group.Stop()
-		told := news.NewTable()
+		told := gossip.NewTable()
 		zero := func() time.Duration { return 0 }
-		routes := route.NewKeeper(route.Deps{Group: group, News: told, Clock: bubble{time.Now()}, Zone: func() string { return "" }, HeardFor: zero, Edges: func() int { return 1 }})
+		routes := route.NewKeeper(route.Deps{Group: group, Gossip: told, Clock: bubble{time.Now()}, Zone: func() string { return "" }, HeardFor: zero, Edges: func() int { return 1 }})
 		kept := conf.Kept{Serial: 1, Objects: map[string][]byte{"classes/plain": []byte(`{}`)}}
-		told.Put(news.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: kept.Pack()})
+		told.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: kept.Pack()})
 		synctest.Wait()
 		misses := 0
 		g := New(group, routes, time.Second, func() { misses++ })
--- a/internal/news/news.go
+++ b/internal/gossip/gossip.go
@@ -1,4 +1,4 @@
-// Package news spreads small facts by gossip: a table of key to newest value,
+// Package gossip spreads small facts: a table of key to newest value,
 // passed on to a few peers each interval, its gaps mended by comparing digests.
 //
 // Every core and agent makes one Table and one Spreader, and a proxy one Table
@@ -6,7 +6,7 @@
 // whoever wants to know reads it or is called. A fact has one author, whose stamp
 // orders it. Nothing is kept on disk, nobody's acknowledgement rests on it, and it
 // never runs backwards: an older stamp is never taken in place of a newer one.
-package news
+package gossip
 
 import (
 	"strings"
--- a/internal/news/news_test.go
+++ b/internal/gossip/gossip_test.go
@@ -1,4 +1,4 @@
-package news
+package gossip
 
 import (
 	"fmt"
--- a/internal/news/tree.go
+++ b/internal/gossip/tree.go
@@ -1,4 +1,4 @@
-package news
+package gossip
 
 import (
 	"math/rand/v2"
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -14,11 +14,11 @@
 	"drumstall.example/gen/http/platform/client"
 	"drumstall.example/gen/platform"
 	"drumstall.example/internal/backend"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/face"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/state"
 )
 
@@ -92,7 +92,7 @@
 	lister  Lister
 	clock   tick.Clock
 	log     *slog.Logger
-	news    *news.Table
+	gossip  *gossip.Table
 	list    atomic.Pointer[[]Listed]
 	heardAt atomic.Int64
 	rounds  atomic.Int64
@@ -101,8 +101,8 @@
 
 // NewWatch knows nobody; Start begins to ask. Why: others ask a watch how long ago
 // it heard the platform from their own start on.
-func NewWatch(lister Lister, clock tick.Clock, log *slog.Logger, t *news.Table) *Watch {
-	w := &Watch{lister: lister, clock: clock, log: log, news: t}
+func NewWatch(lister Lister, clock tick.Clock, log *slog.Logger, t *gossip.Table) *Watch {
+	w := &Watch{lister: lister, clock: clock, log: log, gossip: t}
 	w.heardAt.Store(-1 << 62)
 	empty := []Listed{}
 	w.list.Store(&empty)
@@ -110,7 +110,7 @@
 }
 
 // Start asks at once and at each interval while active says so; leaving marks go
-// into the news.
+// into the gossip.
 func (w *Watch) Start(g *run.Group, interval time.Duration, active func() bool) {
 	look := func(ctx context.Context) {
 		if active() {
@@ -145,7 +145,7 @@
 	}
 	for _, one := range out {
 		if one.Leaving {
-			Mark(w.news, one.ID)
+			Mark(w.gossip, one.ID)
 		}
 	}
 	// Why: a platform that has just lost its memory lists nobody; a whole fleet does not leave at once.
@@ -163,26 +163,26 @@
 	w.rounds.Add(1)
 }
 
-// MarkKey is the key of a replica's leaving mark in the news.
+// MarkKey is the key of a replica's leaving mark in the gossip.
 func MarkKey(id string) string { return "mark/" + id }
 
-// Mark says in the news that a replica is leaving. A mark taken back has an
+// Mark says in the gossip that a replica is leaving. A mark taken back has an
 // even serial, one that stands an odd one, so two who learn of it say the same.
-func Mark(t *news.Table, id string) {
+func Mark(t *gossip.Table, id string) {
 	s := t.StampOf(MarkKey(id))
 	if s.Serial%2 == 0 {
-		t.Put(news.Entry{Key: MarkKey(id), Stamp: state.Stamp{Serial: s.Serial + 1}, Value: []byte{1}})
+		t.Put(gossip.Entry{Key: MarkKey(id), Stamp: state.Stamp{Serial: s.Serial + 1}, Value: []byte{1}})
 	}
 }
 
 // Unmark takes a mark back; only the replica's controller does so, once the
 // platform has listed the replica as staying for a while.
-func Unmark(t *news.Table, id string) {
+func Unmark(t *gossip.Table, id string) {
 	s := t.StampOf(MarkKey(id))
 	if s.Serial%2 == 1 {
-		t.Put(news.Entry{Key: MarkKey(id), Stamp: state.Stamp{Serial: s.Serial + 1}, Gone: true})
+		t.Put(gossip.Entry{Key: MarkKey(id), Stamp: state.Stamp{Serial: s.Serial + 1}, Gone: true})
 	}
 }
 
 // Marked says whether a replica is known to be leaving.
-func Marked(t *news.Table, id string) bool { return t.StampOf(MarkKey(id)).Serial%2 == 1 }
+func Marked(t *gossip.Table, id string) bool { return t.StampOf(MarkKey(id)).Serial%2 == 1 }
--- a/internal/kernel/wire/wire.go
+++ b/internal/kernel/wire/wire.go
@@ -1,5 +1,5 @@
 // Package wire carries cbor between drumstall's own processes: calls as HTTP
-// POSTs by net/http, small news as datagrams. It makes up no transport.
+// POSTs by net/http, small messages as datagrams. It makes up no transport.
 package wire
 
 import (
--- a/internal/member/fanout/fanout.go
+++ b/internal/member/fanout/fanout.go
@@ -5,9 +5,9 @@
 import (
 	"time"
 
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/share"
 	"drumstall.example/internal/member"
-	"drumstall.example/internal/news"
 )
 
 // HeardWithin is how long ago a core must have answered this core to be left to tell
@@ -25,8 +25,8 @@
 
 // Tree is whom this node tells its news. Each agent is below one core: by rendezvous,
 // one of its zone if there is any.
-func (v View) Tree() news.Tree {
-	tree := news.Tree{IsCore: v.Self.Role == member.RoleCore}
+func (v View) Tree() gossip.Tree {
+	tree := gossip.Tree{IsCore: v.Self.Role == member.RoleCore}
 	for _, n := range v.Nodes {
 		if n.Role == member.RoleCore && n.Thought() && n.Name != v.Self.Name {
 			tree.Cores = append(tree.Cores, n.Addr)
--- a/internal/member/fanout/fleet_test.go
+++ b/internal/member/fanout/fleet_test.go
@@ -9,12 +9,12 @@
 	"testing/synctest"
 	"time"
 
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/ring"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member"
 	"drumstall.example/internal/member/touch"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/sim/simhost"
 	"drumstall.example/internal/sim/simnet"
 	"drumstall.example/internal/state"
@@ -24,7 +24,7 @@
 	coreCount  = 6
 	agentCount = 64
 	zoneCount  = 3
-	newsPort   = ":7000"
+	gossipPort = ":7000"
 )
 
 // node is a core or an agent without anything but members and news.
@@ -34,7 +34,7 @@
 	role   string
 	group  *run.Group
 	post   *wire.Post
-	table  *news.Table
+	table  *gossip.Table
 	caller *wire.Caller
 	stop   func()
 }
@@ -50,7 +50,7 @@
 
 func start(t *testing.T) *simulated {
 	s := &simulated{t: t, group: run.NewGroup(t.Context()), fabric: simnet.New(1, func(string, string) time.Duration { return time.Millisecond })}
-	seeds := []string{"10.0.0.1" + newsPort, "10.0.0.2" + newsPort, "10.0.0.3" + newsPort}
+	seeds := []string{"10.0.0.1" + gossipPort, "10.0.0.2" + gossipPort, "10.0.0.3" + gossipPort}
 	for i := range coreCount {
 		s.startNode(fmt.Sprintf("core-%d", i), fmt.Sprintf("10.0.0.%d", i+1), member.RoleCore, i, seeds)
 	}
@@ -62,7 +62,7 @@
 
 func (s *simulated) startNode(name, ip, role string, number int, seeds []string) {
 	host := s.fabric.Host(ip)
-	addr := ip + newsPort
+	addr := ip + gossipPort
 	listener, err := host.Listen(addr)
 	if err != nil {
 		s.t.Fatal(err)
@@ -72,14 +72,14 @@
 		s.t.Fatal(err)
 	}
 	clock := simhost.NewClock()
-	n := &node{name: name, ip: ip, role: role, group: s.group.Child(), post: wire.NewPost(packets), table: news.NewTable(), caller: wire.NewCaller(host)}
+	n := &node{name: name, ip: ip, role: role, group: s.group.Child(), post: wire.NewPost(packets), table: gossip.NewTable(), caller: wire.NewCaller(host)}
 	log, mux, in := ring.New(io.Discard, 10).Logger(), wire.NewMux(), touch.New(clock)
 	self := member.Node{Name: name, Role: role, Zone: fmt.Sprintf("zone-%d", number%zoneCount), Addr: addr, Boot: name, Inc: 1}
 	members := member.New(n.group, clock, log, n.post, n.caller, mux, self, seeds, in)
-	tree := func() news.Tree {
+	tree := func() gossip.Tree {
 		return View{Self: members.Self(), Nodes: members.Nodes(), HeardFor: members.HeardFor}.Tree()
 	}
-	news.NewSpreader(n.group, n.table, log, n.post, n.caller, mux, func() string { return addr }, members.Peers, tree, in)
+	gossip.NewSpreader(n.group, n.table, log, n.post, n.caller, mux, func() string { return addr }, members.Peers, tree, in)
 	server := wire.NewServer(listener, mux)
 	n.group.Go(func(ctx context.Context) { n.post.Run(ctx) })
 	n.group.Go(server.Run)
@@ -115,15 +115,15 @@
 }
 
 // put enters something new at a node.
-func (s *simulated) put(at string) news.Entry {
+func (s *simulated) put(at string) gossip.Entry {
 	s.serial++
-	e := news.Entry{Key: fmt.Sprintf("replica/r-%d", s.serial), Stamp: state.Stamp{Epoch: 1, Serial: s.serial}, Value: make([]byte, 300)}
+	e := gossip.Entry{Key: fmt.Sprintf("replica/r-%d", s.serial), Stamp: state.Stamp{Epoch: 1, Serial: s.serial}, Value: make([]byte, 300)}
 	s.nodes[slices.IndexFunc(s.nodes, func(n *node) bool { return n.name == at })].table.Put(e)
 	return e
 }
 
 // lacking is the nodes that have not got an entry.
-func (s *simulated) lacking(e news.Entry) (out []string) {
+func (s *simulated) lacking(e gossip.Entry) (out []string) {
 	for _, n := range s.nodes {
 		if _, found := n.table.Get(e.Key); !found {
 			out = append(out, n.name)
--- a/internal/place/order/carry.go
+++ b/internal/place/order/carry.go
@@ -254,7 +254,7 @@
 	}
 }
 
-// acked says whether every live proxy has this replica's news in force.
+// acked says whether every live proxy has this replica's status in force.
 func (c *Controller) acked(s state.Stamp) bool {
 	for agent := range c.d.Agents() {
 		if got := c.d.Reports.Of(agent).Acked[c.listed.ID]; s.Newer(got) {
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -12,12 +12,12 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/state/owner"
 )
@@ -40,7 +40,7 @@
 	doubtMargin = 150 * time.Millisecond
 )
 
-// Key of a replica in the control state and in the news.
+// Key of a replica in the control state and in the gossip.
 func Key(id string) string { return "replica/" + id }
 
 // Line states in the book, besides those a replica reports.
@@ -71,11 +71,11 @@
 	Replicas backend.Client
 	Cadence  bounds.Cadence
 	Owner    *owner.Owner
-	News     *news.Table
+	Gossip   *gossip.Table
 	Reports  *report.Table
 	Conf     func() conf.Effective
 	Requests func(item string) float64 // predicted over the horizon
-	Others   func() []News             // all replicas' news; nobody changes them
+	Others   func() []Status           // all replicas' status; nobody changes them
 	Agents   func() map[string]bool    // agents thought alive
 	Platform func() time.Duration      // how long ago the platform was heard
 	Grant    func(ctx context.Context, who string, worth float64) (wait time.Duration, ok bool)
@@ -137,7 +137,7 @@
 func (c *Controller) Listed(l inventory.Listed) { _ = c.desk.Tell(func() { c.listed = l }) }
 
 func (c *Controller) leaving() bool {
-	return c.listed.Leaving || c.vitals.Leaving || inventory.Marked(c.d.News, c.listed.ID) || c.d.Conf().Drained(c.listed.Labels, c.listed.Zone)
+	return c.listed.Leaving || c.vitals.Leaving || inventory.Marked(c.d.Gossip, c.listed.ID) || c.d.Conf().Drained(c.listed.Labels, c.listed.Zone)
 }
 
 func (c *Controller) onBeat() {
@@ -195,7 +195,7 @@
 		c.closed = true
 		if gone && c.epoch > 0 {
 			c.serial++
-			c.d.News.Put(news.Entry{Key: Key(c.listed.ID), Stamp: c.stampNow(), Gone: true})
+			c.d.Gossip.Put(gossip.Entry{Key: Key(c.listed.ID), Stamp: c.stampNow(), Gone: true})
 		}
 	})
 }
--- a/internal/place/order/expect_test.go
+++ b/internal/place/order/expect_test.go
@@ -18,7 +18,7 @@
 func (c *clock) Wall() time.Time      { return time.Time{} }
 
 // What is told of a load on its way stays where it is in time. It was once told
-// as so many ms from whenever the news came, and moved on with every piece of news.
+// as so many ms from whenever the status came, and moved on with every status.
 func TestWhatIsExpectedStandsStill(t *testing.T) {
 	cfg := conf.Empty()
 	cfg.Models = map[string]conf.Model{"m": {LoadFor: 2 * time.Second}, "n": {LoadFor: 3 * time.Second}}
--- a/internal/place/order/hold_test.go
+++ b/internal/place/order/hold_test.go
@@ -15,12 +15,12 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/ring"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/sim/simhost"
 	"drumstall.example/internal/sim/simnet"
@@ -94,8 +94,8 @@
 					cfg.Models[fmt.Sprint("m", i)] = conf.Model{SizeMib: 1000, LoadFor: 100 * time.Millisecond, ServeFor: time.Second}
 				}
 				conn := backend.NewConn(out)
-				ctl := NewController(g, Deps{Clock: clk, Log: log, Self: "a", Boot: "b", Cadence: bounds.DefaultCadence(), Replicas: conn, Owner: own, News: news.NewTable(), Reports: report.NewTable(),
-					Conf: func() conf.Effective { return cfg }, Requests: func(string) float64 { return 0 }, Others: func() []News { return nil },
+				ctl := NewController(g, Deps{Clock: clk, Log: log, Self: "a", Boot: "b", Cadence: bounds.DefaultCadence(), Replicas: conn, Owner: own, Gossip: gossip.NewTable(), Reports: report.NewTable(),
+					Conf: func() conf.Effective { return cfg }, Requests: func(string) float64 { return 0 }, Others: func() []Status { return nil },
 					Agents: func() map[string]bool { return nil }, Platform: func() time.Duration { return 0 }, Afloat: func(context.Context, string) {},
 					Grant: func(context.Context, string, float64) (time.Duration, bool) {
 						time.Sleep(200 * time.Millisecond) // the keeper is far off
--- a/internal/place/order/look.go
+++ b/internal/place/order/look.go
@@ -74,7 +74,7 @@
 		c.book = map[conf.Item]*line{}
 	}
 	if v.Leaving {
-		inventory.Mark(c.d.News, c.listed.ID)
+		inventory.Mark(c.d.Gossip, c.listed.ID)
 	}
 	c.vitals, c.vitalsAt, c.known = v, asked, true
 	for item, seen := range v.Items {
@@ -120,7 +120,7 @@
 func (c *Controller) unmark() {
 	now := c.d.Clock.Since()
 	// Why: a platform not heard is not one that says the replica stays.
-	if c.d.Platform() > 2*time.Second || c.listed.Leaving || !c.known || c.vitals.Leaving || !inventory.Marked(c.d.News, c.listed.ID) {
+	if c.d.Platform() > 2*time.Second || c.listed.Leaving || !c.known || c.vitals.Leaving || !inventory.Marked(c.d.Gossip, c.listed.ID) {
 		c.staying = -1
 		return
 	}
@@ -128,6 +128,6 @@
 		c.staying = now
 	}
 	if now-c.staying > 5*time.Second {
-		inventory.Unmark(c.d.News, c.listed.ID)
+		inventory.Unmark(c.d.Gossip, c.listed.ID)
 	}
 }
--- a/internal/place/order/messages.go
+++ b/internal/place/order/messages.go
@@ -5,8 +5,8 @@
 	"drumstall.example/internal/place/judge"
 )
 
-// News is what the data plane and the planners learn of a replica.
-type News struct {
+// Status is what the data plane and the planners learn of a replica.
+type Status struct {
 	Listed        inventory.Listed  `cbor:"1,keyasint" json:"listed"`
 	Controller    string            `cbor:"2,keyasint" json:"controller"`
 	Items         map[string]string `cbor:"3,keyasint" json:"items"` // item: loaded, loading, withdrawn ...
--- a/internal/place/order/takeover_test.go
+++ b/internal/place/order/takeover_test.go
@@ -9,10 +9,10 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/ring"
 	"drumstall.example/internal/kernel/run"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/sim/simhost"
 )
 
@@ -38,7 +38,7 @@
 		replica := &reporting{busy: true, items: map[conf.Item]backend.Line{}}
 		clk := simhost.NewClock()
 		ctl := &Controller{d: Deps{Group: run.NewGroup(t.Context()), Clock: clk, Log: ring.New(io.Discard, 10).Logger(), Replicas: replica,
-			News: news.NewTable(), Conf: conf.Empty}, listed: inventory.Listed{ID: "r", Addr: "10.0.0.1:1", Model: true},
+			Gossip: gossip.NewTable(), Conf: conf.Empty}, listed: inventory.Listed{ID: "r", Addr: "10.0.0.1:1", Model: true},
 			book: map[conf.Item]*line{}, held: map[string]bool{}, traits: replica.Traits()}
 		coming := conf.Item{Model: "m"}
 		ctl.book[coming] = &line{Line: Line{State: Reserved, SizeMib: 80}, ordered: clk.Since(), inherited: true}
--- a/internal/place/order/tell.go
+++ b/internal/place/order/tell.go
@@ -6,8 +6,8 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/state"
 )
 
@@ -119,7 +119,7 @@
 
 func (c *Controller) stampNow() state.Stamp { return state.Stamp{Epoch: c.epoch, Serial: c.serial} }
 
-// publish tells the news what has changed.
+// publish tells the others what has changed.
 func (c *Controller) publish() {
 	if c.epoch == 0 {
 		return
@@ -127,7 +127,7 @@
 	mib, places := c.planned()
 	listed := c.listed
 	listed.Leaving = c.leaving()
-	n := News{Listed: listed, Controller: c.d.Self, Items: map[string]string{}, CapacityMib: c.vitals.CapacityMib,
+	n := Status{Listed: listed, Controller: c.d.Self, Items: map[string]string{}, CapacityMib: c.vitals.CapacityMib,
 		FreeMib: c.vitals.CapacityMib - mib, AdapterPlaces: c.vitals.AdapterPlaces, AdapterFree: c.vitals.AdapterPlaces - places,
 		Slots: c.vitals.Slots, ServeMs: coarse(int(c.vitals.ServeFor.Milliseconds())), Dark: !c.fresh()}
 	for item, l := range c.book {
@@ -140,12 +140,12 @@
 	}
 	c.serial++
 	c.packed = packed
-	// Why: whoever reads it counts from when it came, so what is left is told anew with each piece of news.
+	// Why: whoever reads it counts from when it came, so what is left is told anew with each status.
 	n.ReadyMs = map[string]int{}
 	for item, at := range c.etas {
 		n.ReadyMs[item] = int(max(0, at-c.d.Clock.Since()).Milliseconds())
 	}
-	c.d.News.Put(news.Entry{Key: Key(c.listed.ID), Stamp: c.stampNow(), Value: wire.Pack(n)})
+	c.d.Gossip.Put(gossip.Entry{Key: Key(c.listed.ID), Stamp: c.stampNow(), Value: wire.Pack(n)})
 }
 
 // expect is when each item on its way will probably be there. What was said
--- a/internal/place/plan/ask.go
+++ b/internal/place/plan/ask.go
@@ -20,7 +20,7 @@
 	defer cancel()
 	a, err := p.d.Ask(one, controller, d.question(replica, dry))
 	if err != nil {
-		// Why: one that gave no answer may have taken it; its news will tell before the next decision.
+		// Why: one that gave no answer may have taken it; its status will tell before the next decision.
 		return order.Unheard(err), !dry && wire.Code(err) != "not-owner"
 	}
 	return a, false
@@ -33,7 +33,7 @@
 }
 
 // batches puts together what one controller is asked.
-func batches(names []string, by map[string]order.News) []batch {
+func batches(names []string, by map[string]order.Status) []batch {
 	var out []batch
 	at := map[string]int{}
 	for i, name := range names {
@@ -50,7 +50,7 @@
 }
 
 // askDry asks the controllers of all replicas at once what would go there.
-func (p *Planner) askDry(ctx context.Context, d Decision, names []string, by map[string]order.News) []order.Considered {
+func (p *Planner) askDry(ctx context.Context, d Decision, names []string, by map[string]order.Status) []order.Considered {
 	answers := make([]order.Considered, len(names))
 	type answered struct {
 		of []int
--- a/internal/place/plan/ask_test.go
+++ b/internal/place/plan/ask_test.go
@@ -48,10 +48,10 @@
 			return out
 		}}, items: map[conf.Item]*item{}}
 	p.desk = run.NewDesk(g, 8, 0, nil)
-	var views []order.News
+	var views []order.Status
 	d := Decision{Item: "m", claim: true}
 	for replica, controller := range map[string]string{"a": "core-1", "b": "core-2", "c": "core-1", "d": "core-3", "e": "core-2"} {
-		views = append(views, order.News{Listed: inventory.Listed{ID: replica}, Controller: controller})
+		views = append(views, order.Status{Listed: inventory.Listed{ID: replica}, Controller: controller})
 	}
 	for _, replica := range []string{"a", "b", "c", "d", "e"} {
 		d.Candidates = append(d.Candidates, judge.Ranked{Name: replica})
--- a/internal/place/plan/claims.go
+++ b/internal/place/plan/claims.go
@@ -15,7 +15,7 @@
 )
 
 // claims prepares decisions about copies that claims want and that are missing.
-func (p *Planner) claims(cfg conf.Effective, views []order.News, now time.Duration) []Decision {
+func (p *Planner) claims(cfg conf.Effective, views []order.Status, now time.Duration) []Decision {
 	var out []Decision
 	unmet := map[string]string{}
 	for _, want := range cfg.Claimed() {
--- a/internal/place/plan/decide.go
+++ b/internal/place/plan/decide.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/judge"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/pace"
@@ -18,9 +18,9 @@
 )
 
 // decide asks the best candidates in turn and keeps the decision.
-func (p *Planner) decide(ctx context.Context, cfg conf.Effective, d Decision, views []order.News) {
+func (p *Planner) decide(ctx context.Context, cfg conf.Effective, d Decision, views []order.Status) {
 	d.weights = cfg.Weights
-	by := map[string]order.News{}
+	by := map[string]order.Status{}
 	for _, v := range views {
 		by[v.Listed.ID] = v
 	}
@@ -100,13 +100,13 @@
 		it := conf.ParseItem(d.Item)
 		epoch, _, _ := p.d.Owner.MayOrder(DemandKey(it, 0))
 		p.expSer++
-		p.d.News.Put(news.Entry{Key: ExpectKey(d.Item), Stamp: state.Stamp{Epoch: epoch, Serial: p.expSer}, Value: wire.Pack(e)})
+		p.d.Gossip.Put(gossip.Entry{Key: ExpectKey(d.Item), Stamp: state.Stamp{Epoch: epoch, Serial: p.expSer}, Value: wire.Pack(e)})
 	})
 }
 
 // heardOfAny says whether any replica of models is known that answers its controller.
-func heardOfAny(views []order.News) bool {
-	return slices.ContainsFunc(views, func(v order.News) bool { return v.Listed.Model && !v.Dark })
+func heardOfAny(views []order.Status) bool {
+	return slices.ContainsFunc(views, func(v order.Status) bool { return v.Listed.Model && !v.Dark })
 }
 
 // reasons counts why candidates did not take an item.
--- a/internal/place/plan/miss.go
+++ b/internal/place/plan/miss.go
@@ -16,7 +16,7 @@
 )
 
 // miss prepares a decision about an item that requests wait for.
-func (p *Planner) miss(cfg conf.Effective, it conf.Item, waiting int, pressed bool, wanted int, views []order.News, now time.Duration) (Decision, bool) {
+func (p *Planner) miss(cfg conf.Effective, it conf.Item, waiting int, pressed bool, wanted int, views []order.Status, now time.Duration) (Decision, bool) {
 	m, known := cfg.Models[it.Model]
 	if !known || !p.holds(it) {
 		return Decision{}, false
@@ -67,7 +67,7 @@
 }
 
 // copiesOf counts the replicas that hold an item or will; coming says that one of them does not hold it yet.
-func copiesOf(it conf.Item, views []order.News) (copies int, coming bool) {
+func copiesOf(it conf.Item, views []order.Status) (copies int, coming bool) {
 	for _, v := range views {
 		if v.Dark || v.Listed.Leaving {
 			continue
@@ -83,7 +83,7 @@
 	return copies, coming
 }
 
-func (p *Planner) candidates(cfg conf.Effective, it conf.Item, m conf.Model, views []order.News, now time.Duration, in labels.Selector) []judge.Ranked {
+func (p *Planner) candidates(cfg conf.Effective, it conf.Item, m conf.Model, views []order.Status, now time.Duration, in labels.Selector) []judge.Ranked {
 	zones := map[string]int{}
 	for _, v := range views {
 		if v.Items[it.String()] == backend.Loaded {
@@ -120,7 +120,7 @@
 }
 
 // pending is how many loads of models each replica has before it.
-func pending(views []order.News) map[string]int {
+func pending(views []order.Status) map[string]int {
 	out := map[string]int{}
 	for _, v := range views {
 		for item, state := range v.Items {
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -12,10 +12,10 @@
 	"github.com/gammazero/deque"
 
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/demand"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/pace"
@@ -45,11 +45,11 @@
 	Cadence bounds.Cadence
 	Store   bounds.Store
 	Owner   *owner.Owner
-	News    *news.Table
+	Gossip  *gossip.Table
 	Reports *report.Table
 	Conf    func() conf.Effective
-	// Views are all replicas' newest news, by name; nobody changes them.
-	Views func() []order.News
+	// Views are all replicas' newest status, by name; nobody changes them.
+	Views func() []order.Status
 	// Ask reaches the controller of a replica, on whichever core it is.
 	Ask func(ctx context.Context, controller string, q order.Consider) (order.Considered, error)
 	// AskAll asks the controller of several replicas at once, dry; order.Unheard stands for an answer that did not
--- a/internal/place/plan/plan_test.go
+++ b/internal/place/plan/plan_test.go
@@ -47,7 +47,7 @@
 // A core that has just started knows of no replica, or of none that answers; that is no
 // reason to have requests turned away (that would need an owner, and there is none here to ask).
 func TestAPlannerThatHasHeardOfNoReplicaRefusesNothing(t *testing.T) {
-	for name, views := range map[string][]order.News{
+	for name, views := range map[string][]order.Status{
 		"no word of any":       nil,
 		"none that answers":    {{Listed: inventory.Listed{ID: "a", Model: true}, Dark: true}},
 		"only other services'": {{Listed: inventory.Listed{ID: "b"}}},
@@ -66,10 +66,10 @@
 // In a fleet of more replicas than are asked, those that have no load before
 // them are asked first; among those the judges decide, as before.
 func TestReplicasWithoutLoadsBeforeThemAreAskedFirst(t *testing.T) {
-	view := func(id string, freeMib int, items map[string]string) order.News {
-		return order.News{Listed: inventory.Listed{ID: id, Model: true}, Slots: 12, CapacityMib: 200, FreeMib: freeMib, AdapterPlaces: 8, AdapterFree: 8, Items: items}
+	view := func(id string, freeMib int, items map[string]string) order.Status {
+		return order.Status{Listed: inventory.Listed{ID: id, Model: true}, Slots: 12, CapacityMib: 200, FreeMib: freeMib, AdapterPlaces: 8, AdapterFree: 8, Items: items}
 	}
-	views := []order.News{
+	views := []order.Status{
 		view("a-roomy-and-loading", 200, map[string]string{"x": backend.Loading}),
 		view("b-two-wait", 50, map[string]string{"x": order.Reserved, "y": backend.Loading}),
 		view("c-holds", 100, map[string]string{"m": backend.Loaded}),
--- a/internal/place/plan/views.go
+++ b/internal/place/plan/views.go
@@ -5,17 +5,17 @@
 	"strings"
 	"sync"
 
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/order"
 )
 
-// replicaPrefix begins the key of every replica in the news.
+// replicaPrefix begins the key of every replica in the gossip.
 var replicaPrefix = order.Key("")
 
-// Views are all replicas' newest news, by name, decoded anew.
-func Views(t *news.Table) []order.News {
-	var out []order.News
+// Views are all replicas' newest status, by name, decoded anew.
+func Views(t *gossip.Table) []order.Status {
+	var out []order.Status
 	for _, e := range t.List(replicaPrefix) {
 		if n, ok := decodeView(e); ok {
 			out = append(out, n)
@@ -25,31 +25,31 @@
 	return out
 }
 
-func decodeView(e news.Entry) (order.News, bool) {
-	var n order.News
+func decodeView(e gossip.Entry) (order.Status, bool) {
+	var n order.Status
 	return n, wire.Unpack(e.Value, &n) == nil
 }
 
-func byID(a, b order.News) int { return strings.Compare(a.Listed.ID, b.Listed.ID) }
+func byID(a, b order.Status) int { return strings.Compare(a.Listed.ID, b.Listed.ID) }
 
-// ViewCache keeps the replicas' news decoded: an entry is decoded when it has
+// ViewCache keeps the replicas' status decoded: an entry is decoded when it has
 // changed, and the list is made anew when one has. Its methods may be called from anywhere.
 type ViewCache struct {
-	table   *news.Table
+	table   *gossip.Table
 	mu      sync.Mutex
 	changed map[string]bool // keys of the entries that are newer than what is decoded
 	keys    []string        // of the list, sorted
-	list    []order.News    // what is decoded, in the order of keys; never changed once it was handed out
+	list    []order.Status  // what is decoded, in the order of keys; never changed once it was handed out
 }
 
 // NewViewCache follows a table; it must be made before the table is in use.
-func NewViewCache(t *news.Table) *ViewCache {
+func NewViewCache(t *gossip.Table) *ViewCache {
 	c := &ViewCache{table: t, changed: map[string]bool{}}
 	t.OnNew(c.note)
 	return c
 }
 
-func (c *ViewCache) note(e news.Entry) {
+func (c *ViewCache) note(e gossip.Entry) {
 	if !strings.HasPrefix(e.Key, replicaPrefix) {
 		return
 	}
@@ -58,8 +58,8 @@
 	c.changed[e.Key] = true
 }
 
-// Views are all replicas' newest news, by name. The list is shared: nobody may change it.
-func (c *ViewCache) Views() []order.News {
+// Views are all replicas' newest status, by name. The list is shared: nobody may change it.
+func (c *ViewCache) Views() []order.Status {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.changed) == 0 {
@@ -76,7 +76,7 @@
 // refresh takes in the entry of a key as the table has it now. Why: entries of one
 // key may be told of in another order than the table took them.
 func (c *ViewCache) refresh(key string) {
-	var n order.News
+	var n order.Status
 	e, there := c.table.Get(key)
 	if there {
 		n, there = decodeView(e)
--- a/internal/place/plan/views_test.go
+++ b/internal/place/plan/views_test.go
@@ -6,20 +6,20 @@
 	"reflect"
 	"testing"
 
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/state"
 )
 
-// replicaEntry is a replica's news under a serial.
-func replicaEntry(id string, serial uint64, items int) news.Entry {
-	n := order.News{Listed: inventory.Listed{ID: id, Labels: map[string]string{"service": "s"}}, Controller: "c", Items: map[string]string{}, FreeMib: int(serial)}
+// replicaEntry is a replica's status under a serial.
+func replicaEntry(id string, serial uint64, items int) gossip.Entry {
+	n := order.Status{Listed: inventory.Listed{ID: id, Labels: map[string]string{"service": "s"}}, Controller: "c", Items: map[string]string{}, FreeMib: int(serial)}
 	for i := range items {
 		n.Items[fmt.Sprint("m", i)] = "loaded"
 	}
-	return news.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Serial: serial}, Value: wire.Pack(n)}
+	return gossip.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Serial: serial}, Value: wire.Pack(n)}
 }
 
 // What is kept decoded is what the table says, through changes, removals and entries
@@ -27,7 +27,7 @@
 func TestCachedViewsAreTheTables(t *testing.T) {
 	for seed := range uint64(50) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
-		table := news.NewTable()
+		table := gossip.NewTable()
 		cache := NewViewCache(table)
 		for serial := range uint64(100) {
 			id := fmt.Sprint("r", rnd.IntN(8))
@@ -41,12 +41,12 @@
 				e.Key = "expect/" + id
 			}
 			before := cache.Views()
-			kept := append([]order.News(nil), before...)
+			kept := append([]order.Status(nil), before...)
 			table.Put(e)
 			if got, want := cache.Views(), Views(table); len(got)+len(want) > 0 && !reflect.DeepEqual(got, want) {
 				t.Fatalf("seed %d, entry %d: got %+v, want %+v", seed, serial, got, want)
 			}
-			if !reflect.DeepEqual(kept, append([]order.News(nil), before...)) {
+			if !reflect.DeepEqual(kept, append([]order.Status(nil), before...)) {
 				t.Fatalf("seed %d, entry %d: a list that was handed out has changed", seed, serial)
 			}
 		}
@@ -55,7 +55,7 @@
 
 // Asking again without news costs nothing.
 func TestViewsAreNotMadeAnewWithoutNews(t *testing.T) {
-	table := news.NewTable()
+	table := gossip.NewTable()
 	cache := NewViewCache(table)
 	for i := range 140 {
 		table.Put(replicaEntry(fmt.Sprint("r", i), 1, 8))
@@ -66,12 +66,12 @@
 	}
 }
 
-// One replica's news has changed since the last look, of 140.
+// One replica's status has changed since the last look, of 140.
 func BenchmarkViews(b *testing.B) {
 	for name, cached := range map[string]bool{"anew": false, "cached": true} {
 		b.Run(name, func(b *testing.B) {
-			table := news.NewTable()
-			views := func() []order.News { return Views(table) }
+			table := gossip.NewTable()
+			views := func() []order.Status { return Views(table) }
 			if cached {
 				views = NewViewCache(table).Views
 			}
--- a/internal/place/report/report.go
+++ b/internal/place/report/report.go
@@ -23,7 +23,7 @@
 	Demand   map[string]uint64         `cbor:"5,keyasint"` // item: requests so far
 	Inflight map[string]map[string]int `cbor:"6,keyasint"` // replica: item: requests now
 	Waiting  map[string]int            `cbor:"7,keyasint"` // item: requests held now for want of a replica
-	Acked    map[string]state.Stamp    `cbor:"8,keyasint"` // replica: its news in force at the proxy
+	Acked    map[string]state.Stamp    `cbor:"8,keyasint"` // replica: its status in force at the proxy
 	Zone     string                    `cbor:"9,keyasint"`
 	Serving  bool                      `cbor:"10,keyasint"`
 	Pressed  map[string]int            `cbor:"11,keyasint,omitempty"` // item: requests that went where many are, of late
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -10,11 +10,11 @@
 
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/feed"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member/touch"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/route"
 )
@@ -48,7 +48,7 @@
 	ch := run.Fan(p.group, len(to), func(ctx context.Context, i int) touch.Word {
 		ctx, cancel := context.WithTimeout(ctx, mendBeat)
 		defer cancel()
-		return news.Mend(ctx, p.caller, p.news, to[i], "")
+		return gossip.Mend(ctx, p.caller, p.gossip, to[i], "")
 	})
 	for range to {
 		p.touch.Told(asked, <-ch)
@@ -62,7 +62,7 @@
 	f := &p.feed
 	snap := p.routes.Now()
 	up := feed.Up{Boot: p.boot, AgentBoot: f.agentBoot, Cursor: f.cursor, Confirmed: p.confirmed.Load(), Conf: snap.Stamp}
-	fresh, mine, _ := p.news.After(f.mine)
+	fresh, mine, _ := p.gossip.After(f.mine)
 	for _, e := range fresh {
 		if f.all || strings.HasPrefix(e.Key, inventory.MarkKey("")) {
 			up.Entries = append(up.Entries, e)
@@ -98,7 +98,7 @@
 	}
 	f.agentBoot, f.cursor = down.AgentBoot, down.Cursor
 	for _, e := range down.Entries {
-		p.news.Put(e)
+		p.gossip.Put(e)
 	}
 	if !p.routes.Deaf() {
 		p.deafAt.Store(0)
@@ -111,7 +111,7 @@
 	p.agentSeen.Store(int64(asked))
 	p.touch.Told(asked, touch.Word(down.HeardMs+1))
 	// Why: a proxy just started serves on nothing until it has what was in force before.
-	if down.Confirmed && !p.confirmed.Load() && !down.Conf.Newer(p.news.StampOf(conf.Key)) {
+	if down.Confirmed && !p.confirmed.Load() && !down.Conf.Newer(p.gossip.StampOf(conf.Key)) {
 		p.confirmed.Store(true)
 	}
 	p.rest(ctx, p.env.Clock.Since())
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -16,11 +16,11 @@
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/gate"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/ring"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/route"
 	"drumstall.example/internal/sim/simhost"
@@ -57,7 +57,7 @@
 	group  *run.Group
 	fabric *simnet.Fabric
 	proxy  *Proxy
-	table  *news.Table
+	table  *gossip.Table
 	asked  [2]int
 }
 
@@ -66,16 +66,16 @@
 
 func between(t *testing.T, first, second script, f func(w *twoReplicas)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &twoReplicas{t: t, group: run.NewGroup(t.Context()), table: news.NewTable(),
+		w := &twoReplicas{t: t, group: run.NewGroup(t.Context()), table: gossip.NewTable(),
 			fabric: simnet.New(1, func(string, string) time.Duration { return time.Millisecond })}
-		routes := route.NewKeeper(route.Deps{Group: w.group, News: w.table, Clock: simhost.NewClock(), Zone: func() string { return "a" },
+		routes := route.NewKeeper(route.Deps{Group: w.group, Gossip: w.table, Clock: simhost.NewClock(), Zone: func() string { return "a" },
 			HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 1 }})
 		w.proxy = &Proxy{routes: routes, budget: attempt.NewBudget(1), log: ring.New(io.Discard, 10).Logger(), demand: map[string]uint64{},
 			sender: attempt.NewSender(w.fabric.Host("10.0.0.9"), attempt.Native{}, time.Minute)}
 		w.proxy.edges.Store(1)
 		w.proxy.gate = gate.New(w.group, routes, time.Second, func() {})
 		kept := conf.Kept{Serial: 1, Objects: map[string][]byte{"classes/c": []byte(`{}`)}}
-		w.table.Put(news.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: kept.Pack()})
+		w.table.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: kept.Pack()})
 		listeners := []net.Listener{w.replica(0, first), w.replica(1, second)}
 		w.tell(0)
 		time.Sleep(time.Second)
@@ -121,8 +121,8 @@
 // tell makes a replica known as one that holds the model.
 func (w *twoReplicas) tell(i int) {
 	id := fmt.Sprintf("r%d", i+1)
-	n := order.News{Listed: inventory.Listed{ID: id, Addr: addrOf(i), Model: true, Slots: 12}, Slots: 12, Items: map[string]string{"m": backend.Loaded}}
-	w.table.Put(news.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: wire.Pack(n)})
+	n := order.Status{Listed: inventory.Listed{ID: id, Addr: addrOf(i), Model: true, Slots: 12}, Slots: 12, Items: map[string]string{"m": backend.Loaded}}
+	w.table.Put(gossip.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: wire.Pack(n)})
 }
 
 // ask asks for a stream, and gives it with how it ended.
--- a/internal/proxy/passage_test.go
+++ b/internal/proxy/passage_test.go
@@ -8,11 +8,11 @@
 	"drumstall.example/internal/attempt"
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/route"
 	"drumstall.example/internal/state"
@@ -24,14 +24,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := run.NewGroup(t.Context())
 		defer g.Stop()
-		table := news.NewTable()
-		routes := route.NewKeeper(route.Deps{Group: g, News: table, Clock: tick.Machine(), Zone: func() string { return "a" },
+		table := gossip.NewTable()
+		routes := route.NewKeeper(route.Deps{Group: g, Gossip: table, Clock: tick.Machine(), Zone: func() string { return "a" },
 			HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 64 }})
 		serial := uint64(0)
 		tell := func(id string, dark bool) {
 			serial++
-			n := order.News{Listed: inventory.Listed{ID: id, Model: true, Slots: 12}, Slots: 12, Dark: dark, Items: map[string]string{"m": backend.Loaded}}
-			table.Put(news.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Serial: serial}, Value: wire.Pack(n)})
+			n := order.Status{Listed: inventory.Listed{ID: id, Model: true, Slots: 12}, Slots: 12, Dark: dark, Items: map[string]string{"m": backend.Loaded}}
+			table.Put(gossip.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Serial: serial}, Value: wire.Pack(n)})
 			time.Sleep(time.Second)
 		}
 		p := &Proxy{routes: routes, budget: attempt.NewBudget(1)}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -19,13 +19,13 @@
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/core"
 	"drumstall.example/internal/gate"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/face"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member/touch"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/relay"
 	"drumstall.example/internal/route"
 )
@@ -90,7 +90,7 @@
 	boot      string
 	group     *run.Group
 	base      *run.Group
-	news      *news.Table
+	gossip    *gossip.Table
 	routes    *route.Keeper
 	gate      *gate.Gate
 	sender    *attempt.Sender
@@ -123,7 +123,7 @@
 func Start(s Settings, env core.Env) (*Proxy, error) {
 	s.Bounds, s.Cadence = s.Bounds.OrDefault(), s.Cadence.OrDefault()
 	p := &Proxy{s: s, env: env, log: env.Log.Logger().With("node", s.Name), boot: core.NewBoot(), base: run.NewGroup(context.Background()),
-		news: news.NewTable(), budget: attempt.NewBudget(s.Bounds.Retry.Ratio), conn: s.Replicas,
+		gossip: gossip.NewTable(), budget: attempt.NewBudget(s.Bounds.Retry.Ratio), conn: s.Replicas,
 		caller: wire.NewCaller(env.Net), demand: map[string]uint64{}}
 	p.group = p.base.Child()
 	p.began = env.Clock.Since()
@@ -138,12 +138,12 @@
 		s.Lister = inventory.NewLister(env.Net, s.Platform, p.log)
 	}
 	p.edges.Store(unknownEdges)
-	p.watch = inventory.NewWatch(s.Lister, env.Clock, p.log, p.news)
+	p.watch = inventory.NewWatch(s.Lister, env.Clock, p.log, p.gossip)
 	p.touch = touch.New(env.Clock, func() time.Duration { return p.watch.HeardFor() })
 	p.agentSeen.Store(-1 << 62)
 	p.agentNew.Store(-1 << 62)
 	p.partners.Store(&[]string{})
-	p.routes = route.NewKeeper(route.Deps{Group: p.group, News: p.news, Clock: env.Clock, Replicas: p.conn, Zone: func() string { return s.Zone },
+	p.routes = route.NewKeeper(route.Deps{Group: p.group, Gossip: p.gossip, Clock: env.Clock, Replicas: p.conn, Zone: func() string { return s.Zone },
 		HeardFor: p.touch.For, Edges: func() int { return int(p.edges.Load()) }, Ask: s.Cadence.ProxiesAsk, Deaf: s.Bounds.Drain - deafMargin})
 	p.watch.Start(p.group, s.Cadence.List, func() bool { return p.agentFor() > agentLost })
 	misses := run.NewDesk(p.group, 4, 0, nil)
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -167,7 +167,7 @@
 	case isModel && r.Told && r.Live.lacks(item, now):
 		return false
 	}
-	return !inventory.Marked(k.news, id)
+	return !inventory.Marked(k.gossip, id)
 }
 
 // holds says whether a replica holds the model that a request needs, and its adapter.
--- a/internal/route/look.go
+++ b/internal/route/look.go
@@ -58,7 +58,7 @@
 		}
 		got = append(got, a)
 		if a.r.v.Leaving {
-			inventory.Mark(k.news, a.id)
+			inventory.Mark(k.gossip, a.id)
 		}
 	}
 	_ = k.desk.Tell(func() {
--- a/internal/route/renew.go
+++ b/internal/route/renew.go
@@ -7,8 +7,8 @@
 	"github.com/gammazero/deque"
 
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/plan"
 	"drumstall.example/internal/state"
 )
@@ -56,7 +56,7 @@
 // only those rows anew that this concerns.
 func (k *Keeper) renew() {
 	d := newDraft(k.Now(), k.clock.Since())
-	fresh, cursor, _ := k.news.After(k.cursor)
+	fresh, cursor, _ := k.gossip.After(k.cursor)
 	k.cursor = cursor
 	if k.takeConf(d, fresh) || k.d.Ask {
 		k.remake(d)
@@ -84,7 +84,7 @@
 }
 
 // takeConf brings a newer configuration into force, and says whether there was one.
-func (k *Keeper) takeConf(d *draft, fresh []news.Entry) bool {
+func (k *Keeper) takeConf(d *draft, fresh []gossip.Entry) bool {
 	for _, e := range fresh {
 		if e.Key != conf.Key || e.Gone || !e.Stamp.Newer(d.next.Stamp) {
 			continue
@@ -115,7 +115,7 @@
 }
 
 // takeReplica takes a replica's entry.
-func (k *Keeper) takeReplica(d *draft, e news.Entry) {
+func (k *Keeper) takeReplica(d *draft, e gossip.Entry) {
 	before := k.told[e.Key]
 	var after *told
 	if !e.Gone {
@@ -208,7 +208,7 @@
 }
 
 // takeExpect takes a planner's word.
-func (k *Keeper) takeExpect(d *draft, e news.Entry) {
+func (k *Keeper) takeExpect(d *draft, e gossip.Entry) {
 	item := e.Key[len(expectPrefix):]
 	var x plan.Expect
 	if e.Gone || wire.Unpack(e.Value, &x) != nil {
--- a/internal/route/renew_bench_test.go
+++ b/internal/route/renew_bench_test.go
@@ -6,15 +6,15 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/order"
 )
 
-// benchNews is a word on a replica that holds ten items.
-func benchNews(number, serial int) []byte {
-	n := order.News{Listed: inventory.Listed{ID: fmt.Sprint("r", number), Model: true, Zone: "z1"}, Slots: 8, FreeMib: serial, Items: map[string]string{}}
+// benchStatus is a word on a replica that holds ten items.
+func benchStatus(number, serial int) []byte {
+	n := order.Status{Listed: inventory.Listed{ID: fmt.Sprint("r", number), Model: true, Zone: "z1"}, Slots: 8, FreeMib: serial, Items: map[string]string{}}
 	for i := range 10 {
 		n.Items[fmt.Sprint("model-", number%60*10+i)] = backend.Loaded
 	}
@@ -24,7 +24,7 @@
 func benchWorld(replicas int) *world {
 	w := newWorld(nil, 1, false)
 	for i := range replicas {
-		w.news.Put(news.Entry{Key: order.Key(fmt.Sprint("r", i)), Stamp: w.stamp(), Value: benchNews(i, 0)})
+		w.gossip.Put(gossip.Entry{Key: order.Key(fmt.Sprint("r", i)), Stamp: w.stamp(), Value: benchStatus(i, 0)})
 	}
 	w.k.renew()
 	return w
@@ -35,7 +35,7 @@
 		b.Run(fmt.Sprintf("news of one of %d", replicas), func(b *testing.B) {
 			w := benchWorld(replicas)
 			for i := 0; b.Loop(); i++ {
-				w.news.Put(news.Entry{Key: order.Key("r1"), Stamp: w.stamp(), Value: benchNews(1, i)})
+				w.gossip.Put(gossip.Entry{Key: order.Key("r1"), Stamp: w.stamp(), Value: benchStatus(1, i)})
 				w.k.renew()
 			}
 		})
--- a/internal/route/renew_test.go
+++ b/internal/route/renew_test.go
@@ -13,10 +13,10 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/plan"
 	"drumstall.example/internal/state"
@@ -33,7 +33,7 @@
 	t      *testing.T
 	rnd    *rand.Rand
 	clock  *handClock
-	news   *news.Table
+	gossip *gossip.Table
 	k      *Keeper
 	serial uint64
 	edges  int
@@ -41,10 +41,10 @@
 }
 
 func newWorld(t *testing.T, seed uint64, ask bool) *world {
-	w := &world{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), clock: &handClock{now: time.Hour}, news: news.NewTable(), edges: 4}
+	w := &world{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), clock: &handClock{now: time.Hour}, gossip: gossip.NewTable(), edges: 4}
 	stopped := run.NewGroup(context.Background())
 	stopped.Stop()
-	w.k = NewKeeper(Deps{Group: stopped, News: w.news, Clock: w.clock, Zone: func() string { return "z1" },
+	w.k = NewKeeper(Deps{Group: stopped, Gossip: w.gossip, Clock: w.clock, Zone: func() string { return "z1" },
 		HeardFor: func() time.Duration { return 0 }, Edges: func() int { return w.edges }, Ask: ask})
 	w.anew = tableMadeAnew{world: w, conf: conf.Empty()}
 	return w
@@ -58,12 +58,12 @@
 	return state.Stamp{Epoch: 1, Serial: w.serial}
 }
 
-// replicaNews is a random word on a replica: those with a number below two are of a service.
-func (w *world) replicaNews(id string) []byte {
+// replicaStatus is a random word on a replica: those with a number below two are of a service.
+func (w *world) replicaStatus(id string) []byte {
 	if w.rnd.IntN(25) == 0 {
 		return []byte{0xff}
 	}
-	n := order.News{Listed: inventory.Listed{ID: id, Zone: "z1", Model: id >= "r2", Slots: w.rnd.IntN(4), Leaving: w.rnd.IntN(8) == 0,
+	n := order.Status{Listed: inventory.Listed{ID: id, Zone: "z1", Model: id >= "r2", Slots: w.rnd.IntN(4), Leaving: w.rnd.IntN(8) == 0,
 		Labels: map[string]string{conf.ServiceLabel: []string{"s1", "s2"}[w.rnd.IntN(2)]}},
 		Slots: w.rnd.IntN(5), ServeMs: w.rnd.IntN(50), Dark: w.rnd.IntN(8) == 0, Items: map[string]string{}, ReadyMs: map[string]int{}}
 	states := []string{backend.Loaded, backend.Loaded, backend.Loading, order.Reserved, order.Leaving, backend.Unloading}
@@ -88,18 +88,18 @@
 	switch w.rnd.IntN(12) {
 	case 0, 1, 2, 3:
 		id := w.id()
-		w.news.Put(news.Entry{Key: order.Key(id), Stamp: w.stamp(), Value: w.replicaNews(id)})
+		w.gossip.Put(gossip.Entry{Key: order.Key(id), Stamp: w.stamp(), Value: w.replicaStatus(id)})
 	case 4:
-		w.news.Put(news.Entry{Key: order.Key(w.id()), Stamp: w.stamp(), Gone: true})
+		w.gossip.Put(gossip.Entry{Key: order.Key(w.id()), Stamp: w.stamp(), Gone: true})
 	case 5, 6:
-		w.news.Put(news.Entry{Key: plan.ExpectKey(w.item()), Stamp: w.stamp(), Value: wire.Pack(plan.Expect{ReadyMs: w.rnd.IntN(9)}), Gone: w.rnd.IntN(4) == 0})
+		w.gossip.Put(gossip.Entry{Key: plan.ExpectKey(w.item()), Stamp: w.stamp(), Value: wire.Pack(plan.Expect{ReadyMs: w.rnd.IntN(9)}), Gone: w.rnd.IntN(4) == 0})
 	case 7:
-		inventory.Mark(w.news, w.id())
+		inventory.Mark(w.gossip, w.id())
 	case 8:
-		inventory.Unmark(w.news, w.id())
+		inventory.Unmark(w.gossip, w.id())
 	case 9:
 		if w.rnd.IntN(4) == 0 {
-			w.news.Put(news.Entry{Key: conf.Key, Stamp: w.stamp(), Value: w.configuration()})
+			w.gossip.Put(gossip.Entry{Key: conf.Key, Stamp: w.stamp(), Value: w.configuration()})
 		}
 	case 10:
 		w.requests()
@@ -184,7 +184,7 @@
 
 func (m *tableMadeAnew) make() plainTable {
 	w, out, now := m.world, emptyTable(), m.world.clock.now
-	if e, found := w.news.Get(conf.Key); found && e.Stamp.Newer(m.at) {
+	if e, found := w.gossip.Get(conf.Key); found && e.Stamp.Newer(m.at) {
 		kept, err := conf.Unpack(e.Value)
 		if err != nil {
 			w.t.Fatal(err)
@@ -197,7 +197,7 @@
 	out.Stamp = m.at
 	before := m.first
 	m.first = map[string]seenEntry{}
-	seen := func(e news.Entry) time.Duration {
+	seen := func(e gossip.Entry) time.Duration {
 		s, found := before[e.Key]
 		if !found || s.stamp != e.Stamp {
 			s = seenEntry{e.Stamp, now}
@@ -205,16 +205,16 @@
 		m.first[e.Key] = s
 		return s.at
 	}
-	for _, e := range w.news.List(replicaPrefix) {
+	for _, e := range w.gossip.List(replicaPrefix) {
 		at := seen(e)
-		var n order.News
+		var n order.Status
 		if wire.Unpack(e.Value, &n) == nil {
 			row := m.row(n, now)
 			out.Rows[row.Listed.ID], out.Acked[row.Listed.ID] = row, e.Stamp
 			addComing(out.Coming, n, row.Listed.Leaving, at)
 		}
 	}
-	for _, e := range w.news.List(expectPrefix) {
+	for _, e := range w.gossip.List(expectPrefix) {
 		var x plan.Expect
 		if at := seen(e); now-at < expectLasts && wire.Unpack(e.Value, &x) == nil {
 			out.Expect[e.Key[len(expectPrefix):]] = x
@@ -223,7 +223,7 @@
 	return out
 }
 
-func addComing(coming map[string]time.Duration, n order.News, leaving bool, at time.Duration) {
+func addComing(coming map[string]time.Duration, n order.Status, leaving bool, at time.Duration) {
 	if n.Dark || leaving {
 		return
 	}
@@ -238,7 +238,7 @@
 	}
 }
 
-func (m *tableMadeAnew) row(n order.News, now time.Duration) plainRow {
+func (m *tableMadeAnew) row(n order.Status, now time.Duration) plainRow {
 	k := m.world.k
 	r := plainRow{Listed: n.Listed, Slots: n.Slots, Heard: never, ServeFor: time.Duration(n.ServeMs) * time.Millisecond}
 	r.Listed.Leaving = n.Listed.Leaving || m.conf.Drained(n.Listed.Labels, n.Listed.Zone)
@@ -312,7 +312,7 @@
 			w.t.Fatalf("step %d: %v can serve %s, found were %v", step, all, t.Lane(), found)
 		}
 		for _, id := range found {
-			if inventory.Marked(w.news, id) {
+			if inventory.Marked(w.gossip, id) {
 				w.t.Fatalf("step %d: %s is leaving and is found", step, id)
 			}
 		}
@@ -366,8 +366,8 @@
 
 func TestNothingIsMadeWhileNothingChanges(t *testing.T) {
 	w := newWorld(t, 1, false)
-	w.news.Put(news.Entry{Key: order.Key("r3"), Stamp: w.stamp(), Value: wire.Pack(order.News{Listed: inventory.Listed{ID: "r3", Model: true}, Slots: 2, Items: map[string]string{"a": backend.Loaded}})})
-	w.news.Put(news.Entry{Key: order.Key("r4"), Stamp: w.stamp(), Value: wire.Pack(order.News{Listed: inventory.Listed{ID: "r4", Model: true}, Slots: 2, Items: map[string]string{"a": backend.Loaded}})})
+	w.gossip.Put(gossip.Entry{Key: order.Key("r3"), Stamp: w.stamp(), Value: wire.Pack(order.Status{Listed: inventory.Listed{ID: "r3", Model: true}, Slots: 2, Items: map[string]string{"a": backend.Loaded}})})
+	w.gossip.Put(gossip.Entry{Key: order.Key("r4"), Stamp: w.stamp(), Value: wire.Pack(order.Status{Listed: inventory.Listed{ID: "r4", Model: true}, Slots: 2, Items: map[string]string{"a": backend.Loaded}})})
 	w.k.renew()
 	before := w.k.Now()
 	for range 100 {
@@ -380,7 +380,7 @@
 	if _, held, _ := w.k.Choose(Target{Route: conf.Route{Kind: "model"}, Item: conf.Item{Model: "a"}}); held != 2 {
 		t.Errorf("%d replicas are found after ten seconds, want 2", held)
 	}
-	w.news.Put(news.Entry{Key: order.Key("r4"), Stamp: w.stamp(), Value: wire.Pack(order.News{Listed: inventory.Listed{ID: "r4", Model: true}, Slots: 1})})
+	w.gossip.Put(gossip.Entry{Key: order.Key("r4"), Stamp: w.stamp(), Value: wire.Pack(order.Status{Listed: inventory.Listed{ID: "r4", Model: true}, Slots: 1})})
 	w.k.renew()
 	if w.k.Now().Replicas["r3"] != before.Replicas["r3"] {
 		t.Error("a row was made anew that nothing was told of")
@@ -390,7 +390,7 @@
 // A proxy whose own loops have stood still cannot know of what came meanwhile.
 func TestNothingIsFoundWhileTheTableIsNotRenewed(t *testing.T) {
 	w := newWorld(t, 1, false)
-	w.news.Put(news.Entry{Key: order.Key("r3"), Stamp: w.stamp(), Value: wire.Pack(order.News{Listed: inventory.Listed{ID: "r3", Model: true}, Slots: 2, Items: map[string]string{"a": backend.Loaded}})})
+	w.gossip.Put(gossip.Entry{Key: order.Key("r3"), Stamp: w.stamp(), Value: wire.Pack(order.Status{Listed: inventory.Listed{ID: "r3", Model: true}, Slots: 2, Items: map[string]string{"a": backend.Loaded}})})
 	w.k.renew()
 	target := Target{Route: conf.Route{Kind: "model"}, Item: conf.Item{Model: "a"}}
 	w.clock.now += dark + 1
@@ -405,11 +405,11 @@
 
 func TestWhatIsKeptOfAReplicaGoesWithItsLastRequest(t *testing.T) {
 	w := newWorld(t, 1, false)
-	w.news.Put(news.Entry{Key: order.Key("r3"), Stamp: w.stamp(), Value: wire.Pack(order.News{Listed: inventory.Listed{ID: "r3", Model: true}})})
+	w.gossip.Put(gossip.Entry{Key: order.Key("r3"), Stamp: w.stamp(), Value: wire.Pack(order.Status{Listed: inventory.Listed{ID: "r3", Model: true}})})
 	w.k.renew()
 	live := w.k.Now().Replicas["r3"].Live
 	live.Inflight.Add(1)
-	w.news.Put(news.Entry{Key: order.Key("r3"), Stamp: w.stamp(), Gone: true})
+	w.gossip.Put(gossip.Entry{Key: order.Key("r3"), Stamp: w.stamp(), Gone: true})
 	w.k.renew()
 	if w.k.lives["r3"] != live {
 		t.Error("what is kept of a replica went before its last request")
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,4 +1,4 @@
-// Package route turns news and the replicas' own reports into an immutable
+// Package route turns gossip and the replicas' own reports into an immutable
 // table of who may serve what, swapped atomically.
 package route
 
@@ -10,10 +10,10 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/plan"
 	"drumstall.example/internal/state"
 )
@@ -68,7 +68,7 @@
 // Keeper keeps the table.
 type Keeper struct {
 	d       Deps
-	news    *news.Table
+	gossip  *gossip.Table
 	clock   tick.Clock
 	group   *run.Group
 	desk    *run.Desk
@@ -95,7 +95,7 @@
 // Deps is what a keeper needs from the rest of the proxy.
 type Deps struct {
 	Group    *run.Group
-	News     *news.Table
+	Gossip   *gossip.Table
 	Clock    tick.Clock
 	Replicas backend.Client
 	Zone     func() string
@@ -114,7 +114,7 @@
 	if d.Deaf == 0 {
 		d.Deaf = deaf
 	}
-	k := &Keeper{d: d, news: d.News, clock: d.Clock, group: d.Group, lives: map[string]*Live{}, heard: map[string]report{}, told: map[string]*told{},
+	k := &Keeper{d: d, gossip: d.Gossip, clock: d.Clock, group: d.Group, lives: map[string]*Live{}, heard: map[string]report{}, told: map[string]*told{},
 		gone:   map[string]struct{}{},
 		full:   map[bool]time.Duration{true: -1 << 61, false: -1 << 61},
 		warmth: newMemory(), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
@@ -123,7 +123,7 @@
 	// Why: a configuration and a withdrawn item are in force at once, not at the next beat; news that comes
 	// together makes one table.
 	k.fresh = run.NewNudge(k.desk, k.renew)
-	d.News.OnNew(func(news.Entry) { k.fresh.Now() })
+	d.Gossip.OnNew(func(gossip.Entry) { k.fresh.Now() })
 	if !d.Ask {
 		return k
 	}
@@ -164,7 +164,7 @@
 // Sendable says whether a request may go to a replica at this very moment.
 func (k *Keeper) Sendable(id string) bool {
 	// Why: a mark may have come since the table was made, and a proxy that hears nobody cannot know of marks.
-	return !inventory.Marked(k.news, id) && !k.Deaf()
+	return !inventory.Marked(k.gossip, id) && !k.Deaf()
 }
 
 // Since is the clock that Coming is told by.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -5,8 +5,8 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/order"
 )
 
@@ -16,7 +16,7 @@
 // told is a replica's entry as it was first seen here in its present form, decoded once.
 type told struct {
 	at      time.Duration
-	replica *order.News
+	replica *order.Status
 	loaded  []string     // items that the replica holds, by its controller
 	coming  []comingItem // items on their way to it
 }
@@ -28,8 +28,8 @@
 }
 
 // decode reads a replica's entry; nil when it cannot be read.
-func decode(e news.Entry, now time.Duration) *told {
-	var n order.News
+func decode(e gossip.Entry, now time.Duration) *told {
+	var n order.Status
 	if wire.Unpack(e.Value, &n) != nil {
 		return nil
 	}
@@ -77,7 +77,7 @@
 }
 
 // byReport fills a row from what the replica itself reported to this proxy.
-func (k *Keeper) byReport(r *Replica, n *order.News, h report, now time.Duration) {
+func (k *Keeper) byReport(r *Replica, n *order.Status, h report, now time.Duration) {
 	r.heard, r.Slots, r.ServeFor = h.at, h.v.Slots, h.v.ServeFor
 	r.elsewher = h.other
 	// Why: all edges see the same free places. Each takes its part of them and then looks again; if each took
--- a/internal/sim/capacity/capacity_test.go
+++ b/internal/sim/capacity/capacity_test.go
@@ -27,6 +27,7 @@
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/core"
 	"drumstall.example/internal/feed"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/ring"
@@ -36,7 +37,6 @@
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member"
 	"drumstall.example/internal/member/touch"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/demand"
 	"drumstall.example/internal/place/judge"
 	"drumstall.example/internal/place/order"
@@ -83,8 +83,8 @@
 		Labels: map[string]string{"service": fmt.Sprintf("service-%02d", i%12), "version": "2026-11-01"}}
 }
 
-func replicaNews(i, items int) order.News {
-	n := order.News{Listed: listed(i), Controller: "core-3", Items: map[string]string{}, CapacityMib: 600000, FreeMib: 20000, AdapterPlaces: 32, AdapterFree: 4, Slots: 32, ReadyMs: map[string]int{}}
+func replicaStatus(i, items int) order.Status {
+	n := order.Status{Listed: listed(i), Controller: "core-3", Items: map[string]string{}, CapacityMib: 600000, FreeMib: 20000, AdapterPlaces: 32, AdapterFree: 4, Slots: 32, ReadyMs: map[string]int{}}
 	for j := range items {
 		m := (i*2 + j%2) % 1200
 		if j < 2 {
@@ -122,7 +122,7 @@
 	return r
 }
 
-// ackedSince is a later report in which the news of some replicas was taken in.
+// ackedSince is a later report in which the status of some replicas was taken in.
 func ackedSince(base report.Report, replicas int) report.Report {
 	r := base
 	r.Serial++
@@ -192,8 +192,8 @@
 	Touch  touch.Word    `cbor:"7,keyasint,omitempty"`
 }
 type bundle struct {
-	From    string       `cbor:"1,keyasint"`
-	Entries []news.Entry `cbor:"2,keyasint"`
+	From    string         `cbor:"1,keyasint"`
+	Entries []gossip.Entry `cbor:"2,keyasint"`
 }
 
 func size(v any) float64 { return float64(len(wire.Pack(v))) }
@@ -259,21 +259,21 @@
 	return float64(b.HeapAlloc) - float64(a.HeapAlloc)
 }
 
-func newsTable(replicas, items, expects int, cfg []byte) *news.Table {
-	t := news.NewTable()
+func gossipTable(replicas, items, expects int, cfg []byte) *gossip.Table {
+	t := gossip.NewTable()
 	fill(t, replicas, items, expects, cfg)
 	return t
 }
 
-func fill(t *news.Table, replicas, items, expects int, cfg []byte) {
+func fill(t *gossip.Table, replicas, items, expects int, cfg []byte) {
 	for i := range replicas {
-		t.Learn(news.Entry{Key: order.Key(replicaID(i)), Stamp: stamp(i), Value: wire.Pack(replicaNews(i, items))})
+		t.Learn(gossip.Entry{Key: order.Key(replicaID(i)), Stamp: stamp(i), Value: wire.Pack(replicaStatus(i, items))})
 	}
 	for i := range expects {
-		t.Learn(news.Entry{Key: plan.ExpectKey(itemName(i)), Stamp: stamp(i), Value: wire.Pack(plan.Expect{ReadyMs: 43000, Why: "no replica can load it now"})})
+		t.Learn(gossip.Entry{Key: plan.ExpectKey(itemName(i)), Stamp: stamp(i), Value: wire.Pack(plan.Expect{ReadyMs: 43000, Why: "no replica can load it now"})})
 	}
 	if cfg != nil {
-		t.Learn(news.Entry{Key: conf.Key, Stamp: stamp(1), Value: cfg})
+		t.Learn(gossip.Entry{Key: conf.Key, Stamp: stamp(1), Value: cfg})
 	}
 }
 
@@ -322,7 +322,7 @@
 	base := aReport(1, 600, 4120, 8)
 	fit("report by difference", "item counted since", []int{1, 4, 16, 64}, func(x int) float64 { return size(countedSince(base, x).Since(base)) })
 	fit("report by difference", "replica acked since", []int{1, 4, 16, 64}, func(x int) float64 { return size(ackedSince(base, x).Since(base)) })
-	fit("replica's news", "item held", []int{2, 10, 20, 40}, func(x int) float64 { return size(replicaNews(1, x)) })
+	fit("replica's news", "item held", []int{2, 10, 20, 40}, func(x int) float64 { return size(replicaStatus(1, x)) })
 	fit("roll", "node", nodes, func(x int) float64 { return size(roll(x)) })
 	fit("probe", "node told along", []int{1, 2, 4, 6}, func(x int) float64 {
 		return size(note{Seq: 1 << 40, From: "10.2.1.1:7000", Name: nodeName(1), Nodes: roll(x).Nodes})
@@ -341,13 +341,13 @@
 		}
 		return float64(len(k.Pack()))
 	})
-	var d news.Digest
+	var d gossip.Digest
 	for range 64 {
 		d.Sums = append(d.Sums, make([]byte, 16))
 	}
 	fmt.Printf("news digest %d bytes, fixed\n", len(wire.Pack(d)))
 	fit("news heads", "key in buckets", []int{10, 100, 600, 3000}, func(x int) float64 {
-		h := news.Heads{Bucket: []int{1}, Have: map[string]state.Stamp{}}
+		h := gossip.Heads{Bucket: []int{1}, Have: map[string]state.Stamp{}}
 		for i := range x {
 			h.Have[order.Key(replicaID(i))] = stamp(i)
 		}
@@ -356,11 +356,11 @@
 	fit("headline in a datagram", "headline", []int{1, 5, 10, 20}, func(x int) float64 {
 		b := bundle{From: "10.2.1.1:7000"}
 		for i := range x {
-			b.Entries = append(b.Entries, news.Entry{Key: order.Key(replicaID(i)), Stamp: stamp(i), Head: true})
+			b.Entries = append(b.Entries, gossip.Entry{Key: order.Key(replicaID(i)), Stamp: stamp(i), Head: true})
 		}
 		return size(b)
 	})
-	fmt.Printf("expect entry %.0f bytes\n", size(news.Entry{Key: plan.ExpectKey(itemName(1)), Stamp: stamp(1), Value: wire.Pack(plan.Expect{ReadyMs: 43000})}))
+	fmt.Printf("expect entry %.0f bytes\n", size(gossip.Entry{Key: plan.ExpectKey(itemName(1)), Stamp: stamp(1), Value: wire.Pack(plan.Expect{ReadyMs: 43000})}))
 	hour := func(seen int) demand.Hour {
 		h := demand.Hour{Hour: 1 << 27, Seen: map[string]uint64{}}
 		for i := range h.Counts {
@@ -382,7 +382,7 @@
 	})
 	fit("book of a replica", "item held", []int{2, 10, 20, 40}, func(x int) float64 {
 		b := order.Book{Incarnation: replicaID(1), Lines: map[string]order.Line{}}
-		for k := range replicaNews(1, x).Items {
+		for k := range replicaStatus(1, x).Items {
 			b.Lines[k] = order.Line{State: "loaded", SizeMib: 140000}
 		}
 		return size(b)
@@ -407,7 +407,7 @@
 			d.Partners = append(d.Partners, aNode(i).Addr)
 		}
 		for i := range x {
-			d.Entries = append(d.Entries, news.Entry{Key: order.Key(replicaID(i)), Stamp: stamp(i), Value: wire.Pack(replicaNews(i, 10))})
+			d.Entries = append(d.Entries, gossip.Entry{Key: order.Key(replicaID(i)), Stamp: stamp(i), Value: wire.Pack(replicaStatus(i, 10))})
 		}
 		return size(d)
 	})
@@ -450,12 +450,12 @@
 		}
 		return func() { sink = t.Waiting(0) }
 	})
-	costs("plan.Views (10 items each)", "replica", reps, func(x int) func() { t := newsTable(x, 10, 0, nil); return func() { sink = plan.Views(t) } })
-	costs("plan.Views (600 replicas)", "item held", []int{2, 10, 20, 40}, func(x int) func() { t := newsTable(600, x, 0, nil); return func() { sink = plan.Views(t) } })
-	costs("plan.Views (75 replicas)", "expect entry", its, func(x int) func() { t := newsTable(75, 10, x, nil); return func() { sink = plan.Views(t) } })
+	costs("plan.Views (10 items each)", "replica", reps, func(x int) func() { t := gossipTable(x, 10, 0, nil); return func() { sink = plan.Views(t) } })
+	costs("plan.Views (600 replicas)", "item held", []int{2, 10, 20, 40}, func(x int) func() { t := gossipTable(600, x, 0, nil); return func() { sink = plan.Views(t) } })
+	costs("plan.Views (75 replicas)", "expect entry", its, func(x int) func() { t := gossipTable(75, 10, x, nil); return func() { sink = plan.Views(t) } })
 	cfg, _ := conf.Effect(kept(1200, 40000, 200, 12))
 	costs("order.Cheapest, 417 nodes, 1 holder in 100", "replica", reps, func(x int) func() {
-		views := plan.Views(newsTable(x, 10, 0, nil))
+		views := plan.Views(gossipTable(x, 10, 0, nil))
 		for i := 0; i < x; i += 100 {
 			views[i].Items["model-0001"] = "loaded"
 		}
@@ -467,7 +467,7 @@
 		return func() { sink = order.Cheapest(views, "", it, t, 0, cfg) }
 	})
 	costs("candidates: InflightOn each, judge.Load", "replica", reps, func(x int) func() {
-		views := plan.Views(newsTable(x, 10, 0, nil))
+		views := plan.Views(gossipTable(x, 10, 0, nil))
 		t := report.NewTable()
 		for i := range 417 {
 			t.Put(aReport(i, 0, 0, 8), 0)
@@ -491,20 +491,20 @@
 		return func() { sink = s.Next(r, 8*1440-200, 0) }
 	})
 	costs("news.Put (stamp newer)", "key in table", its, func(x int) func() {
-		t := newsTable(600, 10, x, nil)
-		n, v := uint64(1<<20), wire.Pack(replicaNews(1, 10))
+		t := gossipTable(600, 10, x, nil)
+		n, v := uint64(1<<20), wire.Pack(replicaStatus(1, 10))
 		return func() {
 			n++
-			t.Put(news.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+			t.Put(gossip.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
 		}
 	})
 	costs("news.After(last)", "key in table", its, func(x int) func() {
-		t := newsTable(600, 10, x, nil)
-		n, v := uint64(1<<20), wire.Pack(replicaNews(1, 10))
+		t := gossipTable(600, 10, x, nil)
+		n, v := uint64(1<<20), wire.Pack(replicaStatus(1, 10))
 		_, c, _ := t.After(0)
 		return func() {
 			n++
-			t.Put(news.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+			t.Put(gossip.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
 			sink, c, _ = t.After(c)
 		}
 	})
@@ -513,9 +513,9 @@
 	costs("news: digest answered", "key in table", []int{100, 1000, 5000}, func(x int) func() {
 		pc, _ := net.ListenPacket("udp", "127.0.0.1:0")
 		mux := wire.NewMux()
-		t := newsTable(600, 10, x, nil)
-		news.NewSpreader(g.Child(), t, env.Log.Logger(), wire.NewPost(pc), wire.NewCaller(env.Net), mux, func() string { return "" }, func() []string { return nil }, nil, touch.New(env.Clock))
-		var d news.Digest
+		t := gossipTable(600, 10, x, nil)
+		gossip.NewSpreader(g.Child(), t, env.Log.Logger(), wire.NewPost(pc), wire.NewCaller(env.Net), mux, func() string { return "" }, func() []string { return nil }, nil, touch.New(env.Clock))
+		var d gossip.Digest
 		for range 64 {
 			d.Sums = append(d.Sums, make([]byte, 16))
 		}
@@ -533,9 +533,9 @@
 	rebuilds := func(name, of string, xs []int, counts func(x int) (replicas, items, expects int)) {
 		costs(name, of, xs, func(x int) func() {
 			r, i, e := counts(x)
-			t := newsTable(r, i, e, kept(1200, 40000, 200, 12).Pack())
+			t := gossipTable(r, i, e, kept(1200, 40000, 200, 12).Pack())
 			gg := run.NewGroup(context.Background())
-			k := route.NewKeeper(route.Deps{Group: gg, News: t, Clock: env.Clock, Replicas: fake{}, Zone: func() string { return "r0-z0" }, HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 410 }})
+			k := route.NewKeeper(route.Deps{Group: gg, Gossip: t, Clock: env.Clock, Replicas: fake{}, Zone: func() string { return "r0-z0" }, HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 410 }})
 			done := make(chan struct{}, 1)
 			k.OnTable(func() {
 				select {
@@ -543,14 +543,14 @@
 				default:
 				}
 			})
-			n, v := uint64(1<<20), wire.Pack(replicaNews(1, i))
+			n, v := uint64(1<<20), wire.Pack(replicaStatus(1, i))
 			return func() {
 				n++
 				select {
 				case <-done:
 				default:
 				}
-				t.Put(news.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+				t.Put(gossip.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
 				<-done
 			}
 		})
@@ -559,9 +559,9 @@
 	rebuilds("route table made anew (600 replicas)", "item held", []int{2, 10, 20, 40}, func(x int) (int, int, int) { return 600, x, 0 })
 	rebuilds("route table made anew (75 replicas)", "expect entry", its, func(x int) (int, int, int) { return 75, 10, x })
 	costs("route.Choose (two holders)", "replica", reps, func(x int) func() {
-		t := newsTable(x, 10, 0, kept(1200, 40000, 200, 12).Pack())
+		t := gossipTable(x, 10, 0, kept(1200, 40000, 200, 12).Pack())
 		gg := run.NewGroup(context.Background())
-		k := route.NewKeeper(route.Deps{Group: gg, News: t, Clock: env.Clock, Replicas: fake{}, Zone: func() string { return "r0-z0" }, HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 410 }})
+		k := route.NewKeeper(route.Deps{Group: gg, Gossip: t, Clock: env.Clock, Replicas: fake{}, Zone: func() string { return "r0-z0" }, HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 410 }})
 		for len(k.Now().Replicas) < x {
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -603,9 +603,9 @@
 		k := kept(1200, x, 200, 12)
 		return heap(func() any { e, _ := conf.Effect(k); return e })
 	})
-	fit("news table (10 items a replica)", "replica", reps, func(x int) float64 { return heap(func() any { return newsTable(x, 10, 0, nil) }) })
-	fit("news table", "expect entry", its, func(x int) float64 { return heap(func() any { return newsTable(0, 0, x, nil) }) })
-	fit("views, or a route table's rows (10 items)", "replica", reps, func(x int) float64 { t := newsTable(x, 10, 0, nil); return heap(func() any { return plan.Views(t) }) })
+	fit("news table (10 items a replica)", "replica", reps, func(x int) float64 { return heap(func() any { return gossipTable(x, 10, 0, nil) }) })
+	fit("news table", "expect entry", its, func(x int) float64 { return heap(func() any { return gossipTable(0, 0, x, nil) }) })
+	fit("views, or a route table's rows (10 items)", "replica", reps, func(x int) float64 { t := gossipTable(x, 10, 0, nil); return heap(func() any { return plan.Views(t) }) })
 	fit("member table (rolls)", "node", nodes, func(x int) float64 {
 		b := wire.Pack(roll(x))
 		return heap(func() any { var r member.Roll; _ = wire.Unpack(b, &r); return r })
@@ -665,8 +665,8 @@
 	caller := wire.NewCaller(env.Net)
 	ctx := context.Background()
 	k := kept(1200, 40000, 200, 12)
-	ent := bundle{Entries: []news.Entry{{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: k.Pack()}}}
-	if _, err := wire.Call[bundle, news.Pushed](ctx, caller, addr, "/news/push", ent); err != nil {
+	ent := bundle{Entries: []gossip.Entry{{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: k.Pack()}}}
+	if _, err := wire.Call[bundle, gossip.Pushed](ctx, caller, addr, "/news/push", ent); err != nil {
 		fmt.Println(err)
 	}
 	idle0, at := cpu(), time.Now()
