--- a/internal/gate/gate.go
+++ b/internal/admission/admission.go
@@ -1,6 +1,6 @@
-// Package gate admits requests to shots: by class, capacity and deadline. It
+// Package admission admits requests to shots: by class, capacity and deadline. It
 // gives up at once on what cannot be served in time.
-package gate
+package admission
 
 import (
 	"context"
@@ -21,8 +21,8 @@
 	reserve = 4
 )
 
-// Gate owns the holdings of a proxy.
-type Gate struct {
+// Controller owns the holdings of a proxy.
+type Controller struct {
 	desk    *run.Desk
 	routes  *route.Keeper
 	hall    *holding.Hall
@@ -38,28 +38,28 @@
 	onMiss  func() // tells at once that a request waits for what nobody holds
 }
 
-// New opens the gate.
+// New opens admission.
 // hold is how long an item that nobody holds is waited for without any word.
-func New(g *run.Group, routes *route.Keeper, hold time.Duration, onMiss func()) *Gate {
-	t := &Gate{routes: routes, hall: holding.NewHall(), now: time.Now, hold: hold, onMiss: onMiss}
-	t.waiting.Store(&map[string]int{})
-	t.desk = run.NewDesk(g, depth, 0, nil)
-	t.beat, t.sweep = run.NewAlarm(t.desk, t.onBeat), run.NewAlarm(t.desk, t.onSweep)
-	t.again = run.NewNudge(t.desk, t.dispatch)
-	routes.OnTable(t.again.Now)
-	return t
+func New(g *run.Group, routes *route.Keeper, hold time.Duration, onMiss func()) *Controller {
+	ac := &Controller{routes: routes, hall: holding.NewHall(), now: time.Now, hold: hold, onMiss: onMiss}
+	ac.waiting.Store(&map[string]int{})
+	ac.desk = run.NewDesk(g, depth, 0, nil)
+	ac.beat, ac.sweep = run.NewAlarm(ac.desk, ac.onBeat), run.NewAlarm(ac.desk, ac.onSweep)
+	ac.again = run.NewNudge(ac.desk, ac.dispatch)
+	routes.OnTable(ac.again.Now)
+	return ac
 }
 
 // Waiting is how many requests wait for each item.
-func (g *Gate) Waiting() map[string]int { return *g.waiting.Load() }
+func (ac *Controller) Waiting() map[string]int { return *ac.waiting.Load() }
 
 // Shots is how many requests are out now.
-func (g *Gate) Shots() int64 { return g.shots.Load() }
+func (ac *Controller) Shots() int64 { return ac.shots.Load() }
 
 // Enter waits until a replica can take the request, and says which, or why not.
-func (g *Gate) Enter(ctx context.Context, target route.Target, class string, deadline time.Time) holding.Answer {
-	t := holding.NewTicket(target, class, g.now(), deadline)
-	if g.desk.Tell(func() { g.take(t) }) != nil {
+func (ac *Controller) Enter(ctx context.Context, target route.Target, class string, deadline time.Time) holding.Answer {
+	t := holding.NewTicket(target, class, ac.now(), deadline)
+	if ac.desk.Tell(func() { ac.take(t) }) != nil {
 		return holding.Answer{Why: "the holding is full", RetryS: 1}
 	}
 	wait := time.NewTimer(time.Until(deadline))
@@ -80,10 +80,10 @@
 }
 
 // Close turns away whatever waits, and whatever comes from now on.
-func (g *Gate) Close() {
-	g.closed.Store(true)
-	_ = g.desk.Tell(func() {
-		for _, c := range g.hall.Order() {
+func (ac *Controller) Close() {
+	ac.closed.Store(true)
+	_ = ac.desk.Tell(func() {
+		for _, c := range ac.hall.Order() {
 			c.Lanes(func(l *holding.Lane) (bool, bool) {
 				for i := range l.Tickets.Len() {
 					drop(l.Tickets.At(i), stopped)
@@ -94,7 +94,7 @@
 	})
 }
 
-// stopped is the answer of a gate that has closed.
+// stopped is the answer once admission has closed.
 var stopped = holding.Answer{Why: "this proxy is stopping", RetryS: 1}
 
 func drop(t *holding.Ticket, a holding.Answer) {
@@ -103,38 +103,38 @@
 	}
 }
 
-func (g *Gate) take(t *holding.Ticket) {
-	if g.closed.Load() {
+func (ac *Controller) take(t *holding.Ticket) {
+	if ac.closed.Load() {
 		drop(t, stopped)
 		return
 	}
-	cl, known := g.routes.Now().Conf.Classes[t.Class]
+	cl, known := ac.routes.Now().Conf.Classes[t.Class]
 	if !known {
 		drop(t, holding.Answer{Why: "its class has gone", RetryS: 1})
 		return
 	}
-	c := g.hall.Class(t.Class, cl)
-	g.sweep.In(sweep)
-	if !g.hall.Put(c, t) {
+	c := ac.hall.Class(t.Class, cl)
+	ac.sweep.In(sweep)
+	if !ac.hall.Put(c, t) {
 		drop(t, holding.Answer{Why: "the holding of class " + t.Class + " is full", RetryS: 1})
 		return
 	}
-	g.dispatch()
+	ac.dispatch()
 	if !t.Waits() {
 		return
 	}
-	g.beat.In(beat)
+	ac.beat.In(beat)
 	// Why: if what is ahead already takes longer than the deadline, waiting would only delay the no.
-	_, held, serve := g.routes.Choose(t.Target)
+	_, held, serve := ac.routes.Choose(t.Target)
 	if held == 0 {
-		g.routes.CountWaiting(&t.Target)
-		g.tellWaiting()
-		g.onMiss()
+		ac.routes.CountWaiting(&t.Target)
+		ac.tellWaiting()
+		ac.onMiss()
 	}
 	if held > 0 {
 		ahead := time.Duration(c.Size()) * serve
 		// Why: who waits longest for the same tells best how long it takes, other edges and other classes included.
-		ahead = max(ahead, g.now().Sub(c.Oldest(t).Since))
+		ahead = max(ahead, ac.now().Sub(c.Oldest(t).Since))
 		if ahead > t.Deadline.Sub(t.Since) {
 			drop(t, holding.Answer{Why: "too many wait ahead of it", RetryS: retry(ahead - t.Deadline.Sub(t.Since))})
 		}
@@ -144,26 +144,26 @@
 func retry(d time.Duration) int { return max(1, min(60, int(d/time.Second)+1)) }
 
 // dispatch gives replicas to waiting tickets until none can be given more.
-func (g *Gate) dispatch() {
-	limit := int64(g.routes.Now().Conf.Limits.Shots)
+func (ac *Controller) dispatch() {
+	limit := int64(ac.routes.Now().Conf.Limits.Shots)
 	for progress := true; progress; {
 		progress = false
-		for _, c := range g.hall.Order() {
-			full := g.shots.Load() >= limit
+		for _, c := range ac.hall.Order() {
+			full := ac.shots.Load() >= limit
 			// Why: urgent requests find places that others can never fill.
 			if !c.Conf.Urgent {
-				full = g.shots.Load()-g.urgent.Load() >= limit-limit/reserve || full
+				full = ac.shots.Load()-ac.urgent.Load() >= limit-limit/reserve || full
 			}
 			if full {
 				continue
 			}
 			c.Lanes(func(l *holding.Lane) (bool, bool) {
 				head := l.Tickets.Front()
-				r, held, _ := g.routes.Choose(head.Target)
+				r, held, _ := ac.routes.Choose(head.Target)
 				if held > 0 {
 					l.Empty = time.Time{}
 				} else if l.Empty.IsZero() {
-					l.Empty = g.now()
+					l.Empty = ac.now()
 				}
 				if r == nil {
 					return false, false
@@ -172,10 +172,10 @@
 				progress = true
 				// Why: a shot whose first piece comes after the deadline does the work, and tells its caller that nobody
 				// knows whether it did.
-				if t.Deadline.Sub(g.now()) < r.Live.FirstFor() {
+				if t.Deadline.Sub(ac.now()) < r.Live.FirstFor() {
 					drop(t, holding.Answer{Why: "its answer would begin after the deadline", Late: true, RetryS: 1})
 				} else if t.Claim() {
-					g.give(t, r, c.Conf)
+					ac.give(t, r, c.Conf)
 				}
 				return true, false
 			})
@@ -186,66 +186,66 @@
 	}
 }
 
-func (g *Gate) give(t *holding.Ticket, r *route.Replica, c conf.Class) {
-	g.shots.Add(1)
+func (ac *Controller) give(t *holding.Ticket, r *route.Replica, c conf.Class) {
+	ac.shots.Add(1)
 	if c.Urgent {
-		g.urgent.Add(1)
+		ac.urgent.Add(1)
 	}
-	place := g.routes.Took(t.Target, r)
+	place := ac.routes.Took(t.Target, r)
 	var once atomic.Bool
-	t.Answer <- holding.Answer{Replica: r, Begun: func() { place.Begun(); g.again.Now() }, Done: func() {
+	t.Answer <- holding.Answer{Replica: r, Begun: func() { place.Begun(); ac.again.Now() }, Done: func() {
 		if once.Swap(true) {
 			return
 		}
 		place.Done()
-		g.shots.Add(-1)
+		ac.shots.Add(-1)
 		if c.Urgent {
-			g.urgent.Add(-1)
+			ac.urgent.Add(-1)
 		}
-		g.again.Now()
+		ac.again.Now()
 	}}
 }
 
 // onBeat looks at those who wait. Why: most of the time nobody does, and a proxy
 // that sleeps then costs nothing.
-func (g *Gate) onBeat() {
-	g.dispatch()
-	g.hopeless()
-	if g.hall.Holds() {
-		g.beat.In(beat)
+func (ac *Controller) onBeat() {
+	ac.dispatch()
+	ac.hopeless()
+	if ac.hall.Holds() {
+		ac.beat.In(beat)
 	}
 }
 
 // onSweep lets go of tickets that no longer wait, and of classes without any.
-func (g *Gate) onSweep() {
-	g.hall.Sweep()
-	g.tellWaiting()
-	if g.hall.Known() {
-		g.sweep.In(sweep)
+func (ac *Controller) onSweep() {
+	ac.hall.Sweep()
+	ac.tellWaiting()
+	if ac.hall.Known() {
+		ac.sweep.In(sweep)
 	}
 }
 
-func (g *Gate) tellWaiting() {
-	w := g.hall.Waiting()
-	g.waiting.Store(&w)
+func (ac *Controller) tellWaiting() {
+	w := ac.hall.Waiting()
+	ac.waiting.Store(&w)
 }
 
 // hopeless turns away what no load and no freed place can serve in time.
-func (g *Gate) hopeless() {
-	s := g.routes.Now()
-	now := g.now()
-	for _, c := range g.hall.Order() {
+func (ac *Controller) hopeless() {
+	s := ac.routes.Now()
+	now := ac.now()
+	for _, c := range ac.hall.Order() {
 		c.Lanes(func(l *holding.Lane) (bool, bool) {
 			if l.Empty.IsZero() {
 				return false, false
 			}
-			if _, held, _ := g.routes.Choose(l.Tickets.Front().Target); held > 0 {
+			if _, held, _ := ac.routes.Choose(l.Tickets.Front().Target); held > 0 {
 				l.Empty = time.Time{}
 				return false, false
 			}
 			x, told := s.Expect[l.Key]
 			at, coming := s.Coming[l.Key]
-			ready := now.Add(at - g.routes.Since())
+			ready := now.Add(at - ac.routes.Since())
 			// Why: silence counts from the last word. A load that is just done is no longer on its way, and the
 			// replica has not told us yet; those that waited for it must not be dropped in between.
 			if coming || told && !x.Refused {
@@ -260,7 +260,7 @@
 				case coming:
 				case told && x.Refused:
 					drop(t, holding.Answer{Why: x.Why, RetryS: max(1, x.RetryS)})
-				case now.Sub(later(t.Since, l.Empty)) > g.hold:
+				case now.Sub(later(t.Since, l.Empty)) > ac.hold:
 					drop(t, holding.Answer{Why: "nobody has it and no controller answers", RetryS: 2})
 				}
 			}
--- a/internal/gate/gate_test.go
+++ b/internal/admission/admission_test.go
@@ -1,4 +1,4 @@
-package gate
+package admission
 
 import (
 	"context"
@@ -24,8 +24,8 @@
 func (c inBubble) Since() time.Duration { return time.Hour + time.Since(c.began) }
 func (inBubble) Wall() time.Time        { return time.Now() }
 
-// opened is a gate in simulated time, with a class and no replica.
-func opened(t *testing.T, f func(g *Gate, n *gossip.Table)) {
+// opened is admission in simulated time, with a class and no replica.
+func opened(t *testing.T, f func(g *Controller, n *gossip.Table)) {
 	synctest.Test(t, func(*testing.T) {
 		group := run.NewGroup(context.Background())
 		defer group.Stop()
@@ -49,7 +49,7 @@
 }
 
 func TestWhatNobodyHasIsGivenUp(t *testing.T) {
-	opened(t, func(g *Gate, _ *gossip.Table) {
+	opened(t, func(g *Controller, _ *gossip.Table) {
 		began := time.Now()
 		a := g.Enter(context.Background(), target(), "c", time.Now().Add(time.Minute))
 		if took := time.Since(began); a.Replica != nil || a.Why != "nobody has it and no controller answers" || took < time.Second || took > time.Second+2*beat {
@@ -58,9 +58,9 @@
 	})
 }
 
-// A gate stands still while nobody waits; whoever comes later is looked after all the same.
-func TestAGateThatStoodStillLooksAfterWhoWaits(t *testing.T) {
-	opened(t, func(g *Gate, n *gossip.Table) {
+// Admission stands still while nobody waits; whoever comes later is looked after all the same.
+func TestAdmissionThatStoodStillLooksAfterWhoWaits(t *testing.T) {
+	opened(t, func(g *Controller, n *gossip.Table) {
 		for round := range 3 {
 			time.Sleep(10 * time.Second)
 			n.Put(holder(uint64(2*round + 1)))
@@ -95,7 +95,7 @@
 // A replica that is left out for a while is used as soon as that is over, with no
 // news that says so.
 func TestWhoWaitsIsServedWhenARefusalIsOver(t *testing.T) {
-	opened(t, func(g *Gate, n *gossip.Table) {
+	opened(t, func(g *Controller, n *gossip.Table) {
 		n.Put(holder(1))
 		synctest.Wait()
 		a := g.Enter(context.Background(), target(), "c", time.Now().Add(time.Minute))
@@ -112,7 +112,7 @@
 }
 
 func TestTicketsWithdrawnAreLetGo(t *testing.T) {
-	opened(t, func(g *Gate, _ *gossip.Table) {
+	opened(t, func(g *Controller, _ *gossip.Table) {
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
 		if a := g.Enter(ctx, target(), "c", time.Now().Add(time.Minute)); a.Replica != nil {
--- a/internal/gate/work_test.go
+++ b/internal/admission/work_test.go
@@ -1,4 +1,4 @@
-package gate
+package admission
 
 import (
 	"context"
--- a/internal/holding/holding_test.go
+++ b/internal/holding/holding_test.go
@@ -21,7 +21,7 @@
 	}
 }
 
-// serve takes n tickets as the gate does, and says whose they were.
+// serve takes n tickets as admission does, and says whose they were.
 func serve(h *Hall, n int) []string {
 	var out []string
 	for range n {
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -165,7 +165,7 @@
 func (p *Proxy) report() report.Report {
 	snap := p.routes.Now()
 	return report.Report{Boot: p.boot, Serial: p.reports.Add(1), Conf: snap.Serial, Demand: p.demands(), Inflight: p.routes.Inflight(),
-		Waiting: p.gate.Waiting(), Pressed: p.routes.Pressed(), WorkMs: p.routes.Work(), Acked: snap.Acked, Zone: p.s.Zone, Serving: p.confirmed.Load()}
+		Waiting: p.admission.Waiting(), Pressed: p.routes.Pressed(), WorkMs: p.routes.Work(), Acked: snap.Acked, Zone: p.s.Zone, Serving: p.confirmed.Load()}
 }
 
 // tellMiss passes the report on at once. Why: a load can only begin when a
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -12,10 +12,10 @@
 	"testing/synctest"
 	"time"
 
+	"drumstall.example/internal/admission"
 	"drumstall.example/internal/attempt"
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/gate"
 	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/ring"
@@ -73,7 +73,7 @@
 		w.proxy = &Proxy{routes: routes, budget: attempt.NewBudget(1), log: ring.New(io.Discard, 10).Logger(), demand: map[string]uint64{},
 			sender: attempt.NewSender(w.fabric.Host("10.0.0.9"), attempt.Native{}, time.Minute)}
 		w.proxy.edges.Store(1)
-		w.proxy.gate = gate.New(w.group, routes, time.Second, func() {})
+		w.proxy.admission = admission.New(w.group, routes, time.Second, func() {})
 		kept := conf.Kept{Serial: 1, Objects: map[string][]byte{"classes/c": []byte(`{}`)}}
 		w.table.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: kept.Pack()})
 		listeners := []net.Listener{w.replica(0, first), w.replica(1, second)}
@@ -240,7 +240,7 @@
 			t.Errorf("got %q, %v", got, err)
 		}
 		synctest.Wait()
-		if n := w.proxy.gate.Shots(); n != 0 {
+		if n := w.proxy.admission.Shots(); n != 0 {
 			t.Errorf("%d attempts are under way", n)
 		}
 	})
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,4 +1,4 @@
-// Package proxy puts a dsproxy together: the callers' face, gate, shots,
+// Package proxy puts a dsproxy together: the callers' face, admission, shots,
 // relay, and the feed from the agent beside it.
 package proxy
 
@@ -15,10 +15,10 @@
 
 	gen "drumstall.example/gen/caller"
 	"drumstall.example/gen/http/caller/server"
+	"drumstall.example/internal/admission"
 	"drumstall.example/internal/attempt"
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/core"
-	"drumstall.example/internal/gate"
 	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/bounds"
@@ -92,7 +92,7 @@
 	base      *run.Group
 	gossip    *gossip.Table
 	routes    *route.Keeper
-	gate      *gate.Gate
+	admission *admission.Controller
 	sender    *attempt.Sender
 	budget    *attempt.Budget
 	conn      backend.Client
@@ -148,7 +148,7 @@
 	p.watch.Start(p.group, s.Cadence.List, func() bool { return p.agentFor() > agentLost })
 	misses := run.NewDesk(p.group, 4, 0, nil)
 	p.missed = run.NewNudge(misses, p.tellMiss)
-	p.gate = gate.New(p.group, p.routes, s.Cadence.Hold, p.missed.Now)
+	p.admission = admission.New(p.group, p.routes, s.Cadence.Hold, p.missed.Now)
 	if err := p.listen(); err != nil {
 		p.group.Stop()
 		p.base.Stop()
@@ -217,7 +217,7 @@
 	p.stopping.Store(true)
 	// Why: what waits for a replica now would still be at work when the grace ends.
 	run.Wait(ctx, grace/8)
-	p.gate.Close()
+	p.admission.Close()
 	for p.serving.Load() > 0 && run.Wait(ctx, wakeBeat) {
 	}
 	var failed error
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -178,7 +178,7 @@
 
 // gaveUp is the final answer of a request that is not sent again.
 func gaveUp(why string, sofar attempt.Outcome) *Refusal {
-	// Why: one that has surely not run is as good as one turned away at the gate, and its caller is told the same way.
+	// Why: one that has surely not run is as good as one turned away at admission, and its caller is told the same way.
 	if sofar == attempt.NotRun {
 		return &Refusal{Reason: Full, Detail: why, Outcome: sofar, RetryAfter: 2 * time.Second}
 	}
