--- a/cmd/dsproxy/main.go
+++ b/cmd/dsproxy/main.go
@@ -1,4 +1,4 @@
-// dsproxy takes callers' requests: admission, holding, routing, streaming.
+// dsproxy takes callers' requests: admission, queueing, routing, streaming.
 package main
 
 import (
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -8,24 +8,24 @@
 	"time"
 
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/holding"
 	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/queue"
 	"drumstall.example/internal/route"
 )
 
 const (
 	beat  = 20 * time.Millisecond
-	sweep = 5 * beat // between two sweeps of tickets that no longer wait
+	sweep = 5 * beat // between two sweeps of waiters that no longer wait
 	depth = 4096
 	// reserve is the share of shots that only urgent classes may use.
 	reserve = 4
 )
 
-// Controller owns the holdings of a proxy.
+// Controller owns the queue of a proxy.
 type Controller struct {
 	desk    *run.Desk
 	routes  *route.Keeper
-	hall    *holding.Hall
+	queue   *queue.Queue
 	now     func() time.Time
 	shots   atomic.Int64
 	urgent  atomic.Int64
@@ -41,7 +41,7 @@
 // New opens admission.
 // hold is how long an item that nobody holds is waited for without any word.
 func New(g *run.Group, routes *route.Keeper, hold time.Duration, onMiss func()) *Controller {
-	ac := &Controller{routes: routes, hall: holding.NewHall(), now: time.Now, hold: hold, onMiss: onMiss}
+	ac := &Controller{routes: routes, queue: queue.New(), now: time.Now, hold: hold, onMiss: onMiss}
 	ac.waiting.Store(&map[string]int{})
 	ac.desk = run.NewDesk(g, depth, 0, nil)
 	ac.beat, ac.sweep = run.NewAlarm(ac.desk, ac.onBeat), run.NewAlarm(ac.desk, ac.onSweep)
@@ -57,36 +57,36 @@
 func (ac *Controller) Shots() int64 { return ac.shots.Load() }
 
 // Enter waits until a replica can take the request, and says which, or why not.
-func (ac *Controller) Enter(ctx context.Context, target route.Target, class string, deadline time.Time) holding.Answer {
-	t := holding.NewTicket(target, class, ac.now(), deadline)
-	if ac.desk.Tell(func() { ac.take(t) }) != nil {
-		return holding.Answer{Why: "the holding is full", RetryS: 1}
+func (ac *Controller) Enter(ctx context.Context, target route.Target, class string, deadline time.Time) queue.Answer {
+	w := queue.NewWaiter(target, class, ac.now(), deadline)
+	if ac.desk.Tell(func() { ac.take(w) }) != nil {
+		return queue.Answer{Why: "the holding is full", RetryS: 1}
 	}
 	wait := time.NewTimer(time.Until(deadline))
 	defer wait.Stop()
-	late := holding.Answer{Why: "the deadline passed while it waited", Late: true, RetryS: 1}
+	late := queue.Answer{Why: "the deadline passed while it waited", Late: true, RetryS: 1}
 	select {
-	case a := <-t.Answer:
+	case a := <-w.Answer:
 		return a
 	case <-wait.C:
 	case <-ctx.Done():
 		late.Why = "the client left"
 	}
-	if t.Withdraw() {
+	if w.Withdraw() {
 		return late
 	}
 	// Why: it was claimed in the same moment; the claim stands, and its replica must be let go if unused.
-	return <-t.Answer
+	return <-w.Answer
 }
 
 // Close turns away whatever waits, and whatever comes from now on.
 func (ac *Controller) Close() {
 	ac.closed.Store(true)
 	_ = ac.desk.Tell(func() {
-		for _, c := range ac.hall.Order() {
-			c.Lanes(func(l *holding.Lane) (bool, bool) {
-				for i := range l.Tickets.Len() {
-					drop(l.Tickets.At(i), stopped)
+		for _, c := range ac.queue.Order() {
+			c.Lanes(func(l *queue.Lane) (bool, bool) {
+				for i := range l.Waiters.Len() {
+					drop(l.Waiters.At(i), stopped)
 				}
 				return false, false
 			})
@@ -95,60 +95,60 @@
 }
 
 // stopped is the answer once admission has closed.
-var stopped = holding.Answer{Why: "this proxy is stopping", RetryS: 1}
+var stopped = queue.Answer{Why: "this proxy is stopping", RetryS: 1}
 
-func drop(t *holding.Ticket, a holding.Answer) {
-	if t.Withdraw() {
-		t.Answer <- a
+func drop(w *queue.Waiter, a queue.Answer) {
+	if w.Withdraw() {
+		w.Answer <- a
 	}
 }
 
-func (ac *Controller) take(t *holding.Ticket) {
+func (ac *Controller) take(w *queue.Waiter) {
 	if ac.closed.Load() {
-		drop(t, stopped)
+		drop(w, stopped)
 		return
 	}
-	cl, known := ac.routes.Now().Conf.Classes[t.Class]
+	cl, known := ac.routes.Now().Conf.Classes[w.Class]
 	if !known {
-		drop(t, holding.Answer{Why: "its class has gone", RetryS: 1})
+		drop(w, queue.Answer{Why: "its class has gone", RetryS: 1})
 		return
 	}
-	c := ac.hall.Class(t.Class, cl)
+	c := ac.queue.Class(w.Class, cl)
 	ac.sweep.In(sweep)
-	if !ac.hall.Put(c, t) {
-		drop(t, holding.Answer{Why: "the holding of class " + t.Class + " is full", RetryS: 1})
+	if !ac.queue.Put(c, w) {
+		drop(w, queue.Answer{Why: "the holding of class " + w.Class + " is full", RetryS: 1})
 		return
 	}
 	ac.dispatch()
-	if !t.Waits() {
+	if !w.Waits() {
 		return
 	}
 	ac.beat.In(beat)
 	// Why: if what is ahead already takes longer than the deadline, waiting would only delay the no.
-	_, held, serve := ac.routes.Choose(t.Target)
+	_, held, serve := ac.routes.Choose(w.Target)
 	if held == 0 {
-		ac.routes.CountWaiting(&t.Target)
+		ac.routes.CountWaiting(&w.Target)
 		ac.tellWaiting()
 		ac.onMiss()
 	}
 	if held > 0 {
 		ahead := time.Duration(c.Size()) * serve
 		// Why: who waits longest for the same tells best how long it takes, other edges and other classes included.
-		ahead = max(ahead, ac.now().Sub(c.Oldest(t).Since))
-		if ahead > t.Deadline.Sub(t.Since) {
-			drop(t, holding.Answer{Why: "too many wait ahead of it", RetryS: retry(ahead - t.Deadline.Sub(t.Since))})
+		ahead = max(ahead, ac.now().Sub(c.Oldest(w).Since))
+		if ahead > w.Deadline.Sub(w.Since) {
+			drop(w, queue.Answer{Why: "too many wait ahead of it", RetryS: retry(ahead - w.Deadline.Sub(w.Since))})
 		}
 	}
 }
 
 func retry(d time.Duration) int { return max(1, min(60, int(d/time.Second)+1)) }
 
-// dispatch gives replicas to waiting tickets until none can be given more.
+// dispatch gives replicas to waiters until none can be given more.
 func (ac *Controller) dispatch() {
 	limit := int64(ac.routes.Now().Conf.Limits.Shots)
 	for progress := true; progress; {
 		progress = false
-		for _, c := range ac.hall.Order() {
+		for _, c := range ac.queue.Order() {
 			full := ac.shots.Load() >= limit
 			// Why: urgent requests find places that others can never fill.
 			if !c.Conf.Urgent {
@@ -157,8 +157,8 @@
 			if full {
 				continue
 			}
-			c.Lanes(func(l *holding.Lane) (bool, bool) {
-				head := l.Tickets.Front()
+			c.Lanes(func(l *queue.Lane) (bool, bool) {
+				head := l.Waiters.Front()
 				r, held, _ := ac.routes.Choose(head.Target)
 				if held > 0 {
 					l.Empty = time.Time{}
@@ -168,14 +168,14 @@
 				if r == nil {
 					return false, false
 				}
-				t := c.Pop(l)
+				w := c.Pop(l)
 				progress = true
 				// Why: a shot whose first piece comes after the deadline does the work, and tells its caller that nobody
 				// knows whether it did.
-				if t.Deadline.Sub(ac.now()) < r.Live.FirstFor() {
-					drop(t, holding.Answer{Why: "its answer would begin after the deadline", Late: true, RetryS: 1})
-				} else if t.Claim() {
-					ac.give(t, r, c.Conf)
+				if w.Deadline.Sub(ac.now()) < r.Live.FirstFor() {
+					drop(w, queue.Answer{Why: "its answer would begin after the deadline", Late: true, RetryS: 1})
+				} else if w.Claim() {
+					ac.give(w, r, c.Conf)
 				}
 				return true, false
 			})
@@ -186,14 +186,14 @@
 	}
 }
 
-func (ac *Controller) give(t *holding.Ticket, r *route.Replica, c conf.Class) {
+func (ac *Controller) give(w *queue.Waiter, r *route.Replica, c conf.Class) {
 	ac.shots.Add(1)
 	if c.Urgent {
 		ac.urgent.Add(1)
 	}
-	place := ac.routes.Took(t.Target, r)
+	place := ac.routes.Took(w.Target, r)
 	var once atomic.Bool
-	t.Answer <- holding.Answer{Replica: r, Begun: func() { place.Begun(); ac.again.Now() }, Done: func() {
+	w.Answer <- queue.Answer{Replica: r, Begun: func() { place.Begun(); ac.again.Now() }, Done: func() {
 		if once.Swap(true) {
 			return
 		}
@@ -211,22 +211,22 @@
 func (ac *Controller) onBeat() {
 	ac.dispatch()
 	ac.hopeless()
-	if ac.hall.Holds() {
+	if ac.queue.Holds() {
 		ac.beat.In(beat)
 	}
 }
 
-// onSweep lets go of tickets that no longer wait, and of classes without any.
+// onSweep lets go of waiters that no longer wait, and of classes without any.
 func (ac *Controller) onSweep() {
-	ac.hall.Sweep()
+	ac.queue.Sweep()
 	ac.tellWaiting()
-	if ac.hall.Known() {
+	if ac.queue.Known() {
 		ac.sweep.In(sweep)
 	}
 }
 
 func (ac *Controller) tellWaiting() {
-	w := ac.hall.Waiting()
+	w := ac.queue.Waiting()
 	ac.waiting.Store(&w)
 }
 
@@ -234,12 +234,12 @@
 func (ac *Controller) hopeless() {
 	s := ac.routes.Now()
 	now := ac.now()
-	for _, c := range ac.hall.Order() {
-		c.Lanes(func(l *holding.Lane) (bool, bool) {
+	for _, c := range ac.queue.Order() {
+		c.Lanes(func(l *queue.Lane) (bool, bool) {
 			if l.Empty.IsZero() {
 				return false, false
 			}
-			if _, held, _ := ac.routes.Choose(l.Tickets.Front().Target); held > 0 {
+			if _, held, _ := ac.routes.Choose(l.Waiters.Front().Target); held > 0 {
 				l.Empty = time.Time{}
 				return false, false
 			}
@@ -251,17 +251,17 @@
 			if coming || told && !x.Refused {
 				l.Empty = now
 			}
-			for i := range l.Tickets.Len() {
-				t := l.Tickets.At(i)
+			for i := range l.Waiters.Len() {
+				w := l.Waiters.At(i)
 				switch {
-				case !t.Waits():
-				case coming && ready.After(t.Deadline):
-					drop(t, holding.Answer{Why: "it will be loaded too late", RetryS: retry(ready.Sub(now))})
+				case !w.Waits():
+				case coming && ready.After(w.Deadline):
+					drop(w, queue.Answer{Why: "it will be loaded too late", RetryS: retry(ready.Sub(now))})
 				case coming:
 				case told && x.Refused:
-					drop(t, holding.Answer{Why: x.Why, RetryS: max(1, x.RetryS)})
-				case now.Sub(later(t.Since, l.Empty)) > ac.hold:
-					drop(t, holding.Answer{Why: "nobody has it and no controller answers", RetryS: 2})
+					drop(w, queue.Answer{Why: x.Why, RetryS: max(1, x.RetryS)})
+				case now.Sub(later(w.Since, l.Empty)) > ac.hold:
+					drop(w, queue.Answer{Why: "nobody has it and no controller answers", RetryS: 2})
 				}
 			}
 			return false, false
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -9,11 +9,11 @@
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/gossip"
-	"drumstall.example/internal/holding"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/place/order"
+	"drumstall.example/internal/queue"
 	"drumstall.example/internal/route"
 	"drumstall.example/internal/state"
 )
@@ -69,7 +69,7 @@
 			if first.Replica == nil {
 				t.Fatalf("round %d: %+v", round, first)
 			}
-			var second holding.Answer
+			var second queue.Answer
 			group := run.NewGroup(context.Background())
 			group.Go(func(ctx context.Context) { second = g.Enter(ctx, target(), "c", time.Now().Add(time.Minute)) })
 			time.Sleep(5 * time.Second)
@@ -111,7 +111,7 @@
 	})
 }
 
-func TestTicketsWithdrawnAreLetGo(t *testing.T) {
+func TestWithdrawnWaitersAreLetGo(t *testing.T) {
 	opened(t, func(g *Controller, _ *gossip.Table) {
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
@@ -120,8 +120,8 @@
 		}
 		time.Sleep(2 * sweep)
 		synctest.Wait()
-		if g.hall.Known() || len(g.Waiting()) != 0 {
-			t.Error("a withdrawn ticket is still held")
+		if g.queue.Known() || len(g.Waiting()) != 0 {
+			t.Error("a withdrawn waiter is still held")
 		}
 	})
 }
--- a/internal/conf/effect.go
+++ b/internal/conf/effect.go
@@ -64,7 +64,7 @@
 			Group: f["group"].(string), Models: f["models"].([]string), Adapters: f["adapters"].([]string), MinCopies: f["minCopies"].(int),
 		}
 	case "classes":
-		e.Classes[name] = Class{Urgent: f["urgent"].(bool), Rank: f["rank"].(int), Weight: f["weight"].(int), Holding: f["holding"].(int)}
+		e.Classes[name] = Class{Urgent: f["urgent"].(bool), Rank: f["rank"].(int), Weight: f["weight"].(int), Queue: f["holding"].(int)}
 	case "services":
 		e.Services[name] = readService(name, f)
 	case "routes":
--- a/internal/conf/model.go
+++ b/internal/conf/model.go
@@ -27,10 +27,10 @@
 
 // Class is a kind of caller.
 type Class struct {
-	Urgent  bool
-	Rank    int // among classes of the same urgency a lower one goes first, whatever the weights
-	Weight  int // share among the classes that are not urgent
-	Holding int // requests that may wait at one proxy
+	Urgent bool
+	Rank   int // among classes of the same urgency a lower one goes first, whatever the weights
+	Weight int // share among the classes that are not urgent
+	Queue  int // requests that may wait at one proxy
 }
 
 // Route leads requests to back ends.
--- a/internal/kernel/run/run.go
+++ b/internal/kernel/run/run.go
@@ -14,8 +14,8 @@
 // ErrStopped is given to whoever asks a desk whose group has stopped.
 var ErrStopped = errors.New("run: stopped")
 
-// ErrFull is given when a desk's holding has no place left.
-var ErrFull = errors.New("run: holding is full")
+// ErrFull is given when a desk's queue has no place left.
+var ErrFull = errors.New("run: queue is full")
 
 // Group is a set of goroutines that live and end together.
 type Group struct {
@@ -136,14 +136,14 @@
 	inbox chan func()
 }
 
-// NewDesk opens a desk with a holding of depth commands and an optional beat.
+// NewDesk opens a desk with a queue of depth commands and an optional beat.
 func NewDesk(g *Group, depth int, beat time.Duration, onBeat func()) *Desk {
 	d := &Desk{group: g, inbox: make(chan func(), depth)}
 	g.Go(func(ctx context.Context) { g.loop(ctx, d.inbox, beat, onBeat) })
 	return d
 }
 
-// Tell hands over a command without waiting; it is dropped when the holding is full.
+// Tell hands over a command without waiting; it is dropped when the queue is full.
 func (d *Desk) Tell(f func()) error {
 	select {
 	case d.inbox <- f:
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -9,8 +9,8 @@
 
 	"drumstall.example/internal/attempt"
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/holding"
 	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/queue"
 	"drumstall.example/internal/relay"
 	"drumstall.example/internal/route"
 )
@@ -194,7 +194,7 @@
 }
 
 // turnedAway is the final answer of a request that got no replica.
-func turnedAway(a holding.Answer, sofar attempt.Outcome) *Refusal {
+func turnedAway(a queue.Answer, sofar attempt.Outcome) *Refusal {
 	reason := Full
 	if a.Late {
 		reason = TooLate
--- a/internal/holding/holding.go
+++ b/internal/queue/queue.go
@@ -1,6 +1,6 @@
-// Package holding holds requests until a replica can take them: by class and
+// Package queue holds requests until a replica can take them: by class and
 // by what they need, bounded, each with a deadline.
-package holding
+package queue
 
 import (
 	"cmp"
@@ -14,7 +14,7 @@
 	"drumstall.example/internal/route"
 )
 
-// Ticket states. Claiming for a shot and withdrawing are the same one step, so
+// Waiter states. Claiming for a shot and withdrawing are the same one step, so
 // a request told "not run" can never be shot afterwards.
 const (
 	waiting int32 = iota
@@ -22,8 +22,8 @@
 	withdrawn
 )
 
-// Ticket is one request that waits.
-type Ticket struct {
+// Waiter is a request that waits.
+type Waiter struct {
 	Target   route.Target
 	Class    string
 	Deadline time.Time
@@ -42,28 +42,28 @@
 	RetryS  int
 }
 
-// NewTicket is a request that waits until the deadline.
-func NewTicket(t route.Target, class string, now, deadline time.Time) *Ticket {
-	return &Ticket{Target: t, Class: class, Since: now, Deadline: deadline, Answer: make(chan Answer, 1)}
+// NewWaiter is a request that waits until the deadline.
+func NewWaiter(target route.Target, class string, now, deadline time.Time) *Waiter {
+	return &Waiter{Target: target, Class: class, Since: now, Deadline: deadline, Answer: make(chan Answer, 1)}
 }
 
-// Claim takes the ticket for a shot.
-func (t *Ticket) Claim() bool { return t.state.CompareAndSwap(waiting, claimed) }
+// Claim takes the waiter for a shot.
+func (w *Waiter) Claim() bool { return w.state.CompareAndSwap(waiting, claimed) }
 
-// Withdraw takes the ticket out; after that it can never be shot.
-func (t *Ticket) Withdraw() bool { return t.state.CompareAndSwap(waiting, withdrawn) }
+// Withdraw takes the waiter out; after that it can never be shot.
+func (w *Waiter) Withdraw() bool { return w.state.CompareAndSwap(waiting, withdrawn) }
 
-// Waits says whether the ticket still waits.
-func (t *Ticket) Waits() bool { return t.state.Load() == waiting }
+// Waits says whether the waiter still waits.
+func (w *Waiter) Waits() bool { return w.state.Load() == waiting }
 
-// Lane is the tickets of one class that need the same.
+// Lane is the waiters of one class that need the same.
 type Lane struct {
 	Key     string
-	Tickets deque.Deque[*Ticket]
+	Waiters deque.Deque[*Waiter]
 	Empty   time.Time // since when nobody has held what it needs; zero: somebody does
 }
 
-// Class is the holding of one class of clients.
+// Class is the queue of one class of clients.
 type Class struct {
 	Name  string
 	Conf  conf.Class
@@ -73,29 +73,29 @@
 	spent float64 // shots so far over weight, for a fair share
 }
 
-// Hall is all holdings of a proxy; one desk owns it.
-type Hall struct {
+// Queue is all requests that wait at a proxy, by class; one desk owns it.
+type Queue struct {
 	classes map[string]*Class
 }
 
-// NewHall is empty.
-func NewHall() *Hall { return &Hall{classes: map[string]*Class{}} }
+// New is an empty queue.
+func New() *Queue { return &Queue{classes: map[string]*Class{}} }
 
-// Class gives a class its holding, with the bounds now in force.
-func (h *Hall) Class(name string, c conf.Class) *Class {
-	cl := h.classes[name]
+// Class gives a class its queue, with the bounds now in force.
+func (q *Queue) Class(name string, c conf.Class) *Class {
+	cl := q.classes[name]
 	if cl == nil {
-		cl = &Class{Name: name, lanes: map[string]*Lane{}, spent: h.least()}
-		h.classes[name] = cl
+		cl = &Class{Name: name, lanes: map[string]*Lane{}, spent: q.least()}
+		q.classes[name] = cl
 	}
 	cl.Conf = c
 	return cl
 }
 
 // least is where a class that was away starts, so that it cannot claim the past.
-func (h *Hall) least() float64 {
+func (q *Queue) least() float64 {
 	low, any := 0.0, false
-	for _, c := range h.classes {
+	for _, c := range q.classes {
 		if c.size > 0 && (!any || c.spent < low) {
 			low, any = c.spent, true
 		}
@@ -103,42 +103,42 @@
 	return low
 }
 
-// Put adds a ticket; false when the class has no place left.
-func (h *Hall) Put(c *Class, t *Ticket) bool {
-	if c.size >= c.Conf.Holding {
+// Put adds a waiter; false when the class has no place left.
+func (q *Queue) Put(c *Class, w *Waiter) bool {
+	if c.size >= c.Conf.Queue {
 		c.sweep()
-		if c.size >= c.Conf.Holding {
+		if c.size >= c.Conf.Queue {
 			return false
 		}
 	}
 	if c.size == 0 {
-		c.spent = max(c.spent, h.least())
+		c.spent = max(c.spent, q.least())
 	}
-	key := t.Target.Lane()
+	key := w.Target.Lane()
 	l := c.lanes[key]
 	if l == nil {
 		l = &Lane{Key: key}
 		c.lanes[key] = l
 		c.turn = append(c.turn, key)
 	}
-	l.Tickets.PushBack(t)
+	l.Waiters.PushBack(w)
 	c.size++
 	return true
 }
 
-// sweep lets go of tickets that no longer wait.
+// sweep lets go of waiters that no longer wait.
 func (c *Class) sweep() {
 	kept := c.turn[:0]
 	for _, key := range c.turn {
 		l := c.lanes[key]
-		for n := l.Tickets.Len(); n > 0; n-- {
-			if t := l.Tickets.PopFront(); t.Waits() {
-				l.Tickets.PushBack(t)
+		for n := l.Waiters.Len(); n > 0; n-- {
+			if w := l.Waiters.PopFront(); w.Waits() {
+				l.Waiters.PushBack(w)
 			} else {
 				c.size--
 			}
 		}
-		if l.Tickets.Len() == 0 {
+		if l.Waiters.Len() == 0 {
 			delete(c.lanes, key)
 			continue
 		}
@@ -147,22 +147,22 @@
 	c.turn = kept
 }
 
-// Sweep lets go of all tickets that no longer wait, and of empty classes.
-func (h *Hall) Sweep() {
-	for name, c := range h.classes {
+// Sweep lets go of all waiters that no longer wait, and of empty classes.
+func (q *Queue) Sweep() {
+	for name, c := range q.classes {
 		c.sweep()
 		if c.size == 0 {
-			delete(h.classes, name)
+			delete(q.classes, name)
 		}
 	}
 }
 
 // Known says whether there are classes that a sweep may let go of.
-func (h *Hall) Known() bool { return len(h.classes) > 0 }
+func (q *Queue) Known() bool { return len(q.classes) > 0 }
 
-// Holds says whether there are tickets, whether they still wait or not.
-func (h *Hall) Holds() bool {
-	for _, c := range h.classes {
+// Holds says whether there are waiters, whether they still wait or not.
+func (q *Queue) Holds() bool {
+	for _, c := range q.classes {
 		if c.size > 0 {
 			return true
 		}
@@ -170,11 +170,11 @@
 	return false
 }
 
-// Order is the classes with tickets in the order in which they are served:
+// Order is the classes with waiters in the order in which they are served:
 // urgent ones first, then by rank, then whoever has had the least for its weight.
-func (h *Hall) Order() []*Class {
+func (q *Queue) Order() []*Class {
 	var out []*Class
-	for _, c := range h.classes {
+	for _, c := range q.classes {
 		if c.size > 0 {
 			out = append(out, c)
 		}
@@ -210,20 +210,20 @@
 	}
 }
 
-// Pop takes the front ticket of a lane and counts it as served.
-func (c *Class) Pop(l *Lane) *Ticket {
+// Pop takes the front waiter of a lane and counts it as served.
+func (c *Class) Pop(l *Lane) *Waiter {
 	c.size--
 	c.spent += 1 / float64(max(c.Conf.Weight, 1))
-	return l.Tickets.PopFront()
+	return l.Waiters.PopFront()
 }
 
-// Waiting counts the tickets of model lanes, by item.
-func (h *Hall) Waiting() map[string]int {
+// Waiting counts the waiters of model lanes, by item.
+func (q *Queue) Waiting() map[string]int {
 	out := map[string]int{}
-	for _, c := range h.classes {
+	for _, c := range q.classes {
 		for key, l := range c.lanes {
-			for i := range l.Tickets.Len() {
-				if t := l.Tickets.At(i); t.Waits() && t.Target.Route.Kind == "model" {
+			for i := range l.Waiters.Len() {
+				if w := l.Waiters.At(i); w.Waits() && w.Target.Route.Kind == "model" {
 					out[key]++
 				}
 			}
@@ -232,28 +232,28 @@
 	return out
 }
 
-// front lets go of tickets at a lane's front that no longer wait, and gives the
+// front lets go of waiters at a lane's front that no longer wait, and gives the
 // first that does; nil when there is none.
-func (c *Class) front(l *Lane) *Ticket {
-	for l.Tickets.Len() > 0 {
-		if t := l.Tickets.Front(); t.Waits() {
-			return t
+func (c *Class) front(l *Lane) *Waiter {
+	for l.Waiters.Len() > 0 {
+		if w := l.Waiters.Front(); w.Waits() {
+			return w
 		}
-		l.Tickets.PopFront()
+		l.Waiters.PopFront()
 		c.size--
 	}
 	return nil
 }
 
-// Oldest is the ticket that has waited longest for what t needs.
-func (c *Class) Oldest(t *Ticket) *Ticket {
-	if l := c.lanes[t.Target.Lane()]; l != nil {
+// Oldest is the waiter that has waited longest for what w needs.
+func (c *Class) Oldest(w *Waiter) *Waiter {
+	if l := c.lanes[w.Target.Lane()]; l != nil {
 		if first := c.front(l); first != nil {
 			return first
 		}
 	}
-	return t
+	return w
 }
 
-// Size is how many tickets a class holds.
+// Size is how many waiters a class holds.
 func (c *Class) Size() int { return c.size }
--- a/internal/holding/holding_test.go
+++ b/internal/queue/queue_test.go
@@ -1,4 +1,4 @@
-package holding
+package queue
 
 import (
 	"fmt"
@@ -10,22 +10,22 @@
 	"drumstall.example/internal/route"
 )
 
-func put(t *testing.T, h *Hall, class string, c conf.Class, model string, n int) {
+func put(t *testing.T, q *Queue, class string, c conf.Class, model string, n int) {
 	t.Helper()
 	now := time.Now()
 	for range n {
 		target := route.Target{Route: conf.Route{Kind: "model"}, Item: conf.Item{Model: model}}
-		if !h.Put(h.Class(class, c), NewTicket(target, class, now, now.Add(time.Minute))) {
+		if !q.Put(q.Class(class, c), NewWaiter(target, class, now, now.Add(time.Minute))) {
 			t.Fatalf("%s has no place", class)
 		}
 	}
 }
 
-// serve takes n tickets as admission does, and says whose they were.
-func serve(h *Hall, n int) []string {
+// serve takes n waiters as admission does, and says whose they were.
+func serve(q *Queue, n int) []string {
 	var out []string
 	for range n {
-		for _, c := range h.Order() {
+		for _, c := range q.Order() {
 			before := len(out)
 			c.Lanes(func(l *Lane) (bool, bool) {
 				out = append(out, c.Pop(l).Class+" "+l.Key)
@@ -52,50 +52,50 @@
 // Urgent ones go first however long others have waited; the others share by
 // weight, and within a class the items take turns.
 func TestWhoseTurnItIs(t *testing.T) {
-	h := NewHall()
-	put(t, h, "batch", conf.Class{Weight: 1, Holding: 100}, "a", 50)
-	put(t, h, "desk", conf.Class{Weight: 4, Holding: 100}, "a", 40)
-	put(t, h, "desk", conf.Class{Weight: 4, Holding: 100}, "b", 40)
-	if got := serve(h, 50); count(got, "desk") != 40 || count(got, "desk a") != 20 {
+	q := New()
+	put(t, q, "batch", conf.Class{Weight: 1, Queue: 100}, "a", 50)
+	put(t, q, "desk", conf.Class{Weight: 4, Queue: 100}, "a", 40)
+	put(t, q, "desk", conf.Class{Weight: 4, Queue: 100}, "b", 40)
+	if got := serve(q, 50); count(got, "desk") != 40 || count(got, "desk a") != 20 {
 		t.Errorf("of 50 served %d were of the class with four fifths of the weight, %d of them of the first of its two items", count(got, "desk"), count(got, "desk a"))
 	}
-	put(t, h, "roadside", conf.Class{Urgent: true, Weight: 1, Holding: 100}, "a", 5)
-	if got := serve(h, 6); count(got[:5], "roadside") != 5 || count(got[5:], "roadside") != 0 {
+	put(t, q, "roadside", conf.Class{Urgent: true, Weight: 1, Queue: 100}, "a", 5)
+	if got := serve(q, 6); count(got[:5], "roadside") != 5 || count(got[5:], "roadside") != 0 {
 		t.Errorf("urgent ones were not served first: %v", got)
 	}
 	// A class that was away does not claim what it missed.
-	put(t, h, "staff", conf.Class{Weight: 4, Holding: 100}, "a", 40)
-	if got := serve(h, 18); count(got, "staff") > 9 || count(got, "staff") < 7 {
+	put(t, q, "staff", conf.Class{Weight: 4, Queue: 100}, "a", 40)
+	if got := serve(q, 18); count(got, "staff") > 9 || count(got, "staff") < 7 {
 		t.Errorf("a class that comes late got %d of 18: %v", count(got, "staff"), got)
 	}
 }
 
-// A holding is bounded; what has been withdrawn makes place and is never shot.
+// A queue is bounded; what has been withdrawn makes place and is never shot.
 func TestPlacesAreBounded(t *testing.T) {
-	h := NewHall()
-	c := h.Class("desk", conf.Class{Weight: 1, Holding: 3})
-	var all []*Ticket
+	q := New()
+	c := q.Class("desk", conf.Class{Weight: 1, Queue: 3})
+	var all []*Waiter
 	now := time.Now()
 	try := func() bool {
-		x := NewTicket(route.Target{Route: conf.Route{Kind: "model"}, Item: conf.Item{Model: fmt.Sprint(len(all))}}, "desk", now, now)
+		x := NewWaiter(route.Target{Route: conf.Route{Kind: "model"}, Item: conf.Item{Model: fmt.Sprint(len(all))}}, "desk", now, now)
 		all = append(all, x)
-		return h.Put(c, x)
+		return q.Put(c, x)
 	}
 	for i := range 4 {
 		if try() != (i < 3) {
-			t.Fatalf("ticket %d of a holding of 3", i+1)
+			t.Fatalf("waiter %d of a queue of 3", i+1)
 		}
 	}
 	if !all[1].Withdraw() || all[1].Claim() {
-		t.Error("a withdrawn ticket can be shot")
+		t.Error("a withdrawn waiter can be shot")
 	}
 	if !all[2].Claim() || all[2].Withdraw() {
-		t.Error("a ticket that is shot can be withdrawn as not run")
+		t.Error("a waiter that is shot can be withdrawn as not run")
 	}
 	if !try() {
 		t.Error("those that no longer wait take places")
 	}
-	if h.Sweep(); c.Size() != 2 {
+	if q.Sweep(); c.Size() != 2 {
 		t.Errorf("%d are held, 2 wait", c.Size())
 	}
 }
