--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -1,5 +1,5 @@
 // Package backend is the one place that knows what a replica looks like from
-// outside: its vitals and its orders over the goa face.
+// outside: its reports and its orders over the goa face.
 package backend
 
 import (
@@ -57,8 +57,8 @@
 	Inflight int
 }
 
-// Vitals is a replica's report, checked.
-type Vitals struct {
+// Report is how a replica says it is, checked.
+type Report struct {
 	ID            string
 	Incarnation   string
 	Model         bool
@@ -85,9 +85,9 @@
 
 // Client asks replicas how they are and orders them about.
 type Client interface {
-	// Vitals asks a replica for its report. Sizes, places and the replica's
+	// Report asks a replica for its report. Sizes, places and the replica's
 	// memory may be missing in it; the configuration knows them then.
-	Vitals(ctx context.Context, r Target) (Vitals, error)
+	Report(ctx context.Context, r Target) (Report, error)
 	// Order sends one order. ErrRefused is a considered no; ErrUnsure means that
 	// the replica may act on it.
 	Order(ctx context.Context, r Target, o Order) error
@@ -151,11 +151,11 @@
 	return client.NewClient("http", addr, face.Bounded{HTTP: c.http, Max: 4 << 20}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 }
 
-// Vitals asks a replica how it is; the target's id is whom we expect to answer.
-func (c *Conn) Vitals(ctx context.Context, r Target) (Vitals, error) {
+// Report asks a replica how it is; the target's id is whom we expect to answer.
+func (c *Conn) Report(ctx context.Context, r Target) (Report, error) {
 	res, err := c.at(r.Addr).Vitals()(ctx, nil)
 	if err != nil {
-		return Vitals{}, errors.Wrap(ErrDark, err.Error())
+		return Report{}, errors.Wrap(ErrDark, err.Error())
 	}
 	return check(res.(*replica.ReplicaVitals), r.ID)
 }
@@ -168,11 +168,11 @@
 }
 
 // check turns a report into ours; one that makes no sense is not acted on.
-func check(r *replica.ReplicaVitals, id string) (Vitals, error) {
-	v := Vitals{ID: r.ID, Incarnation: r.Incarnation, Model: r.Kind == "model", CapacityMib: num(r.CapacityMib),
+func check(r *replica.ReplicaVitals, id string) (Report, error) {
+	v := Report{ID: r.ID, Incarnation: r.Incarnation, Model: r.Kind == "model", CapacityMib: num(r.CapacityMib),
 		AdapterPlaces: num(r.AdapterPlaces), Slots: r.Slots, Inflight: r.Inflight, Leaving: r.Leaving,
 		ServeFor: time.Duration(num(r.ServeMs)) * time.Millisecond, Items: map[conf.Item]Line{}}
-	bad := func(what string) (Vitals, error) { return Vitals{}, errors.Wrapf(ErrWrong, "%s: %s", id, what) }
+	bad := func(what string) (Report, error) { return Report{}, errors.Wrapf(ErrWrong, "%s: %s", id, what) }
 	switch {
 	case r.ID != id:
 		return bad("it goes by the name " + r.ID)
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -15,7 +15,7 @@
 	"drumstall.example/internal/kernel/wire"
 )
 
-func ask(t *testing.T, status int, body string) (Vitals, error) {
+func ask(t *testing.T, status int, body string) (Report, error) {
 	t.Helper()
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
@@ -27,7 +27,7 @@
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	return c.Vitals(ctx, Target{Addr: strings.TrimPrefix(srv.URL, "http://"), ID: "r1"})
+	return c.Report(ctx, Target{Addr: strings.TrimPrefix(srv.URL, "http://"), ID: "r1"})
 }
 
 const head = `"id":"r1","incarnation":"i","kind":"model","slots":2,"inflight":0,"leaving":false`
--- a/internal/place/order/book.go
+++ b/internal/place/order/book.go
@@ -70,7 +70,7 @@
 
 // keep writes the book to the control state; orders only follow from what is kept.
 func (c *Controller) keep() bool {
-	b := Book{Incarnation: c.vitals.Incarnation, Lines: map[string]Line{}}
+	b := Book{Incarnation: c.report.Incarnation, Lines: map[string]Line{}}
 	for item, l := range c.book {
 		b.Lines[item.String()] = l.Line
 	}
--- a/internal/place/order/carry.go
+++ b/internal/place/order/carry.go
@@ -78,7 +78,7 @@
 			t.next(idle, now)
 		}
 	case idle:
-		if c.vitalsAt <= t.since {
+		if c.reportAt <= t.since {
 			return
 		}
 		if now-t.since > idleLimit {
@@ -194,16 +194,16 @@
 		c.fail("its room was given up")
 		return
 	}
-	if now-c.vitalsAt > justNow {
+	if now-c.reportAt > justNow {
 		return
 	}
 	// Why: what is being carried out may have been ordered by an owner before us, for room that looks free.
-	if c.vitals.Busy && c.traits.OneOrder {
+	if c.report.Busy && c.traits.OneOrder {
 		return
 	}
 	mib, places := c.there()
 	// Why: tasks that come later have their victims still there; what counts now is what is there now.
-	if mib+l.SizeMib > c.vitals.CapacityMib || verb == backend.LoadAdapter && places+1 > c.vitals.AdapterPlaces {
+	if mib+l.SizeMib > c.report.CapacityMib || verb == backend.LoadAdapter && places+1 > c.report.AdapterPlaces {
 		if now-t.since > goneLimit {
 			c.fail("it does not fit any more")
 		}
@@ -245,7 +245,7 @@
 	}
 	// Why: a report follows an order at the next beat; until then the grant itself counts.
 	for item, l := range c.book {
-		if l.State == backend.Loading && l.ordered >= c.vitalsAt && now-l.ordered > floatBeat {
+		if l.State == backend.Loading && l.ordered >= c.reportAt && now-l.ordered > floatBeat {
 			c.toldAt = now
 			ctx, cancel := context.WithTimeout(c.d.Group.Context(), askLimit)
 			c.d.Afloat(ctx, c.who(item))
--- a/internal/place/order/consider.go
+++ b/internal/place/order/consider.go
@@ -66,16 +66,16 @@
 		added += model.AdapterMib
 	}
 	if added > 0 {
-		needMib = mib + added - c.vitals.CapacityMib
-		if added > c.vitals.CapacityMib {
+		needMib = mib + added - c.report.CapacityMib
+		if added > c.report.CapacityMib {
 			return Considered{Why: "can never hold it"}
 		}
 	}
 	if item.Adapter != "" {
-		if c.vitals.AdapterPlaces == 0 {
+		if c.report.AdapterPlaces == 0 {
 			return Considered{Why: "no places for adapters"}
 		}
-		needPlaces = places + 1 - c.vitals.AdapterPlaces
+		needPlaces = places + 1 - c.report.AdapterPlaces
 	}
 	alone := q.Alone || q.Claim
 	out := Considered{Need: needMib, Starts: 1}
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -99,8 +99,8 @@
 	d          Deps
 	listed     inventory.Listed
 	desk       *run.Desk
-	vitals     backend.Vitals
-	vitalsAt   time.Duration // when the report we have was asked for
+	report     backend.Report
+	reportAt   time.Duration // when the report we have was asked for
 	known      bool          // a report came since we took over
 	book       map[conf.Item]*line
 	tasks      deque.Deque[*task]
@@ -127,7 +127,7 @@
 // NewController starts to control a replica.
 func NewController(g *run.Group, d Deps, l inventory.Listed) *Controller {
 	d.Group = g
-	c := &Controller{d: d, listed: l, book: map[conf.Item]*line{}, vitalsAt: -1 << 62, lookedAt: -1 << 62, staying: -1, held: map[string]bool{}, traits: d.Replicas.Traits()}
+	c := &Controller{d: d, listed: l, book: map[conf.Item]*line{}, reportAt: -1 << 62, lookedAt: -1 << 62, staying: -1, held: map[string]bool{}, traits: d.Replicas.Traits()}
 	c.desk = run.NewDesk(g, 64, d.Cadence.ReplicaBusy, c.onBeat)
 	c.soon = run.NewNudge(c.desk, c.work)
 	return c
@@ -137,7 +137,7 @@
 func (c *Controller) Listed(l inventory.Listed) { _ = c.desk.Tell(func() { c.listed = l }) }
 
 func (c *Controller) leaving() bool {
-	return c.listed.Leaving || c.vitals.Leaving || inventory.Marked(c.d.Gossip, c.listed.ID) || c.d.Conf().Drained(c.listed.Labels, c.listed.Zone)
+	return c.listed.Leaving || c.report.Leaving || inventory.Marked(c.d.Gossip, c.listed.ID) || c.d.Conf().Drained(c.listed.Labels, c.listed.Zone)
 }
 
 func (c *Controller) onBeat() {
--- a/internal/place/order/expect_test.go
+++ b/internal/place/order/expect_test.go
@@ -65,7 +65,7 @@
 	c := &clock{time.Minute}
 	asked := map[string]float64{"m": 10, "n": 1, "o": 40}
 	ctl := &Controller{d: Deps{Clock: c, Conf: conf.Empty, Requests: func(it string) float64 { return asked[it] }}, book: map[conf.Item]*line{}}
-	ctl.vitals.CapacityMib = 100
+	ctl.report.CapacityMib = 100
 	put := func(item, state string, mib int) {
 		ctl.book[conf.Item{Model: item}] = &line{Line: Line{State: state, SizeMib: mib}}
 	}
@@ -110,7 +110,7 @@
 	g.Stop()
 	c := &clock{time.Minute}
 	ctl := &Controller{d: Deps{Clock: c, Group: g, Log: ring.New(io.Discard, 9).Logger(), Conf: conf.Empty, Owner: owner.New(owner.Deps{Group: g, Clock: c})}, book: map[conf.Item]*line{}, known: true}
-	ctl.vitals.CapacityMib = 100
+	ctl.report.CapacityMib = 100
 	put := func(item, state string, mib int) {
 		ctl.book[conf.Item{Model: item}] = &line{Line: Line{State: state, SizeMib: mib}}
 	}
--- a/internal/place/order/expects.go
+++ b/internal/place/order/expects.go
@@ -23,14 +23,14 @@
 
 // looked notes that a report which was asked for after the task's last order has come.
 func (c *Controller) looked(t *task) {
-	if (t.phase == gone || t.phase == loaded) && c.vitalsAt > t.since {
+	if (t.phase == gone || t.phase == loaded) && c.reportAt > t.since {
 		t.looks++
 	}
 }
 
 // learnDelay learns from a load of next to no time how late reports are.
 func (c *Controller) learnDelay(t *task) {
-	c.delay.learn(t.looks, c.vitalsAt-t.since, c.d.Cadence.ReplicaBusy)
+	c.delay.learn(t.looks, c.reportAt-t.since, c.d.Cadence.ReplicaBusy)
 }
 
 // reportDelay is after how long a replica's reports show what was done there at once,
--- a/internal/place/order/look.go
+++ b/internal/place/order/look.go
@@ -9,13 +9,13 @@
 	"drumstall.example/internal/inventory"
 )
 
-func (c *Controller) fresh() bool { return c.known && c.d.Clock.Since()-c.vitalsAt < 2*time.Second }
+func (c *Controller) fresh() bool { return c.known && c.d.Clock.Since()-c.reportAt < 2*time.Second }
 
 // reports says whether the replica can be asked for reports.
 func (c *Controller) reports() bool { return c.listed.Model || c.traits.ServicesReport }
 
 // complete adds what the report leaves to the configuration.
-func (c *Controller) complete(v *backend.Vitals) {
+func (c *Controller) complete(v *backend.Report) {
 	cfg := c.d.Conf()
 	if s, found := cfg.ServiceOf(c.listed.Labels); found {
 		if v.CapacityMib == 0 {
@@ -56,10 +56,10 @@
 	defer cancel()
 	asked := c.d.Clock.Since()
 	if !c.reports() {
-		c.vitals, c.vitalsAt, c.known = backend.Vitals{ID: c.listed.ID, Incarnation: c.listed.ID, Slots: c.listed.Slots}, asked, true
+		c.report, c.reportAt, c.known = backend.Report{ID: c.listed.ID, Incarnation: c.listed.ID, Slots: c.listed.Slots}, asked, true
 		return
 	}
-	v, err := c.d.Replicas.Vitals(ctx, c.listed.Target())
+	v, err := c.d.Replicas.Report(ctx, c.listed.Target())
 	if err != nil {
 		if c.wrong++; c.wrong == 1 {
 			c.d.Log.Info("no report", "replica", c.listed.ID, "problem", err)
@@ -68,7 +68,7 @@
 	}
 	c.wrong = 0
 	c.complete(&v)
-	if c.known && v.Incarnation != c.vitals.Incarnation {
+	if c.known && v.Incarnation != c.report.Incarnation {
 		c.d.Log.Info("replica started anew", "replica", c.listed.ID)
 		c.tasks.Clear()
 		c.book = map[conf.Item]*line{}
@@ -76,7 +76,7 @@
 	if v.Leaving {
 		inventory.Mark(c.d.Gossip, c.listed.ID)
 	}
-	c.vitals, c.vitalsAt, c.known = v, asked, true
+	c.report, c.reportAt, c.known = v, asked, true
 	for item, seen := range v.Items {
 		l := c.book[item]
 		if l == nil {
@@ -120,7 +120,7 @@
 func (c *Controller) unmark() {
 	now := c.d.Clock.Since()
 	// Why: a platform not heard is not one that says the replica stays.
-	if c.d.Platform() > 2*time.Second || c.listed.Leaving || !c.known || c.vitals.Leaving || !inventory.Marked(c.d.Gossip, c.listed.ID) {
+	if c.d.Platform() > 2*time.Second || c.listed.Leaving || !c.known || c.report.Leaving || !inventory.Marked(c.d.Gossip, c.listed.ID) {
 		c.staying = -1
 		return
 	}
--- a/internal/place/order/quick_test.go
+++ b/internal/place/order/quick_test.go
@@ -14,7 +14,7 @@
 	cfg.Models = map[string]conf.Model{"m": {LoadFor: 2 * time.Second, SizeMib: 100}, "n": {LoadFor: 2 * time.Second, SizeMib: 100}}
 	ctl := &Controller{d: Deps{Clock: c, Conf: func() conf.Effective { return cfg }, Requests: func(string) float64 { return 0 }, Cadence: bounds.Cadence{Tasks: 2}},
 		book: map[conf.Item]*line{}, traits: backend.Traits{AdaptersUnpaced: true}}
-	ctl.vitals = backend.Vitals{CapacityMib: 1000, AdapterPlaces: 8}
+	ctl.report = backend.Report{CapacityMib: 1000, AdapterPlaces: 8}
 	ctl.book[conf.Item{Model: "m"}] = &line{Line: Line{State: backend.Loaded, SizeMib: 100}}
 	return ctl
 }
--- a/internal/place/order/takeover_test.go
+++ b/internal/place/order/takeover_test.go
@@ -23,8 +23,8 @@
 	items map[conf.Item]backend.Line
 }
 
-func (r *reporting) Vitals(_ context.Context, t backend.Target) (backend.Vitals, error) {
-	return backend.Vitals{ID: t.ID, Incarnation: t.ID, Model: true, CapacityMib: 100, Slots: 4, Busy: r.busy, Items: r.items}, nil
+func (r *reporting) Report(_ context.Context, t backend.Target) (backend.Report, error) {
+	return backend.Report{ID: t.ID, Incarnation: t.ID, Model: true, CapacityMib: 100, Slots: 4, Busy: r.busy, Items: r.items}, nil
 }
 
 func (r *reporting) Traits() backend.Traits {
--- a/internal/place/order/task.go
+++ b/internal/place/order/task.go
@@ -111,7 +111,7 @@
 			places++
 		}
 	}
-	return mib <= c.vitals.CapacityMib && (t.item.Adapter == "" || places <= c.vitals.AdapterPlaces)
+	return mib <= c.report.CapacityMib && (t.item.Adapter == "" || places <= c.report.AdapterPlaces)
 }
 
 // fail gives up the task in front.
@@ -139,5 +139,5 @@
 // overbooked says that all tasks together need more room than there will be.
 func (c *Controller) overbooked() bool {
 	mib, places := c.planned()
-	return c.known && (mib > c.vitals.CapacityMib || places > c.vitals.AdapterPlaces)
+	return c.known && (mib > c.report.CapacityMib || places > c.report.AdapterPlaces)
 }
--- a/internal/place/order/tell.go
+++ b/internal/place/order/tell.go
@@ -127,9 +127,9 @@
 	mib, places := c.planned()
 	listed := c.listed
 	listed.Leaving = c.leaving()
-	n := Status{Listed: listed, Controller: c.d.Self, Items: map[string]string{}, CapacityMib: c.vitals.CapacityMib,
-		FreeMib: c.vitals.CapacityMib - mib, AdapterPlaces: c.vitals.AdapterPlaces, AdapterFree: c.vitals.AdapterPlaces - places,
-		Slots: c.vitals.Slots, ServeMs: coarse(int(c.vitals.ServeFor.Milliseconds())), Dark: !c.fresh()}
+	n := Status{Listed: listed, Controller: c.d.Self, Items: map[string]string{}, CapacityMib: c.report.CapacityMib,
+		FreeMib: c.report.CapacityMib - mib, AdapterPlaces: c.report.AdapterPlaces, AdapterFree: c.report.AdapterPlaces - places,
+		Slots: c.report.Slots, ServeMs: coarse(int(c.report.ServeFor.Milliseconds())), Dark: !c.fresh()}
 	for item, l := range c.book {
 		n.Items[item.String()] = l.State
 	}
--- a/internal/route/look.go
+++ b/internal/route/look.go
@@ -11,7 +11,7 @@
 )
 
 type report struct {
-	v     backend.Vitals
+	v     backend.Report
 	at    time.Duration
 	mine  int64 // our requests on it when it was asked
 	other int   // those of others then
@@ -42,7 +42,7 @@
 		defer cancel()
 		r := s.Replicas[ids[i]]
 		mine := r.Live.Inflight.Load()
-		v, err := k.d.Replicas.Vitals(ctx, r.Listed.Target())
+		v, err := k.d.Replicas.Report(ctx, r.Listed.Target())
 		return answer{ids[i], report{v: v, at: asked, mine: mine, known: err == nil}}
 	})
 	var got []answer
--- a/internal/sim/capacity/capacity_test.go
+++ b/internal/sim/capacity/capacity_test.go
@@ -279,8 +279,8 @@
 
 type fake struct{}
 
-func (fake) Vitals(_ context.Context, r backend.Target) (backend.Vitals, error) {
-	return backend.Vitals{ID: r.ID, Incarnation: r.ID, Model: true, Slots: 32, CapacityMib: 600000, AdapterPlaces: 32, Items: map[conf.Item]backend.Line{}}, nil
+func (fake) Report(_ context.Context, r backend.Target) (backend.Report, error) {
+	return backend.Report{ID: r.ID, Incarnation: r.ID, Model: true, Slots: 32, CapacityMib: 600000, AdapterPlaces: 32, Items: map[conf.Item]backend.Line{}}, nil
 }
 func (fake) Order(context.Context, backend.Target, backend.Order) error { return nil }
 func (fake) Close()                                                     {}
