A shot is called an attempt

The setting limits.shots, the header Drumstall-Shot, the field shots of GET /v1/vitals and the field shot of recorded events keep their names.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,4 +1,4 @@
-// Package admission admits requests to shots: by class, capacity and deadline. It
+// Package admission admits requests to replicas: by class, capacity and deadline. It
 // gives up at once on what cannot be served in time.
 package admission
 
@@ -17,25 +17,25 @@
 	beat  = 20 * time.Millisecond
 	sweep = 5 * beat // between two sweeps of waiters that no longer wait
 	depth = 4096
-	// reserve is the share of shots that only urgent classes may use.
+	// reserve is the share of attempts that only urgent classes may use.
 	reserve = 4
 )
 
 // Controller owns the queue of a proxy.
 type Controller struct {
-	desk    *run.Desk
-	routes  *route.Keeper
-	queue   *queue.Queue
-	now     func() time.Time
-	shots   atomic.Int64
-	urgent  atomic.Int64
-	waiting atomic.Pointer[map[string]int]
-	again   *run.Nudge // dispatches soon
-	beat    *run.Alarm // the next look at those who wait
-	sweep   *run.Alarm
-	hold    time.Duration
-	closed  atomic.Bool
-	onMiss  func() // tells at once that a request waits for what nobody holds
+	desk     *run.Desk
+	routes   *route.Keeper
+	queue    *queue.Queue
+	now      func() time.Time
+	attempts atomic.Int64
+	urgent   atomic.Int64
+	waiting  atomic.Pointer[map[string]int]
+	again    *run.Nudge // dispatches soon
+	beat     *run.Alarm // the next look at those who wait
+	sweep    *run.Alarm
+	hold     time.Duration
+	closed   atomic.Bool
+	onMiss   func() // tells at once that a request waits for what nobody holds
 }
 
 // New opens admission.
@@ -54,7 +54,7 @@
 func (ac *Controller) Waiting() map[string]int { return *ac.waiting.Load() }
 
 // Shots is how many requests are out now.
-func (ac *Controller) Shots() int64 { return ac.shots.Load() }
+func (ac *Controller) Attempts() int64 { return ac.attempts.Load() }
 
 // Enter waits until a replica can take the request, and says which, or why not.
 func (ac *Controller) Enter(ctx context.Context, target route.Target, class string, deadline time.Time) queue.Answer {
@@ -145,14 +145,14 @@
 
 // dispatch gives replicas to waiters until none can be given more.
 func (ac *Controller) dispatch() {
-	limit := int64(ac.routes.Now().Conf.Limits.Shots)
+	limit := int64(ac.routes.Now().Conf.Limits.Attempts)
 	for progress := true; progress; {
 		progress = false
 		for _, c := range ac.queue.Order() {
-			full := ac.shots.Load() >= limit
+			full := ac.attempts.Load() >= limit
 			// Why: urgent requests find places that others can never fill.
 			if !c.Conf.Urgent {
-				full = ac.shots.Load()-ac.urgent.Load() >= limit-limit/reserve || full
+				full = ac.attempts.Load()-ac.urgent.Load() >= limit-limit/reserve || full
 			}
 			if full {
 				continue
@@ -170,7 +170,7 @@
 				}
 				w := c.Pop(l)
 				progress = true
-				// Why: a shot whose first piece comes after the deadline does the work, and tells its caller that nobody
+				// Why: an attempt whose first piece comes after the deadline does the work, and tells its caller that nobody
 				// knows whether it did.
 				if w.Deadline.Sub(ac.now()) < r.Live.FirstFor() {
 					drop(w, queue.Answer{Why: "its answer would begin after the deadline", Late: true, RetryS: 1})
@@ -187,7 +187,7 @@
 }
 
 func (ac *Controller) give(w *queue.Waiter, r *route.Replica, c conf.Class) {
-	ac.shots.Add(1)
+	ac.attempts.Add(1)
 	if c.Urgent {
 		ac.urgent.Add(1)
 	}
@@ -198,7 +198,7 @@
 			return
 		}
 		place.Done()
-		ac.shots.Add(-1)
+		ac.attempts.Add(-1)
 		if c.Urgent {
 			ac.urgent.Add(-1)
 		}
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -221,7 +221,7 @@
 	})
 }
 
-// Whatever comes, retries in any span stay within a fifth of its first shots
+// Whatever comes, retries in any span stay within a fifth of its first attempts
 // and the share.
 func TestBudget(t *testing.T) {
 	b := NewBudget(0.2)
@@ -259,7 +259,7 @@
 			if c == 'f' {
 				firsts++
 			} else if retries++; float64(retries) > 0.2*float64(firsts)+share+1e-9 {
-				t.Fatalf("at %d: %d retries after %d first shots", i, retries, firsts)
+				t.Fatalf("at %d: %d retries after %d first attempts", i, retries, firsts)
 			}
 		}
 	}
--- a/internal/attempt/native.go
+++ b/internal/attempt/native.go
@@ -31,7 +31,7 @@
 	}
 	req.ContentLength = int64(len(q.Body))
 	req.Header.Set("Content-Type", q.ContentType)
-	req.Header.Set(backend.HeaderShot, strconv.Itoa(q.Number))
+	req.Header.Set(backend.HeaderAttempt, strconv.Itoa(q.Number))
 	if q.Ticket != "" {
 		req.Header.Set(backend.HeaderTicket, q.Ticket)
 	}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -46,7 +46,7 @@
 	RunPath       = "/run"
 	HeaderOutcome = "Drumstall-Outcome" // a replica answers not-run when it has not begun
 	HeaderTicket  = "Drumstall-Ticket"
-	HeaderShot    = "Drumstall-Shot" // 1 for the first, more for each retry
+	HeaderAttempt = "Drumstall-Shot" // 1 for the first, more for each retry
 	NotRun        = "not-run"
 )
 
--- a/internal/check/event.go
+++ b/internal/check/event.go
@@ -14,7 +14,7 @@
 	Of         string        `json:"of,omitempty"`     // the ticket under which the same caller asked before
 	Service    string        `json:"service,omitempty"`
 	Class      string        `json:"class,omitempty"`
-	Shot       int           `json:"shot,omitempty"` // which attempt at the request this is, from 1
+	Attempt    int           `json:"shot,omitempty"` // which attempt at the request this is, from 1
 	Repeatable bool          `json:"repeatable,omitempty"`
 	Verb       string        `json:"verb,omitempty"`
 	Item       string        `json:"item,omitempty"`
--- a/internal/check/report.go
+++ b/internal/check/report.go
@@ -84,7 +84,7 @@
 	case RunStart:
 		t.r.Runs++
 	case Arrived:
-		if e.Shot > 1 {
+		if e.Attempt > 1 {
 			t.r.Retries++
 		}
 	case Sent:
--- a/internal/check/requests.go
+++ b/internal/check/requests.go
@@ -85,13 +85,13 @@
 			// on that one stand alone then.
 			for left < right && e.At-list[left].At > 10*time.Second {
 				gone := list[left]
-				if gone.Shot > 1 {
+				if gone.Attempt > 1 {
 					again--
 				}
 				left++
 				look(right, gone.At+10*time.Second)
 			}
-			if e.Shot > 1 {
+			if e.Attempt > 1 {
 				again++
 				n++
 			}
--- a/internal/conf/effect.go
+++ b/internal/conf/effect.go
@@ -143,7 +143,7 @@
 		return Limits{}, bad
 	}
 	return Limits{
-		PaceLoads: f["paceLoads"].(int), RetryAllowance: f["retryAllowance"].(int), Shots: f["shots"].(int),
+		PaceLoads: f["paceLoads"].(int), RetryAllowance: f["retryAllowance"].(int), Attempts: f["shots"].(int),
 		Csf: f["csf"].(float64), DayWeights: f["dayWeights"].([]float64),
 		Unit: ms(f["unitMs"]), Epoch: f["epochUnits"].(int), WarmupMinutes: f["warmupMinutes"].(int), HorizonMinutes: f["horizonMinutes"].(int),
 		PassEvery: time.Duration(f["passMinutes"].(int)) * time.Minute,
--- a/internal/conf/model.go
+++ b/internal/conf/model.go
@@ -57,7 +57,7 @@
 type Limits struct {
 	PaceLoads      int       // loads the weight store bears in any 5 s
 	RetryAllowance int       // retries to a service on top of a fifth of its traffic in any 10 s
-	Shots          int       // requests one proxy runs side by side
+	Attempts       int       // requests one proxy runs side by side
 	Csf            float64   // cache stability factor of the paper
 	DayWeights     []float64 // of the past seven days, yesterday first
 	// Unit is what demand is counted by, and Epoch how many units make the paper's day.
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -240,7 +240,7 @@
 			t.Errorf("got %q, %v", got, err)
 		}
 		synctest.Wait()
-		if n := w.proxy.admission.Shots(); n != 0 {
+		if n := w.proxy.admission.Attempts(); n != 0 {
 			t.Errorf("%d attempts are under way", n)
 		}
 	})
--- a/internal/proxy/native.go
+++ b/internal/proxy/native.go
@@ -31,7 +31,7 @@
 	if !serving || p.leaving.Load() {
 		return nil, (&Refusal{Reason: Full, Detail: "not serving yet, or no more", Outcome: attempt.NotRun, RetryAfter: time.Second}).drop()
 	}
-	return map[string]string{"node": p.s.Name, "conf": strconv.FormatUint(serial, 10), "shots": strconv.FormatInt(p.admission.Shots(), 10),
+	return map[string]string{"node": p.s.Name, "conf": strconv.FormatUint(serial, 10), "shots": strconv.FormatInt(p.admission.Attempts(), 10),
 		"cut": strconv.FormatInt(p.cut.Load(), 10)}, nil
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,4 +1,4 @@
-// Package proxy puts a dsproxy together: the callers' face, admission, shots,
+// Package proxy puts a dsproxy together: the callers' face, admission, attempts,
 // relay, and the feed from the agent beside it.
 package proxy
 
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -14,8 +14,8 @@
 	"drumstall.example/internal/route"
 )
 
-// Waiter states. Claiming for a shot and withdrawing are the same one step, so
-// a request told "not run" can never be shot afterwards.
+// Waiter states. Claiming for an attempt and withdrawing are the same one step, so
+// a request told "not run" can never be sent afterwards.
 const (
 	waiting int32 = iota
 	claimed
@@ -47,10 +47,10 @@
 	return &Waiter{Target: target, Class: class, Since: now, Deadline: deadline, Answer: make(chan Answer, 1)}
 }
 
-// Claim takes the waiter for a shot.
+// Claim takes the waiter for an attempt.
 func (w *Waiter) Claim() bool { return w.state.CompareAndSwap(waiting, claimed) }
 
-// Withdraw takes the waiter out; after that it can never be shot.
+// Withdraw takes the waiter out; after that it can never be sent.
 func (w *Waiter) Withdraw() bool { return w.state.CompareAndSwap(waiting, withdrawn) }
 
 // Waits says whether the waiter still waits.
@@ -70,7 +70,7 @@
 	lanes map[string]*Lane
 	turn  []string
 	size  int
-	spent float64 // shots so far over weight, for a fair share
+	spent float64 // attempts so far over weight, for a fair share
 }
 
 // Queue is all requests that wait at a proxy, by class; one desk owns it.
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// A queue is bounded; what has been withdrawn makes place and is never shot.
+// A queue is bounded; what has been withdrawn makes place and is never sent.
 func TestPlacesAreBounded(t *testing.T) {
 	q := New()
 	c := q.Class("desk", conf.Class{Weight: 1, Queue: 3})
@@ -87,10 +87,10 @@
 		}
 	}
 	if !all[1].Withdraw() || all[1].Claim() {
-		t.Error("a withdrawn waiter can be shot")
+		t.Error("a withdrawn waiter can be sent")
 	}
 	if !all[2].Claim() || all[2].Withdraw() {
-		t.Error("a waiter that is shot can be withdrawn as not run")
+		t.Error("a waiter that was sent can be withdrawn as not run")
 	}
 	if !try() {
 		t.Error("those that no longer wait take places")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,7 +30,7 @@
 // Read is for completeness; goa prefers WriteTo.
 func (s *Stream) Read(p []byte) (int, error) { return s.from.Read(p) }
 
-// Close ends the shot, and with it the replica's work where it still goes on.
+// Close ends the attempt, and with it the replica's work where it still goes on.
 func (s *Stream) Close() error {
 	s.once.Do(func() {
 		_ = s.from.Close()
--- a/internal/sim/fleet/fleet_test.go
+++ b/internal/sim/fleet/fleet_test.go
@@ -69,7 +69,7 @@
 			}
 		}
 		for _, e := range f.Rec.Events() {
-			// Why: a replica that becomes free just before the deadline is worth a shot; whose first piece then comes too late
+			// Why: a replica that becomes free just before the deadline is worth an attempt; whose first piece then comes too late
 			// learns so at the deadline. Nothing else may end as unknown without a fault.
 			if e.Kind == check.Answer && e.Outcome == check.Unknown && (e.TookMs < deadlines[e.Class].Milliseconds() || !strings.Contains(e.Why, "too_late")) {
 				t.Errorf("%v %s %s after %d ms: %s", e.At, e.Class, e.Outcome, e.TookMs, e.Why)
--- a/internal/sim/fleet/late_test.go
+++ b/internal/sim/fleet/late_test.go
@@ -75,7 +75,7 @@
 		}
 		time.Sleep(20 * time.Second)
 		arrived, ran, n := f.count(check.Arrived, nil), f.count(check.RunStart, nil), f.Tally()["crowd"]
-		f.T.Logf("%v; %d arrived, %d ran, %d retries", n, arrived, ran, f.count(check.Arrived, func(e check.Event) bool { return e.Shot > 1 }))
+		f.T.Logf("%v; %d arrived, %d ran, %d retries", n, arrived, ran, f.count(check.Arrived, func(e check.Event) bool { return e.Attempt > 1 }))
 		if arrived-ran > arrived/10 || n[check.Whole] < 100 {
 			f.T.Errorf("%d of %d that arrived were not run; %v", arrived-ran, arrived, n)
 		}
--- a/internal/sim/fleet/retries_test.go
+++ b/internal/sim/fleet/retries_test.go
@@ -20,7 +20,7 @@
 			r.Misbehave(0, 0)
 		}
 		time.Sleep(5 * time.Second)
-		if n := f.count(check.Arrived, func(e check.Event) bool { return e.Shot > 1 }); n < 20 {
+		if n := f.count(check.Arrived, func(e check.Event) bool { return e.Attempt > 1 }); n < 20 {
 			f.T.Errorf("only %d retries came, too few to prove anything", n)
 		}
 	})
@@ -46,7 +46,7 @@
 		for _, r := range f.Replicas {
 			r.Misbehave(0, 0)
 		}
-		if n := f.count(check.Arrived, func(e check.Event) bool { return e.Shot > 1 }); n < 20 {
+		if n := f.count(check.Arrived, func(e check.Event) bool { return e.Attempt > 1 }); n < 20 {
 			f.T.Errorf("only %d retries came, too few to prove anything", n)
 		}
 		f.Net.Heal()
--- a/internal/sim/fleet/stress_test.go
+++ b/internal/sim/fleet/stress_test.go
@@ -132,7 +132,7 @@
 		settled := time.Since(f.zero)
 		time.Sleep(10 * time.Second)
 		retries := func(after time.Duration) int {
-			return f.count(check.Arrived, func(e check.Event) bool { return e.At > after && e.Shot > 1 })
+			return f.count(check.Arrived, func(e check.Event) bool { return e.At > after && e.Attempt > 1 })
 		}
 		_, _, n, failed := f.urgent(from, settled+10*time.Second)
 		f.T.Logf("%d answered, %d not; %d retries, %d of them after 10 s", n, failed, retries(from), retries(settled))
--- a/internal/stand/answer.go
+++ b/internal/stand/answer.go
@@ -49,9 +49,9 @@
 	}
 	it := conf.Item{Model: q.URL.Query().Get("model"), Adapter: q.URL.Query().Get("adapter")}
 	base := conf.Item{Model: it.Model}
-	shotN, _ := strconv.Atoi(q.Header.Get(backend.HeaderShot))
+	number, _ := strconv.Atoi(q.Header.Get(backend.HeaderAttempt))
 	ticket := q.Header.Get(backend.HeaderTicket)
-	r.rec.Put(check.Event{Kind: check.Arrived, Replica: r.s.ID, Ticket: ticket, Service: r.s.Service, Shot: shotN, Repeatable: a.Repeatable, Item: it.String()})
+	r.rec.Put(check.Event{Kind: check.Arrived, Replica: r.s.ID, Ticket: ticket, Service: r.s.Service, Attempt: number, Repeatable: a.Repeatable, Item: it.String()})
 	if pct := int(r.refuse.Load()); pct > 0 && mrand.IntN(100) < pct {
 		refuse(w, http.StatusServiceUnavailable)
 		return
@@ -111,7 +111,7 @@
 		warm, all = r.warm.take(it.String(), a.Prompt)
 	}
 	r.mu.Unlock()
-	r.rec.Put(check.Event{Kind: check.RunStart, Replica: r.s.ID, Ticket: ticket, Service: r.s.Service, Shot: shotN, Repeatable: a.Repeatable, Item: it.String(), Warm: warm, Used: all})
+	r.rec.Put(check.Event{Kind: check.RunStart, Replica: r.s.ID, Ticket: ticket, Service: r.s.Service, Attempt: number, Repeatable: a.Repeatable, Item: it.String(), Warm: warm, Used: all})
 	pieces := r.s.Pieces
 	if a.Pieces > 0 {
 		pieces = a.Pieces
