--- a/cmd/dsagent/main.go
+++ b/cmd/dsagent/main.go
@@ -16,7 +16,7 @@
 var rows = []setup.Row{
 	{Name: "name", Check: setup.Word, Doc: "name of this machine"},
 	{Name: "zone", Check: setup.Word, Doc: "zone of this machine"},
-	{Name: "addr", Check: setup.Address, Doc: "IP:PORT for partners, TCP and UDP"},
+	{Name: "addr", Check: setup.Address, Doc: "IP:PORT for peers, TCP and UDP"},
 	{Name: "feed", Check: setup.Address, Doc: "loopback IP:PORT for the proxy beside it"},
 	{Name: "seeds", Check: setup.Addresses, Doc: "up to three IP:PORT of other processes, as first contacts"},
 	{Name: "platform", Check: setup.Address, Doc: "IP:PORT of the platform"},
--- a/cmd/dscore/main.go
+++ b/cmd/dscore/main.go
@@ -18,7 +18,7 @@
 	{Name: "fleet", Default: "drumstall", Check: setup.Word, Doc: "name of the fleet, to which the data folder belongs from then on"},
 	{Name: "name", Check: setup.Word, Doc: "name of this machine; it keeps its place in the core set under this name"},
 	{Name: "zone", Check: setup.Word, Doc: "zone of this machine"},
-	{Name: "addr", Check: setup.Address, Doc: "IP:PORT for partners, TCP and UDP"},
+	{Name: "addr", Check: setup.Address, Doc: "IP:PORT for peers, TCP and UDP"},
 	{Name: "operator", Check: setup.Address, Doc: "IP:PORT for operators, HTTP"},
 	{Name: "seeds", Check: setup.Addresses, Doc: "up to three IP:PORT of other processes, as first contacts"},
 	{Name: "folder", Check: setup.Path, Doc: "data folder"},
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -27,7 +27,7 @@
 const (
 	confirmBeat = 100 * time.Millisecond
 	limit       = time.Second
-	maxPartners = 16
+	maxPeers    = 16
 	// maxHold bounds how long a proxy may have its answer held back.
 	maxHold = 500 * time.Millisecond
 	// lingerGap is how long a stopping agent must not have been asked by its proxy before it goes.
@@ -38,7 +38,7 @@
 type Settings struct {
 	Name     string
 	Zone     string
-	Addr     string // partners, TCP and UDP
+	Addr     string // peers, TCP and UDP
 	Feed     string // loopback, for the proxy
 	Seeds    []string
 	Platform string
@@ -94,7 +94,7 @@
 	a.touch = touch.New(env.Clock, func() time.Duration { return a.watch.HeardFor() })
 	ln, err := env.Net.Listen(s.Addr)
 	if err != nil {
-		return nil, errors.Wrap(err, "agent: partners' address")
+		return nil, errors.Wrap(err, "agent: peers' address")
 	}
 	pc, err := env.Net.ListenPacket(s.Addr)
 	if err != nil {
@@ -215,8 +215,8 @@
 	for _, e := range up.Entries {
 		a.gossip.Put(e)
 	}
-	if len(up.Partners) > 0 {
-		a.members.Meet(up.Partners[:min(len(up.Partners), maxPartners)])
+	if len(up.Peers) > 0 {
+		a.members.Meet(up.Peers[:min(len(up.Peers), maxPeers)])
 	}
 	// Why: a surviving proxy has in force what this machine had; with that here, nothing goes back.
 	if up.Confirmed && !up.Conf.Newer(a.gossip.StampOf(conf.Key)) {
@@ -233,8 +233,8 @@
 	if fed := a.fed.Load(); fed != nil && fed.Boot == up.Boot {
 		d.Holds = fed.Serial
 	}
-	partners := a.members.Peers()
-	d.Partners = partners[:min(len(partners), maxPartners)]
+	peers := a.members.Peers()
+	d.Peers = peers[:min(len(peers), maxPeers)]
 	cursor := up.Cursor
 	if up.AgentBoot != a.boot {
 		cursor, d.WantAll = 0, true
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,7 +41,7 @@
 	Fleet    string
 	Name     string
 	Zone     string
-	Addr     string // partners, TCP and UDP
+	Addr     string // peers, TCP and UDP
 	Operator string // operators' HTTP
 	Seeds    []string
 	Folder   string
@@ -149,7 +149,7 @@
 	c.conf.Store(&empty)
 	ln, err := env.Net.Listen(s.Addr)
 	if err != nil {
-		return nil, errors.Wrap(err, "core: partners' address")
+		return nil, errors.Wrap(err, "core: peers' address")
 	}
 	pc, err := env.Net.ListenPacket(s.Addr)
 	if err != nil {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -26,7 +26,7 @@
 	Report    report.Report  `cbor:"5,keyasint"`
 	Confirmed bool           `cbor:"6,keyasint"`            // the proxy serves on a confirmed configuration
 	Conf      state.Stamp    `cbor:"7,keyasint"`            // the one in force there
-	Partners  []string       `cbor:"8,keyasint,omitempty"`  // for an agent that is new: whom the one before it knew
+	Peers     []string       `cbor:"8,keyasint,omitempty"`  // for an agent that is new: whom the one before it knew
 	HoldMs    int            `cbor:"9,keyasint,omitempty"`  // how long the answer may be held back until there is something new
 	NoReport  bool           `cbor:"10,keyasint,omitempty"` // nothing is said in Report; the one before counts
 }
@@ -38,12 +38,12 @@
 	Entries   []gossip.Entry `cbor:"3,keyasint"`
 	Confirmed bool           `cbor:"4,keyasint"` // the configuration here is known to be no older than any in force before
 	Conf      state.Stamp    `cbor:"5,keyasint"`
-	HeardMs   int64          `cbor:"6,keyasint"` // since the platform, a core or a partner was heard
+	HeardMs   int64          `cbor:"6,keyasint"` // since the platform, a core or a peer was heard
 	Edges     int            `cbor:"7,keyasint"` // edges thought alive
 	WantAll   bool           `cbor:"8,keyasint"` // the agent is new: send everything
 	Agent     string         `cbor:"9,keyasint"`
 	Zone      string         `cbor:"10,keyasint"`
-	Partners  []string       `cbor:"11,keyasint"` // whom to ask for news while the agent is away
+	Peers     []string       `cbor:"11,keyasint"` // whom to ask for news while the agent is away
 	// Holds is the serial of the report that the agent has from these exchanges, from which the next may be the difference; 0 is none.
 	Holds uint64 `cbor:"12,keyasint,omitempty"`
 }
--- a/internal/gossip/spread_test.go
+++ b/internal/gossip/spread_test.go
@@ -15,7 +15,7 @@
 	"drumstall.example/internal/sim/simnet"
 )
 
-// listeners are the partners of one node; they count the keys that reach them.
+// listeners are the peers of one node; they count the keys that reach them.
 type listeners struct {
 	s     *Spreader
 	addrs []string
@@ -31,14 +31,14 @@
 	return pc
 }
 
-// among runs f in a fleet of a node and some partners.
-func among(t *testing.T, partners int, f func(l *listeners)) {
+// among runs f in a fleet of a node and some peers.
+func among(t *testing.T, peers int, f func(l *listeners)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := run.NewGroup(t.Context())
 		fab := simnet.New(1, func(string, string) time.Duration { return time.Millisecond })
 		l := &listeners{got: map[string]int{}}
 		posts := []*wire.Post{wire.NewPost(listen(t, fab.Host("10.0.0.1"), "10.0.0.1:90"))}
-		for i := range partners {
+		for i := range peers {
 			ip := fmt.Sprintf("10.0.1.%d", i+1)
 			p := wire.NewPost(listen(t, fab.Host(ip), ip+":90"))
 			p.On("news", l.take)
@@ -67,7 +67,7 @@
 	}
 }
 
-// pass passes news on and tells how many partners heard of a key by it.
+// pass passes news on and tells how many peers heard of a key by it.
 func (l *listeners) pass(atOnce bool, key string) int {
 	l.s.passOn(atOnce)
 	time.Sleep(10 * time.Millisecond) // in the bubble: until the datagrams have come
@@ -82,17 +82,17 @@
 func wantHeard(t *testing.T, when string, got, want int) {
 	t.Helper()
 	if got != want {
-		t.Errorf("%s: %d partners heard, want %d", when, got, want)
+		t.Errorf("%s: %d peers heard, want %d", when, got, want)
 	}
 }
 
 func TestAnOwnEntryGoesToAllAtOnceAndAtTheNextBeat(t *testing.T) {
-	for _, partners := range []int{1, 5, allTold} {
-		among(t, partners, func(l *listeners) {
+	for _, peers := range []int{1, 5, allTold} {
+		among(t, peers, func(l *listeners) {
 			l.s.t.Put(entry("own", 1, 1))
-			wantHeard(t, "at once", l.pass(true, "own"), partners)
+			wantHeard(t, "at once", l.pass(true, "own"), peers)
 			wantHeard(t, "at once again", l.pass(true, "own"), 0)
-			wantHeard(t, "at the beat", l.pass(false, "own"), partners)
+			wantHeard(t, "at the beat", l.pass(false, "own"), peers)
 			wantHeard(t, "at the beat after", l.pass(false, "own"), 0)
 			wantHeard(t, "at once after", l.pass(true, "own"), 0)
 		})
@@ -144,7 +144,7 @@
 	})
 }
 
-func TestNothingIsLostWithoutPartners(t *testing.T) {
+func TestNothingIsLostWithoutPeers(t *testing.T) {
 	among(t, 0, func(l *listeners) {
 		l.s.t.Put(entry("own", 1, 1))
 		l.s.passOn(true)
--- a/internal/gossip/tree_test.go
+++ b/internal/gossip/tree_test.go
@@ -4,7 +4,7 @@
 	"testing"
 )
 
-// inTree is a node with a tree: partners 0 and 1 are cores, 2 is a neighbour of an agent or
+// inTree is a node with a tree: peers 0 and 1 are cores, 2 is a neighbour of an agent or
 // below a core, as are all that follow.
 func (l *listeners) inTree(isCore bool) {
 	tree := Tree{IsCore: isCore, Cores: l.addrs[:2]}
--- a/internal/kernel/wire/coding.go
+++ b/internal/kernel/wire/coding.go
@@ -18,12 +18,12 @@
 	gzipCoding = "gzip"
 	// codedFrom is the size from which a large message is worth compressing.
 	codedFrom = 4 << 10
-	// plainFor is how long a partner that could not read a compressed message gets plain ones.
+	// plainFor is how long a peer that could not read a compressed message gets plain ones.
 	plainFor = time.Minute
 )
 
-// errCoding says that a partner does not read compressed messages.
-var errCoding = errors.New("wire: partner does not read compressed messages")
+// errCoding says that a peer does not read compressed messages.
+var errCoding = errors.New("wire: peer does not read compressed messages")
 
 var gzipWriters = sync.Pool{New: func() any {
 	w, err := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed)
@@ -75,7 +75,7 @@
 	return strings.Contains(r.Header.Get("Accept-Encoding"), gzipCoding)
 }
 
-// Large is a message that is encoded and compressed once for many partners.
+// Large is a message that is encoded and compressed once for many peers.
 type Large struct {
 	plain []byte
 	coded []byte // nil where the message is too small for that
@@ -90,7 +90,7 @@
 	return m
 }
 
-// CallLarge sends a prepared message and waits for the answer. A partner of an
+// CallLarge sends a prepared message and waits for the answer. A peer of an
 // earlier build, which does not read the coding, gets the message plain.
 func CallLarge[A any](ctx context.Context, c *Caller, addr, path string, m Large) (A, error) {
 	if m.coded == nil || c.wantsPlain(addr) {
@@ -104,7 +104,7 @@
 	return call[A](ctx, c, addr, path, m.plain, "")
 }
 
-// wantsPlain says whether a partner could not read a compressed message lately.
+// wantsPlain says whether a peer could not read a compressed message lately.
 func (c *Caller) wantsPlain(addr string) bool {
 	at, found := c.plain.Load(addr)
 	if !found {
--- a/internal/kernel/wire/coding_test.go
+++ b/internal/kernel/wire/coding_test.go
@@ -19,8 +19,8 @@
 
 var long = text{Text: strings.Repeat("a line of a configuration\n", 4000)}
 
-// partner serves h and gives its address.
-func partner(t *testing.T, h http.Handler) string {
+// peer serves h and gives its address.
+func peer(t *testing.T, h http.Handler) string {
 	srv := httptest.NewServer(h)
 	t.Cleanup(srv.Close)
 	return strings.TrimPrefix(srv.URL, "http://")
@@ -37,7 +37,7 @@
 func TestALargeMessageTravelsCompressedBothWays(t *testing.T) {
 	m := NewMux()
 	HandleLarge(m, "/echo", echo)
-	addr, c := partner(t, m), caller(t)
+	addr, c := peer(t, m), caller(t)
 	got, err := CallLarge[text](t.Context(), c, addr, "/echo", Prepare(long))
 	if err != nil || got != long {
 		t.Fatalf("%d bytes came back, %v", len(got.Text), err)
@@ -52,7 +52,7 @@
 	HandleLarge(m, "/echo", echo)
 	short := text{Text: strings.Repeat("a", codedFrom/2)}
 	c := caller(t)
-	got, err := CallLarge[text](t.Context(), c, partner(t, m), "/echo", Prepare(short))
+	got, err := CallLarge[text](t.Context(), c, peer(t, m), "/echo", Prepare(short))
 	if err != nil || got != short {
 		t.Fatalf("%d bytes came back, %v", len(got.Text), err)
 	}
@@ -77,7 +77,7 @@
 	m := NewMux()
 	HandleLarge(m, "/echo", echo)
 	var coded atomic.Int64
-	addr, c := partner(t, earlier(m, &coded)), caller(t)
+	addr, c := peer(t, earlier(m, &coded)), caller(t)
 	for range 3 {
 		if got, err := CallLarge[text](t.Context(), c, addr, "/echo", Prepare(long)); err != nil || got != long {
 			t.Fatalf("%d bytes came back, %v", len(got.Text), err)
@@ -126,7 +126,7 @@
 }
 
 func TestACompressedAnswerThatCannotBeReadIsCounted(t *testing.T) {
-	addr := partner(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	addr := peer(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Encoding", gzipCoding)
 		_, _ = w.Write(Pack(long))
 	}))
--- a/internal/kernel/wire/wire.go
+++ b/internal/kernel/wire/wire.go
@@ -45,20 +45,20 @@
 
 // Problems of this layer.
 var (
-	ErrUnreachable = errors.New("wire: partner not reached")
+	ErrUnreachable = errors.New("wire: peer not reached")
 	ErrGarbled     = errors.New("wire: message cannot be read")
-	ErrVersion     = errors.New("wire: partner speaks another version")
-	// ErrNotServed says that the partner does not know the call; one of an earlier version does not.
-	ErrNotServed = errors.New("wire: partner does not serve the call")
+	ErrVersion     = errors.New("wire: peer speaks another version")
+	// ErrNotServed says that the peer does not know the call; one of an earlier version does not.
+	ErrNotServed = errors.New("wire: peer does not serve the call")
 )
 
-// Refused is a partner's considered no.
+// Refused is a peer's considered no.
 type Refused struct {
 	Code   string
 	Detail string
 }
 
-func (r Refused) Error() string { return "partner refused: " + r.Code + ": " + r.Detail }
+func (r Refused) Error() string { return "peer refused: " + r.Code + ": " + r.Detail }
 
 // Drop makes a considered no with a code.
 func Drop(code, detail string) error { return Refused{Code: code, Detail: detail} }
@@ -97,13 +97,13 @@
 	return nil
 }
 
-// Caller makes calls to partners.
+// Caller makes calls to peers.
 type Caller struct {
 	client  *http.Client
 	garbled atomic.Int64
 	calls   atomic.Int64
 	bytes   atomic.Int64
-	plain   sync.Map // partners' addresses: when one could not read a compressed message
+	plain   sync.Map // peers' addresses: when one could not read a compressed message
 }
 
 // NewCaller dials through n.
@@ -123,7 +123,7 @@
 // Garbled counts answers that could not be read.
 func (c *Caller) Garbled() int64 { return c.garbled.Load() }
 
-// Call asks a partner and waits for its answer.
+// Call asks a peer and waits for its answer.
 func Call[Q, A any](ctx context.Context, c *Caller, addr, path string, q Q) (A, error) {
 	return call[A](ctx, c, addr, path, Pack(q), "")
 }
@@ -151,7 +151,7 @@
 	return readAnswer[A](c, res, addr+path, coding)
 }
 
-// readAnswer reads what a partner answered to a message in a content coding.
+// readAnswer reads what a peer answered to a message in a content coding.
 func readAnswer[A any](c *Caller, res *http.Response, at, coding string) (A, error) {
 	var a A
 	sent, err := readBody(res.Body)
@@ -192,7 +192,7 @@
 	return a, errors.Wrapf(ErrUnreachable, "%s answered %d", at, res.StatusCode)
 }
 
-// Mux serves the calls of partners.
+// Mux serves the calls of peers.
 type Mux struct {
 	mux     *http.ServeMux
 	garbled atomic.Int64
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -34,10 +34,10 @@
 	base       report.Report // the last report that the agent holds, from which the next is the difference; without a serial there is none
 }
 
-// mend gets news from the agent's partners while the agent is away, or so new
+// mend gets news from the agent's peers while the agent is away, or so new
 // that it may know nobody yet: a configuration must come into force here all the same.
 func (p *Proxy) mend(ctx context.Context) {
-	to := slices.Clone(*p.partners.Load())
+	to := slices.Clone(*p.peers.Load())
 	if p.agentFor() <= agentLost && p.env.Clock.Since()-time.Duration(p.agentNew.Load()) > agentYoung || len(to) == 0 {
 		return
 	}
@@ -70,7 +70,7 @@
 	}
 	// Why: an agent that was started anew while all seeds are down would stay alone.
 	if time.Duration(p.agentSeen.Load()) < time.Duration(p.agentNew.Load())+time.Second {
-		up.Partners = *p.partners.Load()
+		up.Peers = *p.peers.Load()
 	}
 	up.HoldMs = int(feedHold.Milliseconds())
 	asked := p.env.Clock.Since()
@@ -105,8 +105,8 @@
 	}
 	p.countEdges(down.Edges, asked)
 	// Why: a new agent that knows few must not make us forget whom the one before it knew.
-	if young := asked-time.Duration(p.agentNew.Load()) < agentYoung; len(down.Partners) > 0 && (!young || len(down.Partners) >= len(*p.partners.Load())) {
-		p.partners.Store(&down.Partners)
+	if young := asked-time.Duration(p.agentNew.Load()) < agentYoung; len(down.Peers) > 0 && (!young || len(down.Peers) >= len(*p.peers.Load())) {
+		p.peers.Store(&down.Peers)
 	}
 	p.agentSeen.Store(int64(asked))
 	p.touch.Told(asked, touch.Word(down.HeardMs+1))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -107,7 +107,7 @@
 	agentSeen atomic.Int64
 	agentNew  atomic.Int64 // when the agent was first heard under its boot
 	edges     atomic.Int64
-	partners  atomic.Pointer[[]string]
+	peers     atomic.Pointer[[]string]
 	deafAt    atomic.Int64 // since when a request has found this proxy out of touch; 0 is not
 	waking    atomic.Int64 // requests that wait for it to be in touch again
 	serving   atomic.Int64 // requests that are being served
@@ -142,7 +142,7 @@
 	p.touch = touch.New(env.Clock, func() time.Duration { return p.watch.HeardFor() })
 	p.agentSeen.Store(-1 << 62)
 	p.agentNew.Store(-1 << 62)
-	p.partners.Store(&[]string{})
+	p.peers.Store(&[]string{})
 	p.routes = route.NewKeeper(route.Deps{Group: p.group, Gossip: p.gossip, Clock: env.Clock, Replicas: p.conn, Zone: func() string { return s.Zone },
 		HeardFor: p.touch.For, Edges: func() int { return int(p.edges.Load()) }, Ask: s.Cadence.ProxiesAsk, Deaf: s.Bounds.Drain - deafMargin})
 	p.watch.Start(p.group, s.Cadence.List, func() bool { return p.agentFor() > agentLost })
--- a/internal/sim/capacity/capacity_test.go
+++ b/internal/sim/capacity/capacity_test.go
@@ -404,7 +404,7 @@
 	fit("feed.Down", "entry", []int{0, 1, 4, 16}, func(x int) float64 {
 		d := feed.Down{AgentBoot: "0123456789abcdef", Cursor: 1, Confirmed: true, Conf: stamp(1), HeardMs: 12, Edges: 410, Agent: nodeName(1), Zone: zone(1)}
 		for i := range 16 {
-			d.Partners = append(d.Partners, aNode(i).Addr)
+			d.Peers = append(d.Peers, aNode(i).Addr)
 		}
 		for i := range x {
 			d.Entries = append(d.Entries, gossip.Entry{Key: order.Key(replicaID(i)), Stamp: stamp(i), Value: wire.Pack(replicaStatus(i, 10))})
--- a/internal/state/acceptor/fuzz_test.go
+++ b/internal/state/acceptor/fuzz_test.go
@@ -13,7 +13,7 @@
 	"drumstall.example/internal/state"
 )
 
-// Whatever a partner sends: a vote never goes back to a lower epoch, and the
+// Whatever a peer sends: a vote never goes back to a lower epoch, and the
 // folder can be opened again.
 func FuzzAsk(f *testing.F) {
 	f.Add(wire.Pack(ask("a", 3, 1, false, rec("x", "v", 3, 1))), uint8(0))
