--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	beat  = 20 * time.Millisecond
-	sweep = 5 * beat // between two sweeps of waiters that no longer wait
-	depth = 4096
+	interval = 20 * time.Millisecond
+	sweep    = 5 * interval // between two sweeps of waiters that no longer wait
+	depth    = 4096
 	// reserve is the share of attempts that only urgent classes may use.
 	reserve = 4
 )
@@ -31,7 +31,7 @@
 	urgent   atomic.Int64
 	waiting  atomic.Pointer[map[string]int]
 	again    *run.Nudge // dispatches soon
-	beat     *run.Alarm // the next look at those who wait
+	next     *run.Alarm // the next look at those who wait
 	sweep    *run.Alarm
 	hold     time.Duration
 	closed   atomic.Bool
@@ -44,7 +44,7 @@
 	ac := &Controller{routes: routes, queue: queue.New(), now: time.Now, hold: hold, onMiss: onMiss}
 	ac.waiting.Store(&map[string]int{})
 	ac.desk = run.NewDesk(g, depth, 0, nil)
-	ac.beat, ac.sweep = run.NewAlarm(ac.desk, ac.onBeat), run.NewAlarm(ac.desk, ac.onSweep)
+	ac.next, ac.sweep = run.NewAlarm(ac.desk, ac.onTick), run.NewAlarm(ac.desk, ac.onSweep)
 	ac.again = run.NewNudge(ac.desk, ac.dispatch)
 	routes.OnTable(ac.again.Now)
 	return ac
@@ -123,7 +123,7 @@
 	if !w.Waits() {
 		return
 	}
-	ac.beat.In(beat)
+	ac.next.In(interval)
 	// Why: if what is ahead already takes longer than the deadline, waiting would only delay the no.
 	_, held, serve := ac.routes.Choose(w.Target)
 	if held == 0 {
@@ -206,13 +206,13 @@
 	}}
 }
 
-// onBeat looks at those who wait. Why: most of the time nobody does, and a proxy
+// onTick looks at those who wait. Why: most of the time nobody does, and a proxy
 // that sleeps then costs nothing.
-func (ac *Controller) onBeat() {
+func (ac *Controller) onTick() {
 	ac.dispatch()
 	ac.hopeless()
 	if ac.queue.Holds() {
-		ac.beat.In(beat)
+		ac.next.In(interval)
 	}
 }
 
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -52,7 +52,7 @@
 	opened(t, func(g *Controller, _ *gossip.Table) {
 		began := time.Now()
 		a := g.Enter(context.Background(), target(), "c", time.Now().Add(time.Minute))
-		if took := time.Since(began); a.Replica != nil || a.Why != "nobody has it and no controller answers" || took < time.Second || took > time.Second+2*beat {
+		if took := time.Since(began); a.Replica != nil || a.Why != "nobody has it and no controller answers" || took < time.Second || took > time.Second+2*interval {
 			t.Errorf("got %+v after %v", a, took)
 		}
 	})
@@ -105,7 +105,7 @@
 		if a = g.Enter(context.Background(), target(), "c", time.Now().Add(time.Minute)); a.Replica == nil {
 			t.Fatalf("got %+v", a)
 		}
-		if took := time.Since(began); took < time.Second/2 || took > time.Second+2*beat {
+		if took := time.Since(began); took < time.Second/2 || took > time.Second+2*interval {
 			t.Errorf("served after %v", took)
 		}
 	})
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,9 +25,9 @@
 )
 
 const (
-	confirmBeat = 100 * time.Millisecond
-	limit       = time.Second
-	maxPeers    = 16
+	confirmInterval = 100 * time.Millisecond
+	limit           = time.Second
+	maxPeers        = 16
 	// maxHold bounds how long a proxy may have its answer held back.
 	maxHold = 500 * time.Millisecond
 	// lingerGap is how long a stopping agent must not have been asked by its proxy before it goes.
@@ -115,7 +115,7 @@
 	wire.Handle(a.feedMux, feed.UrgentPath, a.takeUrgent)
 	reports := run.NewDesk(a.group, 8, s.Cadence.Report, func() { a.report(a.group.Context()) })
 	a.urgent = run.NewNudge(reports, func() { a.report(a.group.Context()) })
-	a.group.Every(confirmBeat, a.confirm)
+	a.group.Every(confirmInterval, a.confirm)
 	a.base.Go(a.post.Run)
 	for _, srv := range []*wire.Server{wire.NewServer(ln, a.mux), wire.NewServer(fl, a.feedMux)} {
 		a.servers = append(a.servers, srv)
--- a/internal/gossip/spread_test.go
+++ b/internal/gossip/spread_test.go
@@ -86,26 +86,26 @@
 	}
 }
 
-func TestAnOwnEntryGoesToAllAtOnceAndAtTheNextBeat(t *testing.T) {
+func TestAnOwnEntryGoesToAllAtOnceAndAtTheNextRound(t *testing.T) {
 	for _, peers := range []int{1, 5, allTold} {
 		among(t, peers, func(l *listeners) {
 			l.s.t.Put(entry("own", 1, 1))
 			wantHeard(t, "at once", l.pass(true, "own"), peers)
 			wantHeard(t, "at once again", l.pass(true, "own"), 0)
-			wantHeard(t, "at the beat", l.pass(false, "own"), peers)
-			wantHeard(t, "at the beat after", l.pass(false, "own"), 0)
+			wantHeard(t, "at the round", l.pass(false, "own"), peers)
+			wantHeard(t, "at the round after", l.pass(false, "own"), 0)
 			wantHeard(t, "at once after", l.pass(true, "own"), 0)
 		})
 	}
 }
 
-func TestABeatBeforeTheNudgeCountsToo(t *testing.T) {
+func TestARoundBeforeTheNudgeCountsToo(t *testing.T) {
 	among(t, 5, func(l *listeners) {
 		l.s.t.Put(entry("own", 1, 1))
-		wantHeard(t, "at the first beat", l.pass(false, "own"), 5)
+		wantHeard(t, "at the first round", l.pass(false, "own"), 5)
 		wantHeard(t, "at once", l.pass(true, "own"), 0)
-		wantHeard(t, "at the second beat", l.pass(false, "own"), 5)
-		wantHeard(t, "at the third beat", l.pass(false, "own"), 0)
+		wantHeard(t, "at the second round", l.pass(false, "own"), 5)
+		wantHeard(t, "at the third round", l.pass(false, "own"), 0)
 	})
 }
 
@@ -113,8 +113,8 @@
 	among(t, 5, func(l *listeners) {
 		l.s.t.Learn(entry("told", 1, 1))
 		wantHeard(t, "at once", l.pass(true, "told"), 0)
-		wantHeard(t, "at the beat", l.pass(false, "told"), fanout)
-		wantHeard(t, "at the beat after", l.pass(false, "told"), 0)
+		wantHeard(t, "at the round", l.pass(false, "told"), fanout)
+		wantHeard(t, "at the round after", l.pass(false, "told"), 0)
 		if l.s.t.Learn(entry("told", 1, 1)); len(l.s.t.hot) != 0 {
 			t.Error("told again it is passed on again")
 		}
@@ -127,8 +127,8 @@
 		wantHeard(t, "the first", l.pass(true, "own"), 5)
 		l.s.t.Put(entry("own", 1, 2))
 		wantHeard(t, "the second", l.pass(true, "own"), 5)
-		wantHeard(t, "at the beat", l.pass(false, "own"), 5)
-		wantHeard(t, "at the beat after", l.pass(false, "own"), 0)
+		wantHeard(t, "at the round", l.pass(false, "own"), 5)
+		wantHeard(t, "at the round after", l.pass(false, "own"), 0)
 	})
 }
 
@@ -138,9 +138,9 @@
 		l.s.t.Learn(entry("told", 1, 1))
 		wantHeard(t, "at once", l.pass(true, "own"), 0)
 		for range retell {
-			wantHeard(t, "at a beat", l.pass(false, "own"), fanout)
+			wantHeard(t, "at a round", l.pass(false, "own"), fanout)
 		}
-		wantHeard(t, "after all beats", l.pass(false, "told"), 0)
+		wantHeard(t, "after all rounds", l.pass(false, "told"), 0)
 	})
 }
 
--- a/internal/kernel/run/run.go
+++ b/internal/kernel/run/run.go
@@ -102,12 +102,12 @@
 }
 
 // loop is the select loop; every other loop in the system is made of it.
-func (g *Group) loop(ctx context.Context, inbox <-chan func(), beat time.Duration, onBeat func()) {
-	var beats <-chan time.Time
-	if beat > 0 {
-		ticker := time.NewTicker(beat)
+func (g *Group) loop(ctx context.Context, inbox <-chan func(), interval time.Duration, onTick func()) {
+	var ticks <-chan time.Time
+	if interval > 0 {
+		ticker := time.NewTicker(interval)
 		defer ticker.Stop()
-		beats = ticker.C
+		ticks = ticker.C
 	}
 	for {
 		select {
@@ -116,17 +116,17 @@
 		case f := <-inbox:
 			g.Pass()
 			f()
-		case <-beats:
+		case <-ticks:
 			g.Pass()
-			onBeat()
+			onTick()
 		}
 	}
 }
 
-// Every calls f at each beat until the group stops.
-func (g *Group) Every(beat time.Duration, f func(ctx context.Context)) {
+// Every calls f at each interval until the group stops.
+func (g *Group) Every(interval time.Duration, f func(ctx context.Context)) {
 	g.Go(func(ctx context.Context) {
-		g.loop(ctx, nil, beat, func() { f(ctx) })
+		g.loop(ctx, nil, interval, func() { f(ctx) })
 	})
 }
 
@@ -136,10 +136,10 @@
 	inbox chan func()
 }
 
-// NewDesk opens a desk with a queue of depth commands and an optional beat.
-func NewDesk(g *Group, depth int, beat time.Duration, onBeat func()) *Desk {
+// NewDesk opens a desk with a queue of depth commands and an optional interval, at which it calls onTick.
+func NewDesk(g *Group, depth int, interval time.Duration, onTick func()) *Desk {
 	d := &Desk{group: g, inbox: make(chan func(), depth)}
-	g.Go(func(ctx context.Context) { g.loop(ctx, d.inbox, beat, onBeat) })
+	g.Go(func(ctx context.Context) { g.loop(ctx, d.inbox, interval, onTick) })
 	return d
 }
 
--- a/internal/place/order/carry.go
+++ b/internal/place/order/carry.go
@@ -240,12 +240,12 @@
 // report has told of since.
 func (c *Controller) afloat() {
 	now := c.d.Clock.Since()
-	if now-c.toldAt < floatBeat {
+	if now-c.toldAt < floatInterval {
 		return
 	}
-	// Why: a report follows an order at the next beat; until then the grant itself counts.
+	// Why: a report follows an order at the next look; until then the grant itself counts.
 	for item, l := range c.book {
-		if l.State == backend.Loading && l.ordered >= c.reportAt && now-l.ordered > floatBeat {
+		if l.State == backend.Loading && l.ordered >= c.reportAt && now-l.ordered > floatInterval {
 			c.toldAt = now
 			ctx, cancel := context.WithTimeout(c.d.Group.Context(), askLimit)
 			c.d.Afloat(ctx, c.who(item))
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -25,15 +25,15 @@
 const (
 	// justNow is how old a report may be when a load is ordered. Why: a replica that has just stopped answering
 	// may read the order when it wakes, much later.
-	justNow    = 400 * time.Millisecond
-	askLimit   = 400 * time.Millisecond
-	orderLimit = 900 * time.Millisecond
-	ackLimit   = 3 * time.Second  // fence for proxies that do not acknowledge
-	idleLimit  = 10 * time.Second // victims that do not get idle are let be
-	goneLimit  = 20 * time.Second
-	paceLimit  = 60 * time.Second
-	floatBeat  = time.Second
-	aboutRight = 500 * time.Millisecond // by how much an estimate may be off before another is told
+	justNow       = 400 * time.Millisecond
+	askLimit      = 400 * time.Millisecond
+	orderLimit    = 900 * time.Millisecond
+	ackLimit      = 3 * time.Second  // fence for proxies that do not acknowledge
+	idleLimit     = 10 * time.Second // victims that do not get idle are let be
+	goneLimit     = 20 * time.Second
+	paceLimit     = 60 * time.Second
+	floatInterval = time.Second
+	aboutRight    = 500 * time.Millisecond // by how much an estimate may be off before another is told
 	// doubt is how long an order with no known outcome counts as carried out, and doubtMargin what is added to a
 	// report's age where reports tell of orders that are being carried out.
 	doubt       = 3 * time.Second
@@ -128,7 +128,7 @@
 func NewController(g *run.Group, d Deps, l inventory.Listed) *Controller {
 	d.Group = g
 	c := &Controller{d: d, listed: l, book: map[conf.Item]*line{}, reportAt: -1 << 62, lookedAt: -1 << 62, staying: -1, held: map[string]bool{}, traits: d.Replicas.Traits()}
-	c.desk = run.NewDesk(g, 64, d.Cadence.ReplicaBusy, c.onBeat)
+	c.desk = run.NewDesk(g, 64, d.Cadence.ReplicaBusy, c.onTick)
 	c.soon = run.NewNudge(c.desk, c.work)
 	return c
 }
@@ -140,7 +140,7 @@
 	return c.listed.Leaving || c.report.Leaving || inventory.Marked(c.d.Gossip, c.listed.ID) || c.d.Conf().Drained(c.listed.Labels, c.listed.Zone)
 }
 
-func (c *Controller) onBeat() {
+func (c *Controller) onTick() {
 	now := c.d.Clock.Since()
 	idle := c.tasks.Len() == 0 && c.epoch > 0
 	// Why: a tick may come a little early, and must not wait for the next one then.
--- a/internal/place/order/hold_test.go
+++ b/internal/place/order/hold_test.go
@@ -59,7 +59,7 @@
 	return c.Conn.Write(b)
 }
 
-// A hold runs out while a beat of the controller is under way: it has asked the replica
+// A hold runs out while a look of the controller is under way: it has asked the replica
 // and the store's keeper, both far off, and the order it meant to give must not leave any more.
 func TestNoOrderLeavesAfterTheHold(t *testing.T) {
 	orders := 0
--- a/internal/place/plan/history.go
+++ b/internal/place/plan/history.go
@@ -125,7 +125,7 @@
 }
 
 // hasNewMiss says whether requests wait by a report for an item that this core plans
-// for and that nobody waited for when it last looked. Why: what waits already is looked at with each beat.
+// for and that nobody waited for when it last looked. Why: what waits already is looked at in each interval.
 func (p *Planner) hasNewMiss(r report.Report) bool {
 	for name := range r.Waiting {
 		it := conf.ParseItem(name)
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -91,8 +91,8 @@
 		claimAt: map[conf.Item]time.Duration{}}
 	p.next.Store(&map[string]float64{})
 	p.paceDesk = run.NewDesk(d.Group, 64, 0, nil)
-	p.desk = run.NewDesk(d.Group, 1024, d.Cadence.Plan, p.onBeat)
-	p.soon = run.NewNudge(p.desk, p.onBeat)
+	p.desk = run.NewDesk(d.Group, 1024, d.Cadence.Plan, p.onTick)
+	p.soon = run.NewNudge(p.desk, p.onTick)
 	d.Group.Every(d.Cadence.Share, p.share)
 	d.Group.Every(d.Cadence.Keep, p.keep)
 	return p
@@ -105,7 +105,7 @@
 	return p.d.Owner.Holds(key) && p.loaded[state.SlotOf(key)] == epoch
 }
 
-func (p *Planner) onBeat() {
+func (p *Planner) onTick() {
 	// Why: asking controllers takes time; the desk must go on taking reports, so one round runs beside it.
 	if p.busy.Swap(true) {
 		return
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -46,7 +46,7 @@
 	to = to[:min(len(to), mendWith)]
 	asked := p.env.Clock.Since()
 	ch := run.Fan(p.group, len(to), func(ctx context.Context, i int) touch.Word {
-		ctx, cancel := context.WithTimeout(ctx, mendBeat)
+		ctx, cancel := context.WithTimeout(ctx, mendInterval)
 		defer cancel()
 		return gossip.Mend(ctx, p.caller, p.gossip, to[i], "")
 	})
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -42,10 +42,10 @@
 	reportGap   = 50 * time.Millisecond
 	feedLimit   = time.Second
 	// missGap is the least time between two urgent reports.
-	missGap   = 5 * time.Millisecond
-	mendBeat  = 400 * time.Millisecond
-	bodyLimit = 15 * time.Second
-	stall     = 30 * time.Second
+	missGap      = 5 * time.Millisecond
+	mendInterval = 400 * time.Millisecond
+	bodyLimit    = 15 * time.Second
+	stall        = 30 * time.Second
 	// unknownEdges is how many edges a proxy supposes before it has been told for a while.
 	unknownEdges = 16
 	// settled is how long an agent must have been there for its count of edges to be believed.
@@ -55,9 +55,9 @@
 	// lameDuck is how long a stopping proxy still serves while it lets go of its conns.
 	lameDuck = 3 * time.Second
 	// wakeFor is how long requests wait for a proxy that has just found itself out of touch.
-	wakeFor   = time.Second
-	wakeBeat  = 20 * time.Millisecond
-	maxWaking = 1000
+	wakeFor      = time.Second
+	wakeInterval = 20 * time.Millisecond
+	maxWaking    = 1000
 	// agentYoung is how long a new agent may know less than those its predecessor knew.
 	agentYoung = 5 * time.Second
 	mendWith   = 3
@@ -155,7 +155,7 @@
 		return nil, err
 	}
 	p.group.Repeat(feedGap, p.exchange)
-	p.group.Every(mendBeat, p.mend)
+	p.group.Every(mendInterval, p.mend)
 	for _, srv := range p.servers {
 		p.base.Go(srv.Run)
 	}
@@ -218,7 +218,7 @@
 	// Why: what waits for a replica now would still be at work when the grace ends.
 	run.Wait(ctx, grace/8)
 	p.admission.Close()
-	for p.serving.Load() > 0 && run.Wait(ctx, wakeBeat) {
+	for p.serving.Load() > 0 && run.Wait(ctx, wakeInterval) {
 	}
 	var failed error
 	for _, srv := range p.servers {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -68,7 +68,7 @@
 	if p.waking.Add(1) > maxWaking {
 		return
 	}
-	for !p.confirmed.Load() && p.env.Clock.Since()-p.began < p.s.Cadence.Start && run.Wait(ctx, wakeBeat) {
+	for !p.confirmed.Load() && p.env.Clock.Since()-p.began < p.s.Cadence.Start && run.Wait(ctx, wakeInterval) {
 	}
 }
 
@@ -107,7 +107,7 @@
 	for p.routes.Deaf() {
 		now := p.env.Clock.Since()
 		p.deafAt.CompareAndSwap(0, int64(now))
-		if now-time.Duration(p.deafAt.Load()) > wakeFor || !run.Wait(ctx, wakeBeat) {
+		if now-time.Duration(p.deafAt.Load()) > wakeFor || !run.Wait(ctx, wakeInterval) {
 			return false
 		}
 	}
--- a/internal/route/renew_bench_test.go
+++ b/internal/route/renew_bench_test.go
@@ -39,7 +39,7 @@
 				w.k.renew()
 			}
 		})
-		b.Run(fmt.Sprintf("a beat at %d", replicas), func(b *testing.B) {
+		b.Run(fmt.Sprintf("an interval at %d", replicas), func(b *testing.B) {
 			w := benchWorld(replicas)
 			for b.Loop() {
 				w.k.renew()
--- a/internal/route/renew_test.go
+++ b/internal/route/renew_test.go
@@ -371,7 +371,7 @@
 	w.k.renew()
 	before := w.k.Now()
 	for range 100 {
-		w.clock.now += beat
+		w.clock.now += interval
 		w.k.renew()
 	}
 	if w.k.Now() != before {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	beat     = 100 * time.Millisecond
-	lookBeat = 500 * time.Millisecond
-	lookFor  = 450 * time.Millisecond
+	interval     = 100 * time.Millisecond
+	lookInterval = 500 * time.Millisecond
+	lookFor      = 450 * time.Millisecond
 	// dark is how old a replica's own report may be while it is still routed to.
 	dark = 2 * time.Second
 	// deaf is how long this proxy may hear nothing that could tell of a leaving
@@ -119,17 +119,17 @@
 		full:   map[bool]time.Duration{true: -1 << 61, false: -1 << 61},
 		warmth: newMemory(), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
 	k.snap.Store(&Snapshot{Conf: conf.Empty()})
-	k.desk = run.NewDesk(d.Group, 256, beat, k.renew)
-	// Why: a configuration and a withdrawn item are in force at once, not at the next beat; news that comes
+	k.desk = run.NewDesk(d.Group, 256, interval, k.renew)
+	// Why: a configuration and a withdrawn item are in force at once, not at the next interval; news that comes
 	// together makes one table.
 	k.fresh = run.NewNudge(k.desk, k.renew)
 	d.Gossip.OnNew(func(gossip.Entry) { k.fresh.Now() })
 	if !d.Ask {
 		return k
 	}
-	d.Group.Every(lookBeat, func(ctx context.Context) { k.look(ctx, func(*Replica) bool { return true }) })
+	d.Group.Every(lookInterval, func(ctx context.Context) { k.look(ctx, func(*Replica) bool { return true }) })
 	// Why: a replica just learned of is of no use until it has been looked at, nor is one whose room we have used up.
-	d.Group.Every(beat, func(ctx context.Context) { k.look(ctx, func(r *Replica) bool { return r.Live.look.Swap(false) }) })
+	d.Group.Every(interval, func(ctx context.Context) { k.look(ctx, func(r *Replica) bool { return r.Live.look.Swap(false) }) })
 	return k
 }
 
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -70,7 +70,7 @@
 	live.refused.Store(never)
 	live.silent.Store(never)
 	live.over.Store(never)
-	// Why: its report is not waited for until the next beat; a replica just learned of is of no use without it.
+	// Why: its report is not waited for until the next interval; a replica just learned of is of no use without it.
 	live.look.Store(true)
 	k.lives[id] = live
 	return live
