--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,277 @@
+// Package admission admits requests to replicas: by class, capacity and deadline. It
+// gives up at once on what cannot be served in time.
+package admission
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/queue"
+	"drumstall.example/internal/route"
+)
+
+const (
+	interval = 20 * time.Millisecond
+	sweep    = 5 * interval // between two sweeps of waiters that no longer wait
+	depth    = 4096
+	// reserve is the share of attempts that only urgent classes may use.
+	reserve = 4
+)
+
+// Controller owns the queue of a proxy.
+type Controller struct {
+	desk     *run.Desk
+	routes   *route.Keeper
+	queue    *queue.Queue
+	now      func() time.Time
+	attempts atomic.Int64
+	urgent   atomic.Int64
+	waiting  atomic.Pointer[map[string]int]
+	again    *run.Nudge // dispatches soon
+	next     *run.Alarm // the next look at those who wait
+	sweep    *run.Alarm
+	hold     time.Duration
+	closed   atomic.Bool
+	onMiss   func() // tells at once that a request waits for what nobody holds
+}
+
+// New opens admission.
+// hold is how long an item that nobody holds is waited for without any word.
+func New(g *run.Group, routes *route.Keeper, hold time.Duration, onMiss func()) *Controller {
+	ac := &Controller{routes: routes, queue: queue.New(), now: time.Now, hold: hold, onMiss: onMiss}
+	ac.waiting.Store(&map[string]int{})
+	ac.desk = run.NewDesk(g, depth, 0, nil)
+	ac.next, ac.sweep = run.NewAlarm(ac.desk, ac.onTick), run.NewAlarm(ac.desk, ac.onSweep)
+	ac.again = run.NewNudge(ac.desk, ac.dispatch)
+	routes.OnTable(ac.again.Now)
+	return ac
+}
+
+// Waiting is how many requests wait for each item.
+func (ac *Controller) Waiting() map[string]int { return *ac.waiting.Load() }
+
+// Shots is how many requests are out now.
+func (ac *Controller) Attempts() int64 { return ac.attempts.Load() }
+
+// Enter waits until a replica can take the request, and says which, or why not.
+func (ac *Controller) Enter(ctx context.Context, target route.Target, class string, deadline time.Time) queue.Answer {
+	w := queue.NewWaiter(target, class, ac.now(), deadline)
+	if ac.desk.Tell(func() { ac.take(w) }) != nil {
+		return queue.Answer{Why: "the holding is full", RetryS: 1}
+	}
+	wait := time.NewTimer(time.Until(deadline))
+	defer wait.Stop()
+	late := queue.Answer{Why: "the deadline passed while it waited", Late: true, RetryS: 1}
+	select {
+	case a := <-w.Answer:
+		return a
+	case <-wait.C:
+	case <-ctx.Done():
+		late.Why = "the client left"
+	}
+	if w.Withdraw() {
+		return late
+	}
+	// Why: it was claimed in the same moment; the claim stands, and its replica must be let go if unused.
+	return <-w.Answer
+}
+
+// Close turns away whatever waits, and whatever comes from now on.
+func (ac *Controller) Close() {
+	ac.closed.Store(true)
+	_ = ac.desk.Tell(func() {
+		for _, c := range ac.queue.Order() {
+			c.Lanes(func(l *queue.Lane) (bool, bool) {
+				for i := range l.Waiters.Len() {
+					drop(l.Waiters.At(i), stopped)
+				}
+				return false, false
+			})
+		}
+	})
+}
+
+// stopped is the answer once admission has closed.
+var stopped = queue.Answer{Why: "this proxy is stopping", RetryS: 1}
+
+func drop(w *queue.Waiter, a queue.Answer) {
+	if w.Withdraw() {
+		w.Answer <- a
+	}
+}
+
+func (ac *Controller) take(w *queue.Waiter) {
+	if ac.closed.Load() {
+		drop(w, stopped)
+		return
+	}
+	cl, known := ac.routes.Now().Conf.Classes[w.Class]
+	if !known {
+		drop(w, queue.Answer{Why: "its class has gone", RetryS: 1})
+		return
+	}
+	c := ac.queue.Class(w.Class, cl)
+	ac.sweep.In(sweep)
+	if !ac.queue.Put(c, w) {
+		drop(w, queue.Answer{Why: "the holding of class " + w.Class + " is full", RetryS: 1})
+		return
+	}
+	ac.dispatch()
+	if !w.Waits() {
+		return
+	}
+	ac.next.In(interval)
+	// Why: if what is ahead already takes longer than the deadline, waiting would only delay the no.
+	_, held, serve := ac.routes.Choose(w.Target)
+	if held == 0 {
+		ac.routes.CountWaiting(&w.Target)
+		ac.tellWaiting()
+		ac.onMiss()
+	}
+	if held > 0 {
+		ahead := time.Duration(c.Size()) * serve
+		// Why: who waits longest for the same tells best how long it takes, other edges and other classes included.
+		ahead = max(ahead, ac.now().Sub(c.Oldest(w).Since))
+		if ahead > w.Deadline.Sub(w.Since) {
+			drop(w, queue.Answer{Why: "too many wait ahead of it", RetryS: retry(ahead - w.Deadline.Sub(w.Since))})
+		}
+	}
+}
+
+func retry(d time.Duration) int { return max(1, min(60, int(d/time.Second)+1)) }
+
+// dispatch gives replicas to waiters until none can be given more.
+func (ac *Controller) dispatch() {
+	limit := int64(ac.routes.Now().Conf.Limits.Attempts)
+	for progress := true; progress; {
+		progress = false
+		for _, c := range ac.queue.Order() {
+			full := ac.attempts.Load() >= limit
+			// Why: urgent requests find places that others can never fill.
+			if !c.Conf.Urgent {
+				full = ac.attempts.Load()-ac.urgent.Load() >= limit-limit/reserve || full
+			}
+			if full {
+				continue
+			}
+			c.Lanes(func(l *queue.Lane) (bool, bool) {
+				head := l.Waiters.Front()
+				r, held, _ := ac.routes.Choose(head.Target)
+				if held > 0 {
+					l.Empty = time.Time{}
+				} else if l.Empty.IsZero() {
+					l.Empty = ac.now()
+				}
+				if r == nil {
+					return false, false
+				}
+				w := c.Pop(l)
+				progress = true
+				// Why: an attempt whose first piece comes after the deadline does the work, and tells its caller that nobody
+				// knows whether it did.
+				if w.Deadline.Sub(ac.now()) < r.Live.FirstFor() {
+					drop(w, queue.Answer{Why: "its answer would begin after the deadline", Late: true, RetryS: 1})
+				} else if w.Claim() {
+					ac.give(w, r, c.Conf)
+				}
+				return true, false
+			})
+			if progress {
+				break
+			}
+		}
+	}
+}
+
+func (ac *Controller) give(w *queue.Waiter, r *route.Replica, c conf.Class) {
+	ac.attempts.Add(1)
+	if c.Urgent {
+		ac.urgent.Add(1)
+	}
+	place := ac.routes.Took(w.Target, r)
+	var once atomic.Bool
+	w.Answer <- queue.Answer{Replica: r, Begun: func() { place.Begun(); ac.again.Now() }, Done: func() {
+		if once.Swap(true) {
+			return
+		}
+		place.Done()
+		ac.attempts.Add(-1)
+		if c.Urgent {
+			ac.urgent.Add(-1)
+		}
+		ac.again.Now()
+	}}
+}
+
+// onTick looks at those who wait. Why: most of the time nobody does, and a proxy
+// that sleeps then costs nothing.
+func (ac *Controller) onTick() {
+	ac.dispatch()
+	ac.hopeless()
+	if ac.queue.Holds() {
+		ac.next.In(interval)
+	}
+}
+
+// onSweep lets go of waiters that no longer wait, and of classes without any.
+func (ac *Controller) onSweep() {
+	ac.queue.Sweep()
+	ac.tellWaiting()
+	if ac.queue.Known() {
+		ac.sweep.In(sweep)
+	}
+}
+
+func (ac *Controller) tellWaiting() {
+	w := ac.queue.Waiting()
+	ac.waiting.Store(&w)
+}
+
+// hopeless turns away what no load and no freed place can serve in time.
+func (ac *Controller) hopeless() {
+	s := ac.routes.Now()
+	now := ac.now()
+	for _, c := range ac.queue.Order() {
+		c.Lanes(func(l *queue.Lane) (bool, bool) {
+			if l.Empty.IsZero() {
+				return false, false
+			}
+			if _, held, _ := ac.routes.Choose(l.Waiters.Front().Target); held > 0 {
+				l.Empty = time.Time{}
+				return false, false
+			}
+			x, told := s.Expect[l.Key]
+			at, coming := s.Coming[l.Key]
+			ready := now.Add(at - ac.routes.Since())
+			// Why: silence counts from the last word. A load that is just done is no longer on its way, and the
+			// replica has not told us yet; those that waited for it must not be dropped in between.
+			if coming || told && !x.Refused {
+				l.Empty = now
+			}
+			for i := range l.Waiters.Len() {
+				w := l.Waiters.At(i)
+				switch {
+				case !w.Waits():
+				case coming && ready.After(w.Deadline):
+					drop(w, queue.Answer{Why: "it will be loaded too late", RetryS: retry(ready.Sub(now))})
+				case coming:
+				case told && x.Refused:
+					drop(w, queue.Answer{Why: x.Why, RetryS: max(1, x.RetryS)})
+				case now.Sub(later(w.Since, l.Empty)) > ac.hold:
+					drop(w, queue.Answer{Why: "nobody has it and no controller answers", RetryS: 2})
+				}
+			}
+			return false, false
+		})
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/conf/effect.go
+++ b/internal/conf/effect.go
@@ -64,7 +64,7 @@
 			Group: f["group"].(string), Models: f["models"].([]string), Adapters: f["adapters"].([]string), MinCopies: f["minCopies"].(int),
 		}
 	case "classes":
-		e.Classes[name] = Class{Urgent: f["urgent"].(bool), Rank: f["rank"].(int), Weight: f["weight"].(int), Holding: f["holding"].(int)}
+		e.Classes[name] = Class{Urgent: f["urgent"].(bool), Rank: f["rank"].(int), Weight: f["weight"].(int), Queue: f["holding"].(int)}
 	case "services":
 		e.Services[name] = readService(name, f)
 	case "routes":
@@ -143,7 +143,7 @@
 		return Limits{}, bad
 	}
 	return Limits{
-		PaceLoads: f["paceLoads"].(int), RetryAllowance: f["retryAllowance"].(int), Shots: f["shots"].(int),
+		PaceLoads: f["paceLoads"].(int), RetryAllowance: f["retryAllowance"].(int), Attempts: f["shots"].(int),
 		Csf: f["csf"].(float64), DayWeights: f["dayWeights"].([]float64),
 		Unit: ms(f["unitMs"]), Epoch: f["epochUnits"].(int), WarmupMinutes: f["warmupMinutes"].(int), HorizonMinutes: f["horizonMinutes"].(int),
 		PassEvery: time.Duration(f["passMinutes"].(int)) * time.Minute,
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -12,10 +12,10 @@
 	"github.com/gammazero/deque"
 
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/demand"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/report"
@@ -44,11 +44,11 @@
 	Cadence bounds.Cadence
 	Store   bounds.Store
 	Owner   *owner.Owner
-	News    *news.Table
+	Gossip  *gossip.Table
 	Reports *report.Table
 	Conf    func() conf.Effective
-	// Views are all replicas' newest news, by name; nobody changes them.
-	Views func() []order.News
+	// Views are all replicas' newest status, by name; nobody changes them.
+	Views func() []order.Status
 	// Ask reaches the controller of a replica, on whichever core it is.
 	Ask func(ctx context.Context, controller string, q order.Consider) (order.Considered, error)
 	// AskAll asks the controller of several replicas at once, dry; order.Unheard stands for an answer that did not
@@ -87,8 +87,8 @@
 		claimAt: map[conf.Item]time.Duration{}}
 	p.next.Store(&map[string]float64{})
 	p.paceDesk = run.NewDesk(d.Group, 64, 0, nil)
-	p.desk = run.NewDesk(d.Group, 1024, d.Cadence.Plan, p.onBeat)
-	p.soon = run.NewNudge(p.desk, p.onBeat)
+	p.desk = run.NewDesk(d.Group, 1024, d.Cadence.Plan, p.onTick)
+	p.soon = run.NewNudge(p.desk, p.onTick)
 	d.Group.Every(d.Cadence.Share, p.share)
 	d.Group.Every(d.Cadence.Keep, p.keep)
 	d.Group.Every(grantsEvery, p.refreshGrants)
@@ -102,7 +102,7 @@
 	return p.d.Owner.Holds(key) && p.loaded[state.SlotOf(key)] == epoch
 }
 
-func (p *Planner) onBeat() {
+func (p *Planner) onTick() {
 	// Why: asking controllers takes time; the desk must go on taking reports, so one round runs beside it.
 	if p.busy.Swap(true) {
 		return
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -10,11 +10,11 @@
 
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/feed"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member/touch"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/route"
 )
@@ -34,10 +34,10 @@
 	base       report.Report // the last report that the agent holds, from which the next is the difference; without a serial there is none
 }
 
-// mend gets news from the agent's partners while the agent is away, or so new
+// mend gets news from the agent's peers while the agent is away, or so new
 // that it may know nobody yet: a configuration must come into force here all the same.
 func (p *Proxy) mend(ctx context.Context) {
-	to := slices.Clone(*p.partners.Load())
+	to := slices.Clone(*p.peers.Load())
 	if p.agentFor() <= agentLost && p.env.Clock.Since()-time.Duration(p.agentNew.Load()) > agentYoung || len(to) == 0 {
 		return
 	}
@@ -46,9 +46,9 @@
 	to = to[:min(len(to), mendWith)]
 	asked := p.env.Clock.Since()
 	ch := run.Fan(p.group, len(to), func(ctx context.Context, i int) touch.Word {
-		ctx, cancel := context.WithTimeout(ctx, mendBeat)
+		ctx, cancel := context.WithTimeout(ctx, mendInterval)
 		defer cancel()
-		return news.Mend(ctx, p.caller, p.news, to[i], "")
+		return gossip.Mend(ctx, p.caller, p.gossip, to[i], "")
 	})
 	for range to {
 		p.touch.Told(asked, <-ch)
@@ -62,7 +62,7 @@
 	f := &p.feed
 	snap := p.routes.Now()
 	up := feed.Up{Boot: p.boot, AgentBoot: f.agentBoot, Cursor: f.cursor, Confirmed: p.confirmed.Load(), Conf: snap.Stamp}
-	fresh, mine, _ := p.news.After(f.mine)
+	fresh, mine, _ := p.gossip.After(f.mine)
 	for _, e := range fresh {
 		if f.all || strings.HasPrefix(e.Key, inventory.MarkKey("")) {
 			up.Entries = append(up.Entries, e)
@@ -70,7 +70,7 @@
 	}
 	// Why: an agent that was started anew while all seeds are down would stay alone.
 	if time.Duration(p.agentSeen.Load()) < time.Duration(p.agentNew.Load())+time.Second {
-		up.Partners = *p.partners.Load()
+		up.Peers = *p.peers.Load()
 	}
 	up.HoldMs = int(feedHold.Milliseconds())
 	asked := p.env.Clock.Since()
@@ -98,20 +98,20 @@
 	}
 	f.agentBoot, f.cursor = down.AgentBoot, down.Cursor
 	for _, e := range down.Entries {
-		p.news.Put(e)
+		p.gossip.Put(e)
 	}
 	if !p.routes.Deaf() {
 		p.deafAt.Store(0)
 	}
 	p.countEdges(down.Edges, asked)
 	// Why: a new agent that knows few must not make us forget whom the one before it knew.
-	if young := asked-time.Duration(p.agentNew.Load()) < agentYoung; len(down.Partners) > 0 && (!young || len(down.Partners) >= len(*p.partners.Load())) {
-		p.partners.Store(&down.Partners)
+	if young := asked-time.Duration(p.agentNew.Load()) < agentYoung; len(down.Peers) > 0 && (!young || len(down.Peers) >= len(*p.peers.Load())) {
+		p.peers.Store(&down.Peers)
 	}
 	p.agentSeen.Store(int64(asked))
 	p.touch.Told(asked, touch.Word(down.HeardMs+1))
 	// Why: a proxy just started serves on nothing until it has what was in force before.
-	if down.Confirmed && !p.confirmed.Load() && !down.Conf.Newer(p.news.StampOf(conf.Key)) {
+	if down.Confirmed && !p.confirmed.Load() && !down.Conf.Newer(p.gossip.StampOf(conf.Key)) {
 		p.confirmed.Store(true)
 	}
 	p.rest(ctx, p.env.Clock.Since())
@@ -165,7 +165,7 @@
 func (p *Proxy) report() report.Report {
 	snap := p.routes.Now()
 	return report.Report{Boot: p.boot, Serial: p.reports.Add(1), Conf: snap.Serial, Demand: p.demands(), Inflight: p.routes.Inflight(),
-		Waiting: p.gate.Waiting(), Pressed: p.routes.Pressed(), WorkMs: p.routes.Work(), Acked: snap.Acked, Zone: p.s.Zone, Serving: p.confirmed.Load()}
+		Waiting: p.admission.Waiting(), Pressed: p.routes.Pressed(), WorkMs: p.routes.Work(), Acked: snap.Acked, Zone: p.s.Zone, Serving: p.confirmed.Load()}
 }
 
 // tellMiss passes the report on at once. Why: a load can only begin when a
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,4 +1,4 @@
-// Package proxy puts a dsproxy together: the callers' face, gate, shots,
+// Package proxy puts a dsproxy together: the callers' face, admission, attempts,
 // relay, and the feed from the agent beside it.
 package proxy
 
@@ -15,17 +15,17 @@
 
 	gen "drumstall.example/gen/caller"
 	"drumstall.example/gen/http/caller/server"
+	"drumstall.example/internal/admission"
 	"drumstall.example/internal/attempt"
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/core"
-	"drumstall.example/internal/gate"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/face"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member/touch"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/relay"
 	"drumstall.example/internal/route"
 )
@@ -42,10 +42,10 @@
 	reportGap   = 50 * time.Millisecond
 	feedLimit   = time.Second
 	// missGap is the least time between two urgent reports.
-	missGap   = 5 * time.Millisecond
-	mendBeat  = 400 * time.Millisecond
-	bodyLimit = 15 * time.Second
-	stall     = 30 * time.Second
+	missGap      = 5 * time.Millisecond
+	mendInterval = 400 * time.Millisecond
+	bodyLimit    = 15 * time.Second
+	stall        = 30 * time.Second
 	// unknownEdges is how many edges a proxy supposes before it has been told for a while.
 	unknownEdges = 16
 	// settled is how long an agent must have been there for its count of edges to be believed.
@@ -55,9 +55,9 @@
 	// lameDuck is how long a stopping proxy still serves while it lets go of its conns.
 	lameDuck = 3 * time.Second
 	// wakeFor is how long requests wait for a proxy that has just found itself out of touch.
-	wakeFor   = time.Second
-	wakeBeat  = 20 * time.Millisecond
-	maxWaking = 1000
+	wakeFor      = time.Second
+	wakeInterval = 20 * time.Millisecond
+	maxWaking    = 1000
 	// agentYoung is how long a new agent may know less than those its predecessor knew.
 	agentYoung = 5 * time.Second
 	mendWith   = 3
@@ -90,9 +90,9 @@
 	boot      string
 	group     *run.Group
 	base      *run.Group
-	news      *news.Table
+	gossip    *gossip.Table
 	routes    *route.Keeper
-	gate      *gate.Gate
+	admission *admission.Controller
 	sender    *attempt.Sender
 	budget    *attempt.Budget
 	conn      backend.Client
@@ -107,7 +107,7 @@
 	agentSeen atomic.Int64
 	agentNew  atomic.Int64 // when the agent was first heard under its boot
 	edges     atomic.Int64
-	partners  atomic.Pointer[[]string]
+	peers     atomic.Pointer[[]string]
 	deafAt    atomic.Int64 // since when a request has found this proxy out of touch; 0 is not
 	waking    atomic.Int64 // requests that wait for it to be in touch again
 	serving   atomic.Int64 // requests that are being served
@@ -123,7 +123,7 @@
 func Start(s Settings, env core.Env) (*Proxy, error) {
 	s.Bounds, s.Cadence = s.Bounds.OrDefault(), s.Cadence.OrDefault()
 	p := &Proxy{s: s, env: env, log: env.Log.Logger().With("node", s.Name), boot: core.NewBoot(), base: run.NewGroup(context.Background()),
-		news: news.NewTable(), budget: attempt.NewBudget(s.Bounds.Retry.Ratio), conn: s.Replicas,
+		gossip: gossip.NewTable(), budget: attempt.NewBudget(s.Bounds.Retry.Ratio), conn: s.Replicas,
 		caller: wire.NewCaller(env.Net), demand: map[string]uint64{}}
 	p.group = p.base.Child()
 	p.began = env.Clock.Since()
@@ -138,24 +138,24 @@
 		s.Lister = inventory.NewLister(env.Net, s.Platform, p.log)
 	}
 	p.edges.Store(unknownEdges)
-	p.watch = inventory.NewWatch(s.Lister, env.Clock, p.log, p.news)
+	p.watch = inventory.NewWatch(s.Lister, env.Clock, p.log, p.gossip)
 	p.touch = touch.New(env.Clock, func() time.Duration { return p.watch.HeardFor() })
 	p.agentSeen.Store(-1 << 62)
 	p.agentNew.Store(-1 << 62)
-	p.partners.Store(&[]string{})
-	p.routes = route.NewKeeper(route.Deps{Group: p.group, News: p.news, Clock: env.Clock, Replicas: p.conn, Zone: func() string { return s.Zone },
+	p.peers.Store(&[]string{})
+	p.routes = route.NewKeeper(route.Deps{Group: p.group, Gossip: p.gossip, Clock: env.Clock, Replicas: p.conn, Zone: func() string { return s.Zone },
 		HeardFor: p.touch.For, Edges: func() int { return int(p.edges.Load()) }, Ask: s.Cadence.ProxiesAsk, Deaf: s.Bounds.Drain - deafMargin})
 	p.watch.Start(p.group, s.Cadence.List, func() bool { return p.agentFor() > agentLost })
 	misses := run.NewDesk(p.group, 4, 0, nil)
 	p.missed = run.NewNudge(misses, p.tellMiss)
-	p.gate = gate.New(p.group, p.routes, s.Cadence.Hold, p.missed.Now)
+	p.admission = admission.New(p.group, p.routes, s.Cadence.Hold, p.missed.Now)
 	if err := p.listen(); err != nil {
 		p.group.Stop()
 		p.base.Stop()
 		return nil, err
 	}
 	p.group.Repeat(feedGap, p.exchange)
-	p.group.Every(mendBeat, p.mend)
+	p.group.Every(mendInterval, p.mend)
 	for _, srv := range p.servers {
 		p.base.Go(srv.Run)
 	}
@@ -217,8 +217,8 @@
 	p.stopping.Store(true)
 	// Why: what waits for a replica now would still be at work when the grace ends.
 	run.Wait(ctx, grace/8)
-	p.gate.Close()
-	for p.serving.Load() > 0 && run.Wait(ctx, wakeBeat) {
+	p.admission.Close()
+	for p.serving.Load() > 0 && run.Wait(ctx, wakeInterval) {
 	}
 	var failed error
 	for _, srv := range p.servers {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -9,8 +9,8 @@
 
 	"drumstall.example/internal/attempt"
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/holding"
 	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/queue"
 	"drumstall.example/internal/relay"
 	"drumstall.example/internal/route"
 )
@@ -68,7 +68,7 @@
 	if p.waking.Add(1) > maxWaking {
 		return
 	}
-	for !p.confirmed.Load() && p.env.Clock.Since()-p.began < p.s.Cadence.Start && run.Wait(ctx, wakeBeat) {
+	for !p.confirmed.Load() && p.env.Clock.Since()-p.began < p.s.Cadence.Start && run.Wait(ctx, wakeInterval) {
 	}
 }
 
@@ -107,7 +107,7 @@
 	for p.routes.Deaf() {
 		now := p.env.Clock.Since()
 		p.deafAt.CompareAndSwap(0, int64(now))
-		if now-time.Duration(p.deafAt.Load()) > wakeFor || !run.Wait(ctx, wakeBeat) {
+		if now-time.Duration(p.deafAt.Load()) > wakeFor || !run.Wait(ctx, wakeInterval) {
 			return false
 		}
 	}
@@ -178,7 +178,7 @@
 
 // gaveUp is the final answer of a request that is not sent again.
 func gaveUp(why string, sofar attempt.Outcome) *Refusal {
-	// Why: one that has surely not run is as good as one turned away at the gate, and its caller is told the same way.
+	// Why: one that has surely not run is as good as one turned away at admission, and its caller is told the same way.
 	if sofar == attempt.NotRun {
 		return &Refusal{Reason: Full, Detail: why, Outcome: sofar, RetryAfter: 2 * time.Second}
 	}
@@ -194,7 +194,7 @@
 }
 
 // turnedAway is the final answer of a request that got no replica.
-func turnedAway(a holding.Answer, sofar attempt.Outcome) *Refusal {
+func turnedAway(a queue.Answer, sofar attempt.Outcome) *Refusal {
 	reason := Full
 	if a.Late {
 		reason = TooLate
