--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -12,12 +12,12 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/state/owner"
 )
@@ -25,22 +25,22 @@
 const (
 	// justNow is how old a report may be when a load is ordered. Why: a replica that has just stopped answering
 	// may read the order when it wakes, much later.
-	justNow    = 400 * time.Millisecond
-	askLimit   = 400 * time.Millisecond
-	orderLimit = 900 * time.Millisecond
-	ackLimit   = 3 * time.Second  // fence for proxies that do not acknowledge
-	idleLimit  = 10 * time.Second // victims that do not get idle are let be
-	goneLimit  = 20 * time.Second
-	paceLimit  = 60 * time.Second
-	floatBeat  = time.Second
-	aboutRight = 500 * time.Millisecond // by how much an estimate may be off before another is told
+	justNow       = 400 * time.Millisecond
+	askLimit      = 400 * time.Millisecond
+	orderLimit    = 900 * time.Millisecond
+	ackLimit      = 3 * time.Second  // fence for proxies that do not acknowledge
+	idleLimit     = 10 * time.Second // victims that do not get idle are let be
+	goneLimit     = 20 * time.Second
+	paceLimit     = 60 * time.Second
+	floatInterval = time.Second
+	aboutRight    = 500 * time.Millisecond // by how much an estimate may be off before another is told
 	// doubt is how long an order with no known outcome counts as carried out, and doubtMargin what is added to a
 	// report's age where reports tell of orders that are being carried out.
 	doubt       = 3 * time.Second
 	doubtMargin = 150 * time.Millisecond
 )
 
-// Key of a replica in the control state and in the news.
+// Key of a replica in the control state and in the gossip.
 func Key(id string) string { return "replica/" + id }
 
 // Line states in the book, besides those a replica reports.
@@ -71,11 +71,11 @@
 	Replicas backend.Client
 	Cadence  bounds.Cadence
 	Owner    *owner.Owner
-	News     *news.Table
+	Gossip   *gossip.Table
 	Reports  *report.Table
 	Conf     func() conf.Effective
 	Requests func(item string) float64 // predicted over the horizon
-	Others   func() []News             // all replicas' news; nobody changes them
+	Others   func() []Status           // all replicas' status; nobody changes them
 	Agents   func() map[string]bool    // agents thought alive
 	Platform func() time.Duration      // how long ago the platform was heard
 	Grant    func(ctx context.Context, who string, worth float64) (wait time.Duration, ok bool)
@@ -99,8 +99,8 @@
 	d          Deps
 	listed     inventory.Listed
 	desk       *run.Desk
-	vitals     backend.Vitals
-	vitalsAt   time.Duration // when the report we have was asked for
+	report     backend.Report
+	reportAt   time.Duration // when the report we have was asked for
 	known      bool          // a report came since we took over
 	book       map[conf.Item]*line
 	tasks      deque.Deque[*task]
@@ -127,8 +127,8 @@
 // NewController starts to control a replica.
 func NewController(g *run.Group, d Deps, l inventory.Listed) *Controller {
 	d.Group = g
-	c := &Controller{d: d, listed: l, book: map[conf.Item]*line{}, vitalsAt: -1 << 62, lookedAt: -1 << 62, staying: -1, held: map[string]bool{}, traits: d.Replicas.Traits()}
-	c.desk = run.NewDesk(g, 64, d.Cadence.ReplicaBusy, c.onBeat)
+	c := &Controller{d: d, listed: l, book: map[conf.Item]*line{}, reportAt: -1 << 62, lookedAt: -1 << 62, staying: -1, held: map[string]bool{}, traits: d.Replicas.Traits()}
+	c.desk = run.NewDesk(g, 64, d.Cadence.ReplicaBusy, c.onTick)
 	c.soon = run.NewNudge(c.desk, c.work)
 	return c
 }
@@ -137,10 +137,10 @@
 func (c *Controller) Listed(l inventory.Listed) { _ = c.desk.Tell(func() { c.listed = l }) }
 
 func (c *Controller) leaving() bool {
-	return c.listed.Leaving || c.vitals.Leaving || inventory.Marked(c.d.News, c.listed.ID) || c.d.Conf().Drained(c.listed.Labels, c.listed.Zone)
+	return c.listed.Leaving || c.report.Leaving || inventory.Marked(c.d.Gossip, c.listed.ID) || c.d.Conf().Drained(c.listed.Labels, c.listed.Zone)
 }
 
-func (c *Controller) onBeat() {
+func (c *Controller) onTick() {
 	now := c.d.Clock.Since()
 	idle := c.tasks.Len() == 0 && c.epoch > 0
 	// Why: a tick may come a little early, and must not wait for the next one then.
@@ -195,7 +195,7 @@
 		c.closed = true
 		if gone && c.epoch > 0 {
 			c.serial++
-			c.d.News.Put(news.Entry{Key: Key(c.listed.ID), Stamp: c.stampNow(), Gone: true})
+			c.d.Gossip.Put(gossip.Entry{Key: Key(c.listed.ID), Stamp: c.stampNow(), Gone: true})
 		}
 	})
 }
--- a/internal/sim/capacity/memory_test.go
+++ b/internal/sim/capacity/memory_test.go
@@ -21,9 +21,9 @@
 		k := kept(1200, x, 200, 12)
 		return heap(func() any { e, _ := conf.Effect(k); return e })
 	})
-	fit("news table (10 items a replica)", "replica", reps, func(x int) float64 { return heap(func() any { return newsTable(x, 10, 0, nil) }) })
-	fit("news table", "expect entry", its, func(x int) float64 { return heap(func() any { return newsTable(0, 0, x, nil) }) })
-	fit("views, or a route table's rows (10 items)", "replica", reps, func(x int) float64 { t := newsTable(x, 10, 0, nil); return heap(func() any { return plan.Views(t) }) })
+	fit("news table (10 items a replica)", "replica", reps, func(x int) float64 { return heap(func() any { return gossipTable(x, 10, 0, nil) }) })
+	fit("news table", "expect entry", its, func(x int) float64 { return heap(func() any { return gossipTable(0, 0, x, nil) }) })
+	fit("views, or a route table's rows (10 items)", "replica", reps, func(x int) float64 { t := gossipTable(x, 10, 0, nil); return heap(func() any { return plan.Views(t) }) })
 	fit("member table (rolls)", "node", nodes, func(x int) float64 {
 		b := wire.Pack(roll(x))
 		return heap(func() any { var r member.Roll; _ = wire.Unpack(b, &r); return r })
--- a/internal/sim/capacity/messages_test.go
+++ b/internal/sim/capacity/messages_test.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"maps"
 
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/member"
 	"drumstall.example/internal/member/touch"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/state"
@@ -21,8 +21,8 @@
 		Labels: map[string]string{"service": fmt.Sprintf("service-%02d", i%12), "version": "2026-11-01"}}
 }
 
-func replicaNews(i, items int) order.News {
-	n := order.News{Listed: listed(i), Controller: "core-3", Items: map[string]string{}, CapacityMib: 600000, FreeMib: 20000, AdapterPlaces: 32, AdapterFree: 4, Slots: 32, ReadyMs: map[string]int{}}
+func replicaStatus(i, items int) order.Status {
+	n := order.Status{Listed: listed(i), Controller: "core-3", Items: map[string]string{}, CapacityMib: 600000, FreeMib: 20000, AdapterPlaces: 32, AdapterFree: 4, Slots: 32, ReadyMs: map[string]int{}}
 	for j := range items {
 		m := (i*2 + j%2) % 1200
 		if j < 2 {
@@ -60,7 +60,7 @@
 	return r
 }
 
-// ackedSince is a later report in which the news of some replicas was taken in.
+// ackedSince is a later report in which the status of some replicas was taken in.
 func ackedSince(base report.Report, replicas int) report.Report {
 	r := base
 	r.Serial++
@@ -94,6 +94,6 @@
 	Touch  touch.Word    `cbor:"7,keyasint,omitempty"`
 }
 type bundle struct {
-	From    string       `cbor:"1,keyasint"`
-	Entries []news.Entry `cbor:"2,keyasint"`
+	From    string         `cbor:"1,keyasint"`
+	Entries []gossip.Entry `cbor:"2,keyasint"`
 }
--- a/internal/sim/capacity/onecore_test.go
+++ b/internal/sim/capacity/onecore_test.go
@@ -11,10 +11,10 @@
 
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/core"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/ring"
 	"drumstall.example/internal/kernel/tick"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/state"
 )
@@ -51,8 +51,8 @@
 	caller := wire.NewCaller(env.Net)
 	ctx := context.Background()
 	k := kept(1200, 40000, 200, 12)
-	ent := bundle{Entries: []news.Entry{{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: k.Pack()}}}
-	if _, err := wire.Call[bundle, news.Pushed](ctx, caller, addr, "/news/push", ent); err != nil {
+	ent := bundle{Entries: []gossip.Entry{{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: k.Pack()}}}
+	if _, err := wire.Call[bundle, gossip.Pushed](ctx, caller, addr, "/news/push", ent); err != nil {
 		fmt.Println(err)
 	}
 	idle0, at := cpu(), time.Now()
--- a/internal/sim/capacity/processor_test.go
+++ b/internal/sim/capacity/processor_test.go
@@ -9,13 +9,13 @@
 
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/core"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/ring"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member"
 	"drumstall.example/internal/member/touch"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/demand"
 	"drumstall.example/internal/place/judge"
 	"drumstall.example/internal/place/order"
@@ -62,12 +62,12 @@
 		}
 		return func() { sink = t.Waiting(0) }
 	})
-	costs("plan.Views (10 items each)", "replica", reps, func(x int) func() { t := newsTable(x, 10, 0, nil); return func() { sink = plan.Views(t) } })
-	costs("plan.Views (600 replicas)", "item held", []int{2, 10, 20, 40}, func(x int) func() { t := newsTable(600, x, 0, nil); return func() { sink = plan.Views(t) } })
-	costs("plan.Views (75 replicas)", "expect entry", its, func(x int) func() { t := newsTable(75, 10, x, nil); return func() { sink = plan.Views(t) } })
+	costs("plan.Views (10 items each)", "replica", reps, func(x int) func() { t := gossipTable(x, 10, 0, nil); return func() { sink = plan.Views(t) } })
+	costs("plan.Views (600 replicas)", "item held", []int{2, 10, 20, 40}, func(x int) func() { t := gossipTable(600, x, 0, nil); return func() { sink = plan.Views(t) } })
+	costs("plan.Views (75 replicas)", "expect entry", its, func(x int) func() { t := gossipTable(75, 10, x, nil); return func() { sink = plan.Views(t) } })
 	cfg, _ := conf.Effect(kept(1200, 40000, 200, 12))
 	costs("order.Cheapest, 417 nodes, 1 holder in 100", "replica", reps, func(x int) func() {
-		views := plan.Views(newsTable(x, 10, 0, nil))
+		views := plan.Views(gossipTable(x, 10, 0, nil))
 		for i := 0; i < x; i += 100 {
 			views[i].Items["model-0001"] = "loaded"
 		}
@@ -79,7 +79,7 @@
 		return func() { sink = order.Cheapest(views, "", it, t, 0, cfg) }
 	})
 	costs("candidates: InflightOn each, judge.Load", "replica", reps, func(x int) func() {
-		views := plan.Views(newsTable(x, 10, 0, nil))
+		views := plan.Views(gossipTable(x, 10, 0, nil))
 		t := report.NewTable()
 		for i := range 417 {
 			t.Put(aReport(i, 0, 0, 8), 0)
@@ -103,20 +103,20 @@
 		return func() { sink = s.Next(r, 8*1440-200, 0) }
 	})
 	costs("news.Put (stamp newer)", "key in table", its, func(x int) func() {
-		t := newsTable(600, 10, x, nil)
-		n, v := uint64(1<<20), wire.Pack(replicaNews(1, 10))
+		t := gossipTable(600, 10, x, nil)
+		n, v := uint64(1<<20), wire.Pack(replicaStatus(1, 10))
 		return func() {
 			n++
-			t.Put(news.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+			t.Put(gossip.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
 		}
 	})
 	costs("news.After(last)", "key in table", its, func(x int) func() {
-		t := newsTable(600, 10, x, nil)
-		n, v := uint64(1<<20), wire.Pack(replicaNews(1, 10))
+		t := gossipTable(600, 10, x, nil)
+		n, v := uint64(1<<20), wire.Pack(replicaStatus(1, 10))
 		_, c, _ := t.After(0)
 		return func() {
 			n++
-			t.Put(news.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+			t.Put(gossip.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
 			sink, c, _ = t.After(c)
 		}
 	})
@@ -125,9 +125,9 @@
 	costs("news: digest answered", "key in table", []int{100, 1000, 5000}, func(x int) func() {
 		pc, _ := net.ListenPacket("udp", "127.0.0.1:0")
 		mux := wire.NewMux()
-		t := newsTable(600, 10, x, nil)
-		news.NewSpreader(g.Child(), t, env.Log.Logger(), wire.NewPost(pc), wire.NewCaller(env.Net), mux, func() string { return "" }, func() []string { return nil }, nil, touch.New(env.Clock))
-		var d news.Digest
+		t := gossipTable(600, 10, x, nil)
+		gossip.NewSpreader(g.Child(), t, env.Log.Logger(), wire.NewPost(pc), wire.NewCaller(env.Net), mux, func() string { return "" }, func() []string { return nil }, nil, touch.New(env.Clock))
+		var d gossip.Digest
 		for range 64 {
 			d.Sums = append(d.Sums, make([]byte, 16))
 		}
@@ -145,9 +145,9 @@
 	rebuilds := func(name, of string, xs []int, counts func(x int) (replicas, items, expects int)) {
 		costs(name, of, xs, func(x int) func() {
 			r, i, e := counts(x)
-			t := newsTable(r, i, e, kept(1200, 40000, 200, 12).Pack())
+			t := gossipTable(r, i, e, kept(1200, 40000, 200, 12).Pack())
 			gg := run.NewGroup(context.Background())
-			k := route.NewKeeper(route.Deps{Group: gg, News: t, Clock: env.Clock, Replicas: fake{}, Zone: func() string { return "r0-z0" }, HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 410 }})
+			k := route.NewKeeper(route.Deps{Group: gg, Gossip: t, Clock: env.Clock, Replicas: fake{}, Zone: func() string { return "r0-z0" }, HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 410 }})
 			done := make(chan struct{}, 1)
 			k.OnTable(func() {
 				select {
@@ -155,14 +155,14 @@
 				default:
 				}
 			})
-			n, v := uint64(1<<20), wire.Pack(replicaNews(1, i))
+			n, v := uint64(1<<20), wire.Pack(replicaStatus(1, i))
 			return func() {
 				n++
 				select {
 				case <-done:
 				default:
 				}
-				t.Put(news.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+				t.Put(gossip.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
 				<-done
 			}
 		})
@@ -171,9 +171,9 @@
 	rebuilds("route table made anew (600 replicas)", "item held", []int{2, 10, 20, 40}, func(x int) (int, int, int) { return 600, x, 0 })
 	rebuilds("route table made anew (75 replicas)", "expect entry", its, func(x int) (int, int, int) { return 75, 10, x })
 	costs("route.Choose (two holders)", "replica", reps, func(x int) func() {
-		t := newsTable(x, 10, 0, kept(1200, 40000, 200, 12).Pack())
+		t := gossipTable(x, 10, 0, kept(1200, 40000, 200, 12).Pack())
 		gg := run.NewGroup(context.Background())
-		k := route.NewKeeper(route.Deps{Group: gg, News: t, Clock: env.Clock, Replicas: fake{}, Zone: func() string { return "r0-z0" }, HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 410 }})
+		k := route.NewKeeper(route.Deps{Group: gg, Gossip: t, Clock: env.Clock, Replicas: fake{}, Zone: func() string { return "r0-z0" }, HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 410 }})
 		for len(k.Now().Replicas) < x {
 			time.Sleep(20 * time.Millisecond)
 		}
--- a/internal/sim/capacity/sizes_test.go
+++ b/internal/sim/capacity/sizes_test.go
@@ -5,8 +5,8 @@
 
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/feed"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/demand"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/plan"
@@ -27,7 +27,7 @@
 	base := aReport(1, 600, 4120, 8)
 	fit("report by difference", "item counted since", []int{1, 4, 16, 64}, func(x int) float64 { return size(countedSince(base, x).Since(base)) })
 	fit("report by difference", "replica acked since", []int{1, 4, 16, 64}, func(x int) float64 { return size(ackedSince(base, x).Since(base)) })
-	fit("replica's news", "item held", []int{2, 10, 20, 40}, func(x int) float64 { return size(replicaNews(1, x)) })
+	fit("replica's news", "item held", []int{2, 10, 20, 40}, func(x int) float64 { return size(replicaStatus(1, x)) })
 	fit("roll", "node", nodes, func(x int) float64 { return size(roll(x)) })
 	fit("probe", "node told along", []int{1, 2, 4, 6}, func(x int) float64 {
 		return size(note{Seq: 1 << 40, From: "10.2.1.1:7000", Name: NodeName(1), Nodes: roll(x).Nodes})
@@ -46,13 +46,13 @@
 		}
 		return float64(len(k.Pack()))
 	})
-	var d news.Digest
+	var d gossip.Digest
 	for range 64 {
 		d.Sums = append(d.Sums, make([]byte, 16))
 	}
 	fmt.Printf("news digest %d bytes, fixed\n", len(wire.Pack(d)))
 	fit("news heads", "key in buckets", []int{10, 100, 600, 3000}, func(x int) float64 {
-		h := news.Heads{Bucket: []int{1}, Have: map[string]state.Stamp{}}
+		h := gossip.Heads{Bucket: []int{1}, Have: map[string]state.Stamp{}}
 		for i := range x {
 			h.Have[order.Key(ReplicaID(i))] = stamp(i)
 		}
@@ -61,11 +61,11 @@
 	fit("headline in a datagram", "headline", []int{1, 5, 10, 20}, func(x int) float64 {
 		b := bundle{From: "10.2.1.1:7000"}
 		for i := range x {
-			b.Entries = append(b.Entries, news.Entry{Key: order.Key(ReplicaID(i)), Stamp: stamp(i), Head: true})
+			b.Entries = append(b.Entries, gossip.Entry{Key: order.Key(ReplicaID(i)), Stamp: stamp(i), Head: true})
 		}
 		return size(b)
 	})
-	fmt.Printf("expect entry %.0f bytes\n", size(news.Entry{Key: plan.ExpectKey(ItemName(1)), Stamp: stamp(1), Value: wire.Pack(plan.Expect{ReadyMs: 43000})}))
+	fmt.Printf("expect entry %.0f bytes\n", size(gossip.Entry{Key: plan.ExpectKey(ItemName(1)), Stamp: stamp(1), Value: wire.Pack(plan.Expect{ReadyMs: 43000})}))
 	hour := func(seen int) demand.Hour {
 		h := demand.Hour{Hour: 1 << 27, Seen: map[string]uint64{}}
 		for i := range h.Counts {
@@ -87,7 +87,7 @@
 	})
 	fit("book of a replica", "item held", []int{2, 10, 20, 40}, func(x int) float64 {
 		b := order.Book{Incarnation: ReplicaID(1), Lines: map[string]order.Line{}}
-		for k := range replicaNews(1, x).Items {
+		for k := range replicaStatus(1, x).Items {
 			b.Lines[k] = order.Line{State: "loaded", SizeMib: 140000}
 		}
 		return size(b)
@@ -109,10 +109,10 @@
 	fit("feed.Down", "entry", []int{0, 1, 4, 16}, func(x int) float64 {
 		d := feed.Down{AgentBoot: "0123456789abcdef", Cursor: 1, Confirmed: true, Conf: stamp(1), HeardMs: 12, Edges: 410, Agent: NodeName(1), Zone: zone(1)}
 		for i := range 16 {
-			d.Partners = append(d.Partners, aNode(i).Addr)
+			d.Peers = append(d.Peers, aNode(i).Addr)
 		}
 		for i := range x {
-			d.Entries = append(d.Entries, news.Entry{Key: order.Key(ReplicaID(i)), Stamp: stamp(i), Value: wire.Pack(replicaNews(i, 10))})
+			d.Entries = append(d.Entries, gossip.Entry{Key: order.Key(ReplicaID(i)), Stamp: stamp(i), Value: wire.Pack(replicaStatus(i, 10))})
 		}
 		return size(d)
 	})
--- a/internal/sim/hollow/node.go
+++ b/internal/sim/hollow/node.go
@@ -12,8 +12,8 @@
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/core"
 	"drumstall.example/internal/feed"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/sim/capacity"
@@ -182,7 +182,7 @@
 	return &knowledge{stamps: map[string]state.Stamp{}, items: map[string][]string{}}
 }
 
-func (k *knowledge) learn(id string, e news.Entry) {
+func (k *knowledge) learn(id string, e gossip.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !e.Stamp.Newer(k.stamps[id]) {
@@ -190,7 +190,7 @@
 	}
 	k.stamps[id], k.current = e.Stamp, nil
 	delete(k.items, id)
-	var n order.News
+	var n order.Status
 	if e.Gone || wire.Unpack(e.Value, &n) != nil {
 		return
 	}
