Large whole reports go to each core less often: at most 100 bytes a second, once a minute

Change: the next whole report is due after 10 s, or as much later as its bytes take at 100 a second, a minute at most. Reports of up to 1,000 bytes, which small fleets have, go as often as before. Whoever lacks the base still asks for the whole one at once.

--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -19,6 +19,10 @@
 	// wholeEvery is how often a core is given the whole report though it has what it needs.
 	// Why: whatever went wrong with the differences ends there.
 	wholeEvery = 10 * time.Second
+	// wholeRate is how many bytes a second whole reports may cost for one core, and wholeLatest how
+	// long they are put off for that. Why: in a large fleet a report is tens of KB, for each core.
+	wholeRate   = 100
+	wholeLatest = time.Minute
 )
 
 // reports is what the cores have of this agent, by their addresses; it is used on
@@ -31,6 +35,7 @@
 type takenReport struct {
 	report   report.Report
 	wholeAt  time.Duration // when it was last given a whole one
+	wholeLen int           // bytes of that one
 	inflight bool          // it reads what is in flight as a difference too
 }
 
@@ -45,7 +50,7 @@
 	type answer struct {
 		core  int // whose it is, as an index of cores
 		taken bool
-		whole bool // it was given the whole report
+		whole int // bytes of the whole report that it was given; 0 is none
 		// inflight says that the core reads what is in flight as a difference.
 		inflight bool
 	}
@@ -53,10 +58,14 @@
 	bodies := a.reports.bodies(l.r, cores, now)
 	ch := run.Fan(a.group, len(cores), func(ctx context.Context, i int) answer {
 		got, err := a.tellReport(ctx, cores[i].Addr, bodies[i].packed)
-		whole := bodies[i].whole
+		whole := 0
+		if bodies[i].whole {
+			whole = len(bodies[i].packed)
+		}
 		if err == nil && got.Whole {
-			whole = true
-			got, err = a.tellReport(ctx, cores[i].Addr, wire.Pack(l.r))
+			packed := wire.Pack(l.r)
+			whole = len(packed)
+			got, err = a.tellReport(ctx, cores[i].Addr, packed)
 		}
 		return answer{core: i, taken: err == nil && !got.Whole && got.Differences, whole: whole, inflight: got.InflightDifferences}
 	})
@@ -68,8 +77,8 @@
 		switch {
 		case !got.taken:
 			continue // Why: whether the core has it, or can read differences, is not known; the whole one settles that.
-		case got.whole:
-			before.wholeAt = now
+		case got.whole > 0:
+			before.wholeAt, before.wholeLen = now, got.whole
 		}
 		before.report, before.inflight = l.r, got.inflight
 		taken[addr] = before
@@ -95,6 +104,11 @@
 	whole  bool
 }
 
+// wholeGap is how long after a whole report of some bytes the next is due.
+func wholeGap(bytes int) time.Duration {
+	return min(max(wholeEvery, time.Duration(bytes)*time.Second/wholeRate), wholeLatest)
+}
+
 // variant is a form of a report: whole, or the difference from the one of a serial.
 type variant struct {
 	serial   uint64 // 0 is the whole report
@@ -107,7 +121,7 @@
 	out := make([]body, len(cores))
 	for i, c := range cores {
 		base, found := r.taken[c.Addr]
-		if !found || base.report.Boot != latest.Boot || now-base.wholeAt > wholeEvery {
+		if !found || base.report.Boot != latest.Boot || now-base.wholeAt > wholeGap(base.wholeLen) {
 			base = takenReport{}
 		}
 		form := variant{serial: base.report.Serial, inflight: base.inflight}
--- a/internal/agent/report_test.go
+++ b/internal/agent/report_test.go
@@ -70,3 +70,28 @@
 		}
 	}
 }
+
+// Whole reports that are small go to a core as often as ever; large ones are put
+// off, for a minute at most.
+func TestLargeWholeReportsComeLessOften(t *testing.T) {
+	first := report.Report{Agent: "e", Boot: "b", Serial: 1}
+	latest := report.Report{Agent: "e", Boot: "b", Serial: 2}
+	now := time.Hour
+	for _, c := range []struct {
+		bytes int
+		after time.Duration
+		whole bool
+	}{
+		{300, wholeEvery - time.Second, false},
+		{300, wholeEvery + time.Second, true},
+		{3_000, 29 * time.Second, false},
+		{3_000, 31 * time.Second, true},
+		{85_000, 59 * time.Second, false},
+		{85_000, 61 * time.Second, true},
+	} {
+		r := reports{taken: map[string]takenReport{"core": {report: first, wholeAt: now - c.after, wholeLen: c.bytes}}}
+		if got := r.bodies(latest, []member.Node{{Addr: "core"}}, now)[0]; got.whole != c.whole {
+			t.Errorf("%d bytes, %v ago: whole %t", c.bytes, c.after, got.whole)
+		}
+	}
+}
