--- a/cmd/dsscale/fleet.go
+++ b/cmd/dsscale/fleet.go
@@ -59,9 +59,11 @@
 }
 
 const (
-	startLimit  = 20 * time.Second
-	askLimit    = 15 * time.Second
-	formLimit   = 60 * time.Second
+	startLimit = 20 * time.Second
+	askLimit   = time.Minute
+	// startEach is how long is waited after each node that was started.
+	startEach   = 50 * time.Millisecond
+	formLimit   = 2 * time.Minute
 	submitLimit = 8 * time.Second
 	pollEvery   = 250 * time.Millisecond
 	// load of callers on one node at the peak, by the users' plan.
@@ -91,7 +93,7 @@
 		return nil, err
 	}
 	for _, one := range f.roles() {
-		one.spec.Layout, one.spec.Catalogue = l, p.catalogue
+		one.spec.Layout, one.spec.Catalogue, one.spec.Slower = l, p.catalogue, p.slower
 		one.spec.Load = hollow.Load{PerNode: perNode, Lasts: lasts, Misses: missesAtFull * float64(z.nodes) / maxNodes}
 		one.Process = process.New(process.Settings{Program: self, Args: []string{childWord}, Log: filepath.Join(f.dir, one.spec.Name+".log"), Talks: true})
 		f.parts = append(f.parts, one)
@@ -132,16 +134,39 @@
 	return out
 }
 
-// raise starts everything and gives the first configuration.
+// raise starts everything. The cores get the first configuration before any node starts, as a core set forms
+// before it is given nodes.
 func (f *fleet) raise(ctx context.Context) error {
+	early := func(one *part) bool {
+		return one.role == rolePlatform || one.role == roleReplicas || one.role == roleCore
+	}
+	if err := f.startAll(ctx, early); err != nil {
+		return err
+	}
+	if err := f.configure(ctx); err != nil {
+		return err
+	}
+	return f.startAll(ctx, func(one *part) bool { return !early(one) })
+}
+
+func (f *fleet) startAll(ctx context.Context, which func(one *part) bool) error {
 	for _, one := range f.parts {
+		if !which(one) {
+			continue
+		}
 		if err := f.start(one); err != nil {
 			return errors.Wrap(err, one.spec.Name)
 		}
-		if ctx.Err() != nil {
+		// Why: the cores hand each new node what they know, and a whole fleet does not start at once.
+		if one.role == roleNodes && !run.Wait(ctx, time.Duration(one.units())*startEach) || ctx.Err() != nil {
 			return ctx.Err()
 		}
 	}
+	return nil
+}
+
+// configure gives the first configuration as soon as the cores take it.
+func (f *fleet) configure(ctx context.Context) error {
 	doc, err := f.plan.catalogue.Document()
 	if err != nil {
 		return err
@@ -149,10 +174,9 @@
 	ctx, cancel := context.WithTimeout(ctx, formLimit)
 	defer cancel()
 	for {
-		if err = f.submit(http.MethodPut, doc, f.cores(nil)); err == nil {
+		if err := f.submit(http.MethodPut, doc, f.cores(nil)); err == nil {
 			return nil
-		}
-		if !run.Wait(ctx, pollEvery) {
+		} else if !run.Wait(ctx, pollEvery) {
 			return errors.Wrap(err, "first configuration")
 		}
 	}
--- a/cmd/dsscale/main.go
+++ b/cmd/dsscale/main.go
@@ -49,6 +49,7 @@
 	{Name: "routes", Default: "200", Check: setup.Between(1, 5000), Doc: "routes of the configuration"},
 	{Name: "warm", Default: "20s", Check: setup.Within(0, 5*time.Minute), Doc: "time between serving and measuring"},
 	{Name: "for", Default: "20s", Check: setup.Within(time.Second, 5*time.Minute), Doc: "how long is measured"},
+	{Name: "slower", Default: "1", Check: setup.Between(1, maxSlower), Doc: "times slower: reports to cores, asking replicas, list, predictions"},
 	{Name: "events", Check: checkEvents, Doc: "after measuring, separated by commas: cut (a region's), zone (loss)"},
 	{Name: "apart", Default: "10s", Check: setup.Within(time.Second, 5*time.Minute), Doc: "how long a region is cut off"},
 	{Name: "plots", Check: anything, Doc: "folder that takes a plot of each slope"},
--- a/cmd/dsscale/main_test.go
+++ b/cmd/dsscale/main_test.go
@@ -39,6 +39,7 @@
 		"too many nodes":       {[]string{"--sizes", "10x10,411x600"}, "must be at most 410x600"},
 		"more real than nodes": {[]string{"--sizes", "1x1", "--real", "2"}, "more than the nodes of size 1x1"},
 		"something else":       {[]string{"41x60"}, "unexpected argument"},
+		"too slow":             {[]string{"--slower", "4"}, "must be a whole number from 1 to 3"},
 		"no time":              {[]string{"--for", "0s"}, "must be a duration"},
 	} {
 		dir := filepath.Join(t.TempDir(), "data")
--- a/cmd/dsscale/plan.go
+++ b/cmd/dsscale/plan.go
@@ -21,6 +21,8 @@
 	maxReplicas = 600
 	maxCores    = 15
 	maxZones    = 15
+	// maxSlower keeps reports younger than what counts as the present.
+	maxSlower = 3
 )
 
 // size is how many nodes stand before how many replicas.
@@ -77,6 +79,7 @@
 	shape     hollow.Layout // but for nodes and replicas
 	catalogue hollow.Catalogue
 	real      int
+	slower    int
 	events    []event
 	warm      time.Duration
 	window    time.Duration
@@ -88,7 +91,7 @@
 // newPlan is made of settings that were checked.
 func newPlan(s setup.Set) plan {
 	sizes, _ := readSizes(s["sizes"])
-	p := plan{sizes: sizes, real: s.Int("real"), warm: s.Span("warm"), window: s.Span("for"), apart: s.Span("apart"), plots: s["plots"], dir: s["dir"],
+	p := plan{sizes: sizes, real: s.Int("real"), slower: s.Int("slower"), warm: s.Span("warm"), window: s.Span("for"), apart: s.Span("apart"), plots: s["plots"], dir: s["dir"],
 		shape:     hollow.Layout{Cores: s.Int("cores"), Zones: s.Int("zones"), Regions: min(s.Int("regions"), s.Int("zones")), Block: s.Int("block")},
 		catalogue: hollow.Catalogue{Models: s.Int("models"), Adapters: s.Int("adapters"), Routes: s.Int("routes")}}
 	for _, name := range s.List("events") {
--- a/internal/sim/hollow/node.go
+++ b/internal/sim/hollow/node.go
@@ -68,7 +68,7 @@
 	l := p.spec.Layout
 	ip := l.NodeIP(i)
 	return agent.Settings{Name: capacity.NodeName(i), Zone: l.ZoneName(i), Addr: at(ip, peerPort), Feed: at(ip, feedPort), Seeds: l.Seeds(),
-		Platform: l.PlatformAddr(), Cadence: capacity.Cadence()}
+		Platform: l.PlatformAddr(), Cadence: p.cadence()}
 }
 
 // exchange trades news and reports with the agent, as a proxy does.
--- a/internal/sim/hollow/process.go
+++ b/internal/sim/hollow/process.go
@@ -117,7 +117,7 @@
 	l := p.spec.Layout
 	ip := l.CoreIP(i)
 	c, err := core.Start(core.Settings{Fleet: "scale", Name: fmt.Sprintf("core-%d", i), Zone: l.ZoneName(i), Addr: l.CoreAddr(i), Operator: at(ip, operatorPort),
-		Seeds: l.Seeds(), Folder: p.spec.Folder, Cores: l.Cores, Platform: l.PlatformAddr(), Cadence: capacity.Cadence(),
+		Seeds: l.Seeds(), Folder: p.spec.Folder, Cores: l.Cores, Platform: l.PlatformAddr(), Cadence: p.cadence(),
 		Bounds: bounds.Bounds{Tolerated: (l.Cores - 1) / 2}}, p.env(ip))
 	if err != nil {
 		return err
@@ -139,7 +139,7 @@
 	l := p.spec.Layout
 	ip := l.NodeIP(i)
 	x, err := proxy.Start(proxy.Settings{Name: capacity.NodeName(i), Zone: l.ZoneName(i), Callers: at(ip, callerPort), Agent: at(ip, feedPort),
-		Platform: l.PlatformAddr(), Cadence: capacity.Cadence()}, p.env(ip))
+		Platform: l.PlatformAddr(), Cadence: p.cadence()}, p.env(ip))
 	if err != nil {
 		return err
 	}
@@ -170,6 +170,14 @@
 	}
 }
 
+// cadence is that of the users' platform, or a slower one.
+func (p *process) cadence() bounds.Cadence {
+	c := capacity.Cadence()
+	times := time.Duration(max(1, p.spec.Slower))
+	c.Report, c.ReplicaIdle, c.List, c.Share = times*c.Report, times*c.ReplicaIdle, times*c.List, times*c.Share
+	return c
+}
+
 // sample measures; whole says that what takes a while is told too.
 func (p *process) sample(ctx context.Context, whole bool) Sample {
 	s := Sample{At: time.Now(), Processor: processorTime(), Heap: heapBytes(),
--- a/internal/sim/hollow/spec.go
+++ b/internal/sim/hollow/spec.go
@@ -12,6 +12,7 @@
 	Layout    Layout
 	Catalogue Catalogue
 	Load      Load
+	Slower    int   // times slower than on the users' platform: reports to cores, asking replicas, the list and predictions
 	Platform  bool  // the list of all replicas
 	Cores     []int // real cores; at most one, as each has a machine of its own
 	Agents    []int // real agents, whose proxies run elsewhere
