--- a/cmd/dsscale/measure.go
+++ b/cmd/dsscale/measure.go
@@ -51,17 +51,16 @@
 		return figures{}, errors.Errorf("the fleet takes %.0f MB, more than half of this machine's memory", out.resident)
 	}
 	out.busy = machineLoad()
-	if out.change, err = f.timeChange(ctx); err != nil {
-		return figures{}, err
-	}
+	out.change = f.timeChange(ctx)
 	out.print(f.out)
-	return out, nil
+	return out, ctx.Err()
 }
 
 // settled waits until each hollow node knows all nodes, has the configuration and the news of all replicas.
 func (f *fleet) settled(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, settleLimit)
 	defer cancel()
+	began := time.Now()
 	for {
 		nodes, err := f.nodes(nil)
 		if err != nil {
@@ -74,7 +73,7 @@
 			return nil
 		}
 		if !run.Wait(ctx, pollEvery) {
-			return errors.Errorf("only %d of %d nodes know all others, all replicas and the configuration after %v", ready, len(nodes), settleLimit)
+			return errors.Errorf("only %d of %d nodes know all others, all replicas and the configuration after %s", ready, len(nodes), seconds(time.Since(began)))
 		}
 	}
 }
@@ -101,15 +100,14 @@
 }
 
 // timeChange sends a change and follows it to all hollow nodes.
-func (f *fleet) timeChange(ctx context.Context) (changeTimes, error) {
+func (f *fleet) timeChange(ctx context.Context) changeTimes {
 	sent := time.Now()
 	if err := f.change(f.cores(nil)); err != nil {
-		return changeTimes{}, errors.Wrap(err, "a change of the configuration")
+		return changeTimes{problem: errors.Wrap(err, "not acknowledged")}
 	}
 	out := changeTimes{acknowledged: time.Since(sent)}
-	var err error
-	out.half, out.all, err = f.inForce(ctx, sent, nil)
-	return out, err
+	out.half, out.all, out.problem = f.inForce(ctx, sent, nil)
+	return out
 }
 
 // inForce waits until all hollow nodes of some zones have a configuration that came after some moment.
--- a/cmd/dsscale/table.go
+++ b/cmd/dsscale/table.go
@@ -48,8 +48,12 @@
 	for _, line := range shown {
 		f.printKinds(out, line.role, line.name)
 	}
-	fmt.Fprintf(out, "a change of the configuration: acknowledged after %s, at half of the nodes after %s, at all after %s\n",
-		seconds(f.change.acknowledged), seconds(f.change.half), seconds(f.change.all))
+	if f.change.problem != nil {
+		fmt.Fprintf(out, "a change of the configuration: %v\n", f.change.problem)
+	} else {
+		fmt.Fprintf(out, "a change of the configuration: acknowledged after %s, at half of the nodes after %s, at all after %s\n",
+			seconds(f.change.acknowledged), seconds(f.change.half), seconds(f.change.all))
+	}
 	f.printLimits(out)
 	fmt.Fprintf(out, "all %d processes: %.2f processors, %.0f MB; the machine's load averages: %s\n\n", f.processes, f.processor, f.resident, f.busy)
 }
@@ -105,8 +109,11 @@
 	fmt.Fprintf(w, "%% of a processor\t%.2f\t%.1f\t%s\n", 100*processor, 100*limitProcessor, verdict(processor, limitProcessor))
 	fmt.Fprintf(w, "MB private\t%.1f\t%.0f\t%s\n", memory, limitMemory, verdict(memory, limitMemory))
 	fmt.Fprintf(w, "KB/s for control\t%.2f\t%.0f\t%s\n", network, limitNetwork, verdict(network, limitNetwork))
-	inForce := f.change.all.Seconds()
-	fmt.Fprintf(w, "s until a change is at all nodes\t%.2f\t%.0f\t%s\n", inForce, limitInForce, verdict(inForce, limitInForce))
+	if inForce := f.change.all.Seconds(); f.change.problem == nil {
+		fmt.Fprintf(w, "s until a change is at all nodes\t%.2f\t%.0f\t%s\n", inForce, limitInForce, verdict(inForce, limitInForce))
+	} else {
+		fmt.Fprintf(w, "s until a change is at all nodes\tnever\t%.0f\tBREAKS\n", limitInForce)
+	}
 	_ = w.Flush()
 }
 
