--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -185,7 +185,7 @@
 		got, err := wire.Call[none, core.Newest](one, a.caller, n.Addr, "/conf/confirm", none{})
 		cancel()
 		if err != nil {
-			a.log.Info("configuration not confirmed", "by", n.Name, "problem", err)
+			a.log.Info("configuration not confirmed", "by", n.Name, "error", err)
 			continue
 		}
 		if got.Found {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -17,7 +17,7 @@
 	"drumstall.example/internal/kernel/wire"
 )
 
-// Problems of this slice.
+// Errors of this package.
 var (
 	ErrDark    = errors.New("backend: replica not reached")
 	ErrWrong   = errors.New("backend: replica's report makes no sense")
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -20,12 +20,12 @@
 	}
 	k, err := conf.Unpack(e.Value)
 	if err != nil {
-		c.log.Error("news of a configuration that cannot be read", "problem", err)
+		c.log.Error("news of a configuration that cannot be read", "error", err)
 		return
 	}
 	eff, err := conf.Effect(k)
 	if err != nil {
-		c.log.Error("news of a configuration that is wrong", "problem", err)
+		c.log.Error("news of a configuration that is wrong", "error", err)
 		return
 	}
 	c.conf.Store(&eff)
--- a/internal/kernel/face/face.go
+++ b/internal/kernel/face/face.go
@@ -1,5 +1,5 @@
 // Package face holds what every goa face needs: muxer, codecs, and how an
-// unexpected problem is told.
+// unexpected error is told.
 package face
 
 import (
@@ -18,7 +18,7 @@
 	Encoder = goahttp.ResponseEncoder
 )
 
-// Quiet drops what goa could not encode; the conn has gone by then.
+// Quiet drops what goa could not encode; the connection has gone by then.
 func Quiet(context.Context, http.ResponseWriter, error) {}
 
 // Formatter leaves the form of errors to the design.
--- a/internal/kernel/wire/wire.go
+++ b/internal/kernel/wire/wire.go
@@ -43,7 +43,7 @@
 	return net.ListenPacket("udp", addr)
 }
 
-// Problems of this layer.
+// Errors of this package.
 var (
 	ErrUnreachable = errors.New("wire: peer not reached")
 	ErrGarbled     = errors.New("wire: message cannot be read")
@@ -89,7 +89,7 @@
 // Pack encodes a message of ours; such values always encode.
 func Pack(v any) []byte { return must(enc.Marshal(v)) }
 
-// Unpack decodes a message and turns any problem into ErrGarbled.
+// Unpack decodes a message and turns any error into ErrGarbled.
 func Unpack(b []byte, v any) error {
 	if err := dec.Unmarshal(b, v); err != nil {
 		return errors.Wrap(ErrGarbled, err.Error())
--- a/internal/kernel/wire/wire_test.go
+++ b/internal/kernel/wire/wire_test.go
@@ -93,7 +93,7 @@
 	})
 }
 
-// A planned stop on a real listener: it is closed first, and ends without a problem.
+// A planned stop on a real listener: it is closed first, and ends without an error.
 func TestQuiesceThenDrain(t *testing.T) {
 	for range 200 {
 		ln, err := Host().Listen("127.0.0.1:0")
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -35,7 +35,7 @@
 	Stale  bool     `cbor:"4,keyasint"`
 }
 
-// Problems that the control state may have with a submission.
+// Errors that the control state may give with a submission.
 var (
 	ErrNoQuorum = errors.New("no quorum; nothing was kept")
 	ErrUnknown  = errors.New("it is not known whether it was kept; read it back")
--- a/internal/place/order/book.go
+++ b/internal/place/order/book.go
@@ -78,7 +78,7 @@
 	defer cancel()
 	_, err := c.d.Owner.Update(ctx, Key(c.listed.ID), func(state.Record, bool) ([]byte, error) { return wire.Pack(b), nil })
 	if err != nil {
-		c.d.Log.Info("book not kept", "replica", c.listed.ID, "problem", err)
+		c.d.Log.Info("book not kept", "replica", c.listed.ID, "error", err)
 		return false
 	}
 	return true
--- a/internal/place/order/look.go
+++ b/internal/place/order/look.go
@@ -62,7 +62,7 @@
 	v, err := c.d.Replicas.Report(ctx, c.listed.Target())
 	if err != nil {
 		if c.wrong++; c.wrong == 1 {
-			c.d.Log.Info("no report", "replica", c.listed.ID, "problem", err)
+			c.d.Log.Info("no report", "replica", c.listed.ID, "error", err)
 		}
 		return
 	}
--- a/internal/place/plan/history.go
+++ b/internal/place/plan/history.go
@@ -203,7 +203,7 @@
 		_, err := p.d.Owner.Update(one, DemandKey(w.it, w.h.Hour), func(state.Record, bool) ([]byte, error) { return w.h.Pack(), nil })
 		cancel()
 		if err != nil {
-			p.d.Log.Info("demand not kept", "item", w.it.String(), "problem", err)
+			p.d.Log.Info("demand not kept", "item", w.it.String(), "error", err)
 			_ = p.desk.Tell(func() {
 				if i := p.items[w.it]; i != nil {
 					i.dirty[w.h.Hour] = true
--- a/internal/state/coreset/admission.go
+++ b/internal/state/coreset/admission.go
@@ -15,7 +15,7 @@
 	}
 	q := Joining{Core: k.d.Self(), Replaces: k.d.Replaces}
 	if _, err := call[Joining, None](ctx, k, c, "/state/join", q); err != nil {
-		k.d.Log.Info("asked to join", "at", c.Name, "problem", err)
+		k.d.Log.Info("asked to join", "at", c.Name, "error", err)
 	}
 }
 
--- a/internal/state/coreset/catchup.go
+++ b/internal/state/coreset/catchup.go
@@ -61,7 +61,7 @@
 			return
 		}
 		if err := k.d.Acceptor.Fill(ctx, slot, replies); err != nil {
-			k.d.Log.Error("filling", "slot", slot, "problem", err)
+			k.d.Log.Error("filling", "slot", slot, "error", err)
 			return
 		}
 	}
--- a/internal/state/coreset/founding.go
+++ b/internal/state/coreset/founding.go
@@ -48,7 +48,7 @@
 			_, err = call[Formation, None](ctx, k, c, "/state/form", f)
 		}
 		if err != nil {
-			k.d.Log.Info("formation waits", "for", c.Name, "firm", f.Firm, "problem", err)
+			k.d.Log.Info("formation waits", "for", c.Name, "firm", f.Firm, "error", err)
 			agreed = false
 			if !f.Firm {
 				break
--- a/internal/state/owner/take.go
+++ b/internal/state/owner/take.go
@@ -37,7 +37,7 @@
 	s.quarantine(q.Epoch, yes, firstTime)
 	s.until.Store(int64(before + state.HoldFor - state.HoldMargin))
 	if err := s.write(recs, true); err != nil {
-		o.d.Log.Info("slot not taken", "slot", s.n, "epoch", q.Epoch, "problem", err)
+		o.d.Log.Info("slot not taken", "slot", s.n, "epoch", q.Epoch, "error", err)
 		s.giveUp("table not kept", true)
 		s.table = nil
 		return
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -20,7 +20,7 @@
 // HoldMargin is what the holder gives up early, for clocks that run apart.
 const HoldMargin = 300 * time.Millisecond
 
-// Problems of the control state, as its users see them.
+// Errors of the control state, as its users see them.
 var (
 	ErrNotOwner = errors.New("state: slot is not held here")
 	ErrNoQuorum = errors.New("state: no quorum; nothing was kept")
