--- a/design/design.go
+++ b/design/design.go
@@ -14,8 +14,8 @@
 	})
 })
 
-// Drop is what a caller or operator gets when drumstall gives up on a request.
-var Drop = Type("Drop", func() {
+// Refusal is what a caller or operator gets when drumstall gives up on a request.
+var Refusal = Type("Refusal", func() {
 	ErrorName("name", String, "Short reason")
 	Attribute("detail", String, "What happened, in one sentence")
 	Attribute("outcome", String, "not-run, unknown or ran")
@@ -24,13 +24,13 @@
 	Required("name", "detail", "outcome")
 })
 
-func drops(names ...string) {
+func refusals(names ...string) {
 	for _, n := range names {
-		Error(n, Drop)
+		Error(n, Refusal)
 	}
 }
 
-func dropStatus(name string, status int) {
+func refusalStatus(name string, status int) {
 	Response(name, status, func() {
 		Header("outcome:Drumstall-Outcome")
 		Header("retryAfter:Retry-After")
@@ -39,7 +39,7 @@
 
 var _ = Service("caller", func() {
 	Description("Requests of callers.")
-	drops("bad", "unknown_target", "too_large", "full", "too_late", "lost")
+	refusals("bad", "unknown_target", "too_large", "full", "too_late", "lost")
 	Method("shoot", func() {
 		Description("Send one request over a route; the answer is streamed back as the back end sends it.")
 		Payload(func() {
@@ -69,22 +69,22 @@
 				Header("contentType:Content-Type")
 				Header("replica:Drumstall-Replica")
 			})
-			dropStatus("bad", StatusBadRequest)
-			dropStatus("unknown_target", StatusNotFound)
-			dropStatus("too_large", StatusRequestEntityTooLarge)
-			dropStatus("full", StatusServiceUnavailable)
-			dropStatus("too_late", StatusGatewayTimeout)
-			dropStatus("lost", StatusBadGateway)
+			refusalStatus("bad", StatusBadRequest)
+			refusalStatus("unknown_target", StatusNotFound)
+			refusalStatus("too_large", StatusRequestEntityTooLarge)
+			refusalStatus("full", StatusServiceUnavailable)
+			refusalStatus("too_late", StatusGatewayTimeout)
+			refusalStatus("lost", StatusBadGateway)
 		})
 	})
 	Method("vitals", func() {
 		Description("Whether this proxy serves.")
 		Result(MapOf(String, String))
-		Error("full", Drop)
+		Error("full", Refusal)
 		HTTP(func() {
 			GET("/v1/vitals")
 			Response(StatusOK)
-			dropStatus("full", StatusServiceUnavailable)
+			refusalStatus("full", StatusServiceUnavailable)
 		})
 	})
 })
@@ -97,14 +97,14 @@
 
 var _ = Service("operator", func() {
 	Description("Configuration, status and explanations.")
-	drops("bad", "missing", "stale", "no_quorum", "unknown_outcome", "too_large")
+	refusals("bad", "missing", "stale", "no_quorum", "unknown_outcome", "too_large")
 	statuses := func() {
-		dropStatus("bad", StatusBadRequest)
-		dropStatus("missing", StatusNotFound)
-		dropStatus("stale", StatusPreconditionFailed)
-		dropStatus("no_quorum", StatusServiceUnavailable)
-		dropStatus("unknown_outcome", StatusServiceUnavailable)
-		dropStatus("too_large", StatusRequestEntityTooLarge)
+		refusalStatus("bad", StatusBadRequest)
+		refusalStatus("missing", StatusNotFound)
+		refusalStatus("stale", StatusPreconditionFailed)
+		refusalStatus("no_quorum", StatusServiceUnavailable)
+		refusalStatus("unknown_outcome", StatusServiceUnavailable)
+		refusalStatus("too_large", StatusRequestEntityTooLarge)
 	}
 	Method("put", func() {
 		Description("Replace the whole configuration.")
@@ -248,7 +248,7 @@
 
 var _ = Service("replica", func() {
 	Description("What drumstall expects of a back end.")
-	drops("busy", "stale", "bad")
+	refusals("busy", "stale", "bad")
 	Method("vitals", func() {
 		Result(ReplicaVitals)
 		HTTP(func() { GET("/vitals") })
--- a/gen/caller/client.go
+++ b/gen/caller/client.go
@@ -30,12 +30,12 @@
 
 // Shoot calls the "shoot" endpoint of the "caller" service.
 // Shoot may return the following errors:
-//   - "bad" (type *Drop)
-//   - "unknown_target" (type *Drop)
-//   - "too_large" (type *Drop)
-//   - "full" (type *Drop)
-//   - "too_late" (type *Drop)
-//   - "lost" (type *Drop)
+//   - "bad" (type *Refusal)
+//   - "unknown_target" (type *Refusal)
+//   - "too_large" (type *Refusal)
+//   - "full" (type *Refusal)
+//   - "too_late" (type *Refusal)
+//   - "lost" (type *Refusal)
 //   - error: internal error
 func (c *Client) Shoot(ctx context.Context, p *ShootPayload, req io.ReadCloser) (res *ShootResult, resp io.ReadCloser, err error) {
 	var ires any
@@ -49,12 +49,12 @@
 
 // Vitals calls the "vitals" endpoint of the "caller" service.
 // Vitals may return the following errors:
-//   - "full" (type *Drop)
-//   - "bad" (type *Drop)
-//   - "unknown_target" (type *Drop)
-//   - "too_large" (type *Drop)
-//   - "too_late" (type *Drop)
-//   - "lost" (type *Drop)
+//   - "full" (type *Refusal)
+//   - "bad" (type *Refusal)
+//   - "unknown_target" (type *Refusal)
+//   - "too_large" (type *Refusal)
+//   - "too_late" (type *Refusal)
+//   - "lost" (type *Refusal)
 //   - error: internal error
 func (c *Client) Vitals(ctx context.Context) (res map[string]string, err error) {
 	var ires any
--- a/gen/caller/service.go
+++ b/gen/caller/service.go
@@ -41,7 +41,7 @@
 // MethodKey key.
 var MethodNames = [2]string{"shoot", "vitals"}
 
-type Drop struct {
+type Refusal struct {
 	// Short reason
 	Name string
 	// What happened, in one sentence
@@ -77,18 +77,18 @@
 }
 
 // Error returns an error description.
-func (e *Drop) Error() string {
+func (e *Refusal) Error() string {
 	return ""
 }
 
-// ErrorName returns "Drop".
+// ErrorName returns "Refusal".
 //
 // Deprecated: Use GoaErrorName - https://github.com/goadesign/goa/issues/3105
-func (e *Drop) ErrorName() string {
+func (e *Refusal) ErrorName() string {
 	return e.GoaErrorName()
 }
 
-// GoaErrorName returns "Drop".
-func (e *Drop) GoaErrorName() string {
+// GoaErrorName returns "Refusal".
+func (e *Refusal) GoaErrorName() string {
 	return e.Name
 }
--- a/gen/http/caller/client/encode_decode.go
+++ b/gen/http/caller/client/encode_decode.go
@@ -83,12 +83,12 @@
 // shoot endpoint. restoreBody controls whether the response body should be
 // restored after having been read.
 // DecodeShootResponse may return the following errors:
-//   - "bad" (type *caller.Drop): http.StatusBadRequest
-//   - "unknown_target" (type *caller.Drop): http.StatusNotFound
-//   - "too_large" (type *caller.Drop): http.StatusRequestEntityTooLarge
-//   - "full" (type *caller.Drop): http.StatusServiceUnavailable
-//   - "too_late" (type *caller.Drop): http.StatusGatewayTimeout
-//   - "lost" (type *caller.Drop): http.StatusBadGateway
+//   - "bad" (type *caller.Refusal): http.StatusBadRequest
+//   - "unknown_target" (type *caller.Refusal): http.StatusNotFound
+//   - "too_large" (type *caller.Refusal): http.StatusRequestEntityTooLarge
+//   - "full" (type *caller.Refusal): http.StatusServiceUnavailable
+//   - "too_late" (type *caller.Refusal): http.StatusGatewayTimeout
+//   - "lost" (type *caller.Refusal): http.StatusBadGateway
 //   - error: internal error
 func DecodeShootResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -349,7 +349,7 @@
 // vitals endpoint. restoreBody controls whether the response body should be
 // restored after having been read.
 // DecodeVitalsResponse may return the following errors:
-//   - "full" (type *caller.Drop): http.StatusServiceUnavailable
+//   - "full" (type *caller.Refusal): http.StatusServiceUnavailable
 //   - error: internal error
 func DecodeVitalsResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
--- a/gen/http/caller/client/types.go
+++ b/gen/http/caller/client/types.go
@@ -101,8 +101,8 @@
 }
 
 // NewShootBad builds a caller service shoot endpoint bad error.
-func NewShootBad(body *ShootBadResponseBody, outcome string, retryAfter *string) *caller.Drop {
-	v := &caller.Drop{
+func NewShootBad(body *ShootBadResponseBody, outcome string, retryAfter *string) *caller.Refusal {
+	v := &caller.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -120,8 +120,8 @@
 
 // NewShootUnknownTarget builds a caller service shoot endpoint unknown_target
 // error.
-func NewShootUnknownTarget(body *ShootUnknownTargetResponseBody, outcome string, retryAfter *string) *caller.Drop {
-	v := &caller.Drop{
+func NewShootUnknownTarget(body *ShootUnknownTargetResponseBody, outcome string, retryAfter *string) *caller.Refusal {
+	v := &caller.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -138,8 +138,8 @@
 }
 
 // NewShootTooLarge builds a caller service shoot endpoint too_large error.
-func NewShootTooLarge(body *ShootTooLargeResponseBody, outcome string, retryAfter *string) *caller.Drop {
-	v := &caller.Drop{
+func NewShootTooLarge(body *ShootTooLargeResponseBody, outcome string, retryAfter *string) *caller.Refusal {
+	v := &caller.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -156,8 +156,8 @@
 }
 
 // NewShootFull builds a caller service shoot endpoint full error.
-func NewShootFull(body *ShootFullResponseBody, outcome string, retryAfter *string) *caller.Drop {
-	v := &caller.Drop{
+func NewShootFull(body *ShootFullResponseBody, outcome string, retryAfter *string) *caller.Refusal {
+	v := &caller.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -174,8 +174,8 @@
 }
 
 // NewShootTooLate builds a caller service shoot endpoint too_late error.
-func NewShootTooLate(body *ShootTooLateResponseBody, outcome string, retryAfter *string) *caller.Drop {
-	v := &caller.Drop{
+func NewShootTooLate(body *ShootTooLateResponseBody, outcome string, retryAfter *string) *caller.Refusal {
+	v := &caller.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -192,8 +192,8 @@
 }
 
 // NewShootLost builds a caller service shoot endpoint lost error.
-func NewShootLost(body *ShootLostResponseBody, outcome string, retryAfter *string) *caller.Drop {
-	v := &caller.Drop{
+func NewShootLost(body *ShootLostResponseBody, outcome string, retryAfter *string) *caller.Refusal {
+	v := &caller.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -210,8 +210,8 @@
 }
 
 // NewVitalsFull builds a caller service vitals endpoint full error.
-func NewVitalsFull(body *VitalsFullResponseBody, outcome string, retryAfter *string) *caller.Drop {
-	v := &caller.Drop{
+func NewVitalsFull(body *VitalsFullResponseBody, outcome string, retryAfter *string) *caller.Refusal {
+	v := &caller.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
--- a/gen/http/caller/server/encode_decode.go
+++ b/gen/http/caller/server/encode_decode.go
@@ -91,7 +91,7 @@
 		}
 		switch en.GoaErrorName() {
 		case "bad":
-			var res *caller.Drop
+			var res *caller.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -108,7 +108,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
 		case "unknown_target":
-			var res *caller.Drop
+			var res *caller.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -125,7 +125,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
 		case "too_large":
-			var res *caller.Drop
+			var res *caller.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -142,7 +142,7 @@
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
 			return enc.Encode(body)
 		case "full":
-			var res *caller.Drop
+			var res *caller.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -159,7 +159,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
 		case "too_late":
-			var res *caller.Drop
+			var res *caller.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -176,7 +176,7 @@
 			w.WriteHeader(http.StatusGatewayTimeout)
 			return enc.Encode(body)
 		case "lost":
-			var res *caller.Drop
+			var res *caller.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -221,7 +221,7 @@
 		}
 		switch en.GoaErrorName() {
 		case "full":
-			var res *caller.Drop
+			var res *caller.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
--- a/gen/http/caller/server/types.go
+++ b/gen/http/caller/server/types.go
@@ -90,7 +90,7 @@
 
 // NewShootBadResponseBody builds the HTTP response body from the result of the
 // "shoot" endpoint of the "caller" service.
-func NewShootBadResponseBody(res *caller.Drop) *ShootBadResponseBody {
+func NewShootBadResponseBody(res *caller.Refusal) *ShootBadResponseBody {
 	body := &ShootBadResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -106,7 +106,7 @@
 
 // NewShootUnknownTargetResponseBody builds the HTTP response body from the
 // result of the "shoot" endpoint of the "caller" service.
-func NewShootUnknownTargetResponseBody(res *caller.Drop) *ShootUnknownTargetResponseBody {
+func NewShootUnknownTargetResponseBody(res *caller.Refusal) *ShootUnknownTargetResponseBody {
 	body := &ShootUnknownTargetResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -122,7 +122,7 @@
 
 // NewShootTooLargeResponseBody builds the HTTP response body from the result
 // of the "shoot" endpoint of the "caller" service.
-func NewShootTooLargeResponseBody(res *caller.Drop) *ShootTooLargeResponseBody {
+func NewShootTooLargeResponseBody(res *caller.Refusal) *ShootTooLargeResponseBody {
 	body := &ShootTooLargeResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -138,7 +138,7 @@
 
 // NewShootFullResponseBody builds the HTTP response body from the result of
 // the "shoot" endpoint of the "caller" service.
-func NewShootFullResponseBody(res *caller.Drop) *ShootFullResponseBody {
+func NewShootFullResponseBody(res *caller.Refusal) *ShootFullResponseBody {
 	body := &ShootFullResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -154,7 +154,7 @@
 
 // NewShootTooLateResponseBody builds the HTTP response body from the result of
 // the "shoot" endpoint of the "caller" service.
-func NewShootTooLateResponseBody(res *caller.Drop) *ShootTooLateResponseBody {
+func NewShootTooLateResponseBody(res *caller.Refusal) *ShootTooLateResponseBody {
 	body := &ShootTooLateResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -170,7 +170,7 @@
 
 // NewShootLostResponseBody builds the HTTP response body from the result of
 // the "shoot" endpoint of the "caller" service.
-func NewShootLostResponseBody(res *caller.Drop) *ShootLostResponseBody {
+func NewShootLostResponseBody(res *caller.Refusal) *ShootLostResponseBody {
 	body := &ShootLostResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -186,7 +186,7 @@
 
 // NewVitalsFullResponseBody builds the HTTP response body from the result of
 // the "vitals" endpoint of the "caller" service.
-func NewVitalsFullResponseBody(res *caller.Drop) *VitalsFullResponseBody {
+func NewVitalsFullResponseBody(res *caller.Refusal) *VitalsFullResponseBody {
 	body := &VitalsFullResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
--- a/gen/http/operator/client/encode_decode.go
+++ b/gen/http/operator/client/encode_decode.go
@@ -68,12 +68,12 @@
 // put endpoint. restoreBody controls whether the response body should be
 // restored after having been read.
 // DecodePutResponse may return the following errors:
-//   - "bad" (type *operator.Drop): http.StatusBadRequest
-//   - "missing" (type *operator.Drop): http.StatusNotFound
-//   - "stale" (type *operator.Drop): http.StatusPreconditionFailed
-//   - "no_quorum" (type *operator.Drop): http.StatusServiceUnavailable
-//   - "unknown_outcome" (type *operator.Drop): http.StatusServiceUnavailable
-//   - "too_large" (type *operator.Drop): http.StatusRequestEntityTooLarge
+//   - "bad" (type *operator.Refusal): http.StatusBadRequest
+//   - "missing" (type *operator.Refusal): http.StatusNotFound
+//   - "stale" (type *operator.Refusal): http.StatusPreconditionFailed
+//   - "no_quorum" (type *operator.Refusal): http.StatusServiceUnavailable
+//   - "unknown_outcome" (type *operator.Refusal): http.StatusServiceUnavailable
+//   - "too_large" (type *operator.Refusal): http.StatusRequestEntityTooLarge
 //   - error: internal error
 func DecodePutResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -371,12 +371,12 @@
 // patch endpoint. restoreBody controls whether the response body should be
 // restored after having been read.
 // DecodePatchResponse may return the following errors:
-//   - "bad" (type *operator.Drop): http.StatusBadRequest
-//   - "missing" (type *operator.Drop): http.StatusNotFound
-//   - "stale" (type *operator.Drop): http.StatusPreconditionFailed
-//   - "no_quorum" (type *operator.Drop): http.StatusServiceUnavailable
-//   - "unknown_outcome" (type *operator.Drop): http.StatusServiceUnavailable
-//   - "too_large" (type *operator.Drop): http.StatusRequestEntityTooLarge
+//   - "bad" (type *operator.Refusal): http.StatusBadRequest
+//   - "missing" (type *operator.Refusal): http.StatusNotFound
+//   - "stale" (type *operator.Refusal): http.StatusPreconditionFailed
+//   - "no_quorum" (type *operator.Refusal): http.StatusServiceUnavailable
+//   - "unknown_outcome" (type *operator.Refusal): http.StatusServiceUnavailable
+//   - "too_large" (type *operator.Refusal): http.StatusRequestEntityTooLarge
 //   - error: internal error
 func DecodePatchResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -660,12 +660,12 @@
 // get endpoint. restoreBody controls whether the response body should be
 // restored after having been read.
 // DecodeGetResponse may return the following errors:
-//   - "bad" (type *operator.Drop): http.StatusBadRequest
-//   - "missing" (type *operator.Drop): http.StatusNotFound
-//   - "stale" (type *operator.Drop): http.StatusPreconditionFailed
-//   - "no_quorum" (type *operator.Drop): http.StatusServiceUnavailable
-//   - "unknown_outcome" (type *operator.Drop): http.StatusServiceUnavailable
-//   - "too_large" (type *operator.Drop): http.StatusRequestEntityTooLarge
+//   - "bad" (type *operator.Refusal): http.StatusBadRequest
+//   - "missing" (type *operator.Refusal): http.StatusNotFound
+//   - "stale" (type *operator.Refusal): http.StatusPreconditionFailed
+//   - "no_quorum" (type *operator.Refusal): http.StatusServiceUnavailable
+//   - "unknown_outcome" (type *operator.Refusal): http.StatusServiceUnavailable
+//   - "too_large" (type *operator.Refusal): http.StatusRequestEntityTooLarge
 //   - error: internal error
 func DecodeGetResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -920,12 +920,12 @@
 // operator status endpoint. restoreBody controls whether the response body
 // should be restored after having been read.
 // DecodeStatusResponse may return the following errors:
-//   - "bad" (type *operator.Drop): http.StatusBadRequest
-//   - "missing" (type *operator.Drop): http.StatusNotFound
-//   - "stale" (type *operator.Drop): http.StatusPreconditionFailed
-//   - "no_quorum" (type *operator.Drop): http.StatusServiceUnavailable
-//   - "unknown_outcome" (type *operator.Drop): http.StatusServiceUnavailable
-//   - "too_large" (type *operator.Drop): http.StatusRequestEntityTooLarge
+//   - "bad" (type *operator.Refusal): http.StatusBadRequest
+//   - "missing" (type *operator.Refusal): http.StatusNotFound
+//   - "stale" (type *operator.Refusal): http.StatusPreconditionFailed
+//   - "no_quorum" (type *operator.Refusal): http.StatusServiceUnavailable
+//   - "unknown_outcome" (type *operator.Refusal): http.StatusServiceUnavailable
+//   - "too_large" (type *operator.Refusal): http.StatusRequestEntityTooLarge
 //   - error: internal error
 func DecodeStatusResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -1182,12 +1182,12 @@
 // operator explain endpoint. restoreBody controls whether the response body
 // should be restored after having been read.
 // DecodeExplainResponse may return the following errors:
-//   - "bad" (type *operator.Drop): http.StatusBadRequest
-//   - "missing" (type *operator.Drop): http.StatusNotFound
-//   - "stale" (type *operator.Drop): http.StatusPreconditionFailed
-//   - "no_quorum" (type *operator.Drop): http.StatusServiceUnavailable
-//   - "unknown_outcome" (type *operator.Drop): http.StatusServiceUnavailable
-//   - "too_large" (type *operator.Drop): http.StatusRequestEntityTooLarge
+//   - "bad" (type *operator.Refusal): http.StatusBadRequest
+//   - "missing" (type *operator.Refusal): http.StatusNotFound
+//   - "stale" (type *operator.Refusal): http.StatusPreconditionFailed
+//   - "no_quorum" (type *operator.Refusal): http.StatusServiceUnavailable
+//   - "unknown_outcome" (type *operator.Refusal): http.StatusServiceUnavailable
+//   - "too_large" (type *operator.Refusal): http.StatusRequestEntityTooLarge
 //   - error: internal error
 func DecodeExplainResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -1443,12 +1443,12 @@
 // operator rescue endpoint. restoreBody controls whether the response body
 // should be restored after having been read.
 // DecodeRescueResponse may return the following errors:
-//   - "bad" (type *operator.Drop): http.StatusBadRequest
-//   - "missing" (type *operator.Drop): http.StatusNotFound
-//   - "stale" (type *operator.Drop): http.StatusPreconditionFailed
-//   - "no_quorum" (type *operator.Drop): http.StatusServiceUnavailable
-//   - "unknown_outcome" (type *operator.Drop): http.StatusServiceUnavailable
-//   - "too_large" (type *operator.Drop): http.StatusRequestEntityTooLarge
+//   - "bad" (type *operator.Refusal): http.StatusBadRequest
+//   - "missing" (type *operator.Refusal): http.StatusNotFound
+//   - "stale" (type *operator.Refusal): http.StatusPreconditionFailed
+//   - "no_quorum" (type *operator.Refusal): http.StatusServiceUnavailable
+//   - "unknown_outcome" (type *operator.Refusal): http.StatusServiceUnavailable
+//   - "too_large" (type *operator.Refusal): http.StatusRequestEntityTooLarge
 //   - error: internal error
 func DecodeRescueResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
--- a/gen/http/operator/client/types.go
+++ b/gen/http/operator/client/types.go
@@ -460,8 +460,8 @@
 }
 
 // NewPutBad builds a operator service put endpoint bad error.
-func NewPutBad(body *PutBadResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewPutBad(body *PutBadResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -478,8 +478,8 @@
 }
 
 // NewPutMissing builds a operator service put endpoint missing error.
-func NewPutMissing(body *PutMissingResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewPutMissing(body *PutMissingResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -496,8 +496,8 @@
 }
 
 // NewPutStale builds a operator service put endpoint stale error.
-func NewPutStale(body *PutStaleResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewPutStale(body *PutStaleResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -514,8 +514,8 @@
 }
 
 // NewPutNoQuorum builds a operator service put endpoint no_quorum error.
-func NewPutNoQuorum(body *PutNoQuorumResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewPutNoQuorum(body *PutNoQuorumResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -533,8 +533,8 @@
 
 // NewPutUnknownOutcome builds a operator service put endpoint unknown_outcome
 // error.
-func NewPutUnknownOutcome(body *PutUnknownOutcomeResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewPutUnknownOutcome(body *PutUnknownOutcomeResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -551,8 +551,8 @@
 }
 
 // NewPutTooLarge builds a operator service put endpoint too_large error.
-func NewPutTooLarge(body *PutTooLargeResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewPutTooLarge(body *PutTooLargeResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -580,8 +580,8 @@
 }
 
 // NewPatchBad builds a operator service patch endpoint bad error.
-func NewPatchBad(body *PatchBadResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewPatchBad(body *PatchBadResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -598,8 +598,8 @@
 }
 
 // NewPatchMissing builds a operator service patch endpoint missing error.
-func NewPatchMissing(body *PatchMissingResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewPatchMissing(body *PatchMissingResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -616,8 +616,8 @@
 }
 
 // NewPatchStale builds a operator service patch endpoint stale error.
-func NewPatchStale(body *PatchStaleResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewPatchStale(body *PatchStaleResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -634,8 +634,8 @@
 }
 
 // NewPatchNoQuorum builds a operator service patch endpoint no_quorum error.
-func NewPatchNoQuorum(body *PatchNoQuorumResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewPatchNoQuorum(body *PatchNoQuorumResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -653,8 +653,8 @@
 
 // NewPatchUnknownOutcome builds a operator service patch endpoint
 // unknown_outcome error.
-func NewPatchUnknownOutcome(body *PatchUnknownOutcomeResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewPatchUnknownOutcome(body *PatchUnknownOutcomeResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -671,8 +671,8 @@
 }
 
 // NewPatchTooLarge builds a operator service patch endpoint too_large error.
-func NewPatchTooLarge(body *PatchTooLargeResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewPatchTooLarge(body *PatchTooLargeResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -700,8 +700,8 @@
 }
 
 // NewGetBad builds a operator service get endpoint bad error.
-func NewGetBad(body *GetBadResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewGetBad(body *GetBadResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -718,8 +718,8 @@
 }
 
 // NewGetMissing builds a operator service get endpoint missing error.
-func NewGetMissing(body *GetMissingResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewGetMissing(body *GetMissingResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -736,8 +736,8 @@
 }
 
 // NewGetStale builds a operator service get endpoint stale error.
-func NewGetStale(body *GetStaleResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewGetStale(body *GetStaleResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -754,8 +754,8 @@
 }
 
 // NewGetNoQuorum builds a operator service get endpoint no_quorum error.
-func NewGetNoQuorum(body *GetNoQuorumResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewGetNoQuorum(body *GetNoQuorumResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -773,8 +773,8 @@
 
 // NewGetUnknownOutcome builds a operator service get endpoint unknown_outcome
 // error.
-func NewGetUnknownOutcome(body *GetUnknownOutcomeResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewGetUnknownOutcome(body *GetUnknownOutcomeResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -791,8 +791,8 @@
 }
 
 // NewGetTooLarge builds a operator service get endpoint too_large error.
-func NewGetTooLarge(body *GetTooLargeResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewGetTooLarge(body *GetTooLargeResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -809,8 +809,8 @@
 }
 
 // NewStatusBad builds a operator service status endpoint bad error.
-func NewStatusBad(body *StatusBadResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewStatusBad(body *StatusBadResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -827,8 +827,8 @@
 }
 
 // NewStatusMissing builds a operator service status endpoint missing error.
-func NewStatusMissing(body *StatusMissingResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewStatusMissing(body *StatusMissingResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -845,8 +845,8 @@
 }
 
 // NewStatusStale builds a operator service status endpoint stale error.
-func NewStatusStale(body *StatusStaleResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewStatusStale(body *StatusStaleResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -863,8 +863,8 @@
 }
 
 // NewStatusNoQuorum builds a operator service status endpoint no_quorum error.
-func NewStatusNoQuorum(body *StatusNoQuorumResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewStatusNoQuorum(body *StatusNoQuorumResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -882,8 +882,8 @@
 
 // NewStatusUnknownOutcome builds a operator service status endpoint
 // unknown_outcome error.
-func NewStatusUnknownOutcome(body *StatusUnknownOutcomeResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewStatusUnknownOutcome(body *StatusUnknownOutcomeResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -900,8 +900,8 @@
 }
 
 // NewStatusTooLarge builds a operator service status endpoint too_large error.
-func NewStatusTooLarge(body *StatusTooLargeResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewStatusTooLarge(body *StatusTooLargeResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -918,8 +918,8 @@
 }
 
 // NewExplainBad builds a operator service explain endpoint bad error.
-func NewExplainBad(body *ExplainBadResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewExplainBad(body *ExplainBadResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -936,8 +936,8 @@
 }
 
 // NewExplainMissing builds a operator service explain endpoint missing error.
-func NewExplainMissing(body *ExplainMissingResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewExplainMissing(body *ExplainMissingResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -954,8 +954,8 @@
 }
 
 // NewExplainStale builds a operator service explain endpoint stale error.
-func NewExplainStale(body *ExplainStaleResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewExplainStale(body *ExplainStaleResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -973,8 +973,8 @@
 
 // NewExplainNoQuorum builds a operator service explain endpoint no_quorum
 // error.
-func NewExplainNoQuorum(body *ExplainNoQuorumResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewExplainNoQuorum(body *ExplainNoQuorumResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -992,8 +992,8 @@
 
 // NewExplainUnknownOutcome builds a operator service explain endpoint
 // unknown_outcome error.
-func NewExplainUnknownOutcome(body *ExplainUnknownOutcomeResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewExplainUnknownOutcome(body *ExplainUnknownOutcomeResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -1011,8 +1011,8 @@
 
 // NewExplainTooLarge builds a operator service explain endpoint too_large
 // error.
-func NewExplainTooLarge(body *ExplainTooLargeResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewExplainTooLarge(body *ExplainTooLargeResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -1029,8 +1029,8 @@
 }
 
 // NewRescueBad builds a operator service rescue endpoint bad error.
-func NewRescueBad(body *RescueBadResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewRescueBad(body *RescueBadResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -1047,8 +1047,8 @@
 }
 
 // NewRescueMissing builds a operator service rescue endpoint missing error.
-func NewRescueMissing(body *RescueMissingResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewRescueMissing(body *RescueMissingResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -1065,8 +1065,8 @@
 }
 
 // NewRescueStale builds a operator service rescue endpoint stale error.
-func NewRescueStale(body *RescueStaleResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewRescueStale(body *RescueStaleResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -1083,8 +1083,8 @@
 }
 
 // NewRescueNoQuorum builds a operator service rescue endpoint no_quorum error.
-func NewRescueNoQuorum(body *RescueNoQuorumResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewRescueNoQuorum(body *RescueNoQuorumResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -1102,8 +1102,8 @@
 
 // NewRescueUnknownOutcome builds a operator service rescue endpoint
 // unknown_outcome error.
-func NewRescueUnknownOutcome(body *RescueUnknownOutcomeResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewRescueUnknownOutcome(body *RescueUnknownOutcomeResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
@@ -1120,8 +1120,8 @@
 }
 
 // NewRescueTooLarge builds a operator service rescue endpoint too_large error.
-func NewRescueTooLarge(body *RescueTooLargeResponseBody, outcome string, retryAfter *string) *operator.Drop {
-	v := &operator.Drop{
+func NewRescueTooLarge(body *RescueTooLargeResponseBody, outcome string, retryAfter *string) *operator.Refusal {
+	v := &operator.Refusal{
 		Name:   *body.Name,
 		Detail: *body.Detail,
 	}
--- a/gen/http/operator/server/encode_decode.go
+++ b/gen/http/operator/server/encode_decode.go
@@ -65,7 +65,7 @@
 		}
 		switch en.GoaErrorName() {
 		case "bad":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -82,7 +82,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
 		case "missing":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -99,7 +99,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
 		case "stale":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -116,7 +116,7 @@
 			w.WriteHeader(http.StatusPreconditionFailed)
 			return enc.Encode(body)
 		case "no_quorum":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -133,7 +133,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
 		case "unknown_outcome":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -150,7 +150,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
 		case "too_large":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -219,7 +219,7 @@
 		}
 		switch en.GoaErrorName() {
 		case "bad":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -236,7 +236,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
 		case "missing":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -253,7 +253,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
 		case "stale":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -270,7 +270,7 @@
 			w.WriteHeader(http.StatusPreconditionFailed)
 			return enc.Encode(body)
 		case "no_quorum":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -287,7 +287,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
 		case "unknown_outcome":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -304,7 +304,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
 		case "too_large":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -370,7 +370,7 @@
 		}
 		switch en.GoaErrorName() {
 		case "bad":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -387,7 +387,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
 		case "missing":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -404,7 +404,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
 		case "stale":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -421,7 +421,7 @@
 			w.WriteHeader(http.StatusPreconditionFailed)
 			return enc.Encode(body)
 		case "no_quorum":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -438,7 +438,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
 		case "unknown_outcome":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -455,7 +455,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
 		case "too_large":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -500,7 +500,7 @@
 		}
 		switch en.GoaErrorName() {
 		case "bad":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -517,7 +517,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
 		case "missing":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -534,7 +534,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
 		case "stale":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -551,7 +551,7 @@
 			w.WriteHeader(http.StatusPreconditionFailed)
 			return enc.Encode(body)
 		case "no_quorum":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -568,7 +568,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
 		case "unknown_outcome":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -585,7 +585,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
 		case "too_large":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -648,7 +648,7 @@
 		}
 		switch en.GoaErrorName() {
 		case "bad":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -665,7 +665,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
 		case "missing":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -682,7 +682,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
 		case "stale":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -699,7 +699,7 @@
 			w.WriteHeader(http.StatusPreconditionFailed)
 			return enc.Encode(body)
 		case "no_quorum":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -716,7 +716,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
 		case "unknown_outcome":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -733,7 +733,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
 		case "too_large":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -808,7 +808,7 @@
 		}
 		switch en.GoaErrorName() {
 		case "bad":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -825,7 +825,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
 		case "missing":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -842,7 +842,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
 		case "stale":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -859,7 +859,7 @@
 			w.WriteHeader(http.StatusPreconditionFailed)
 			return enc.Encode(body)
 		case "no_quorum":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -876,7 +876,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
 		case "unknown_outcome":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -893,7 +893,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
 		case "too_large":
-			var res *operator.Drop
+			var res *operator.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
--- a/gen/http/operator/server/types.go
+++ b/gen/http/operator/server/types.go
@@ -451,7 +451,7 @@
 
 // NewPutBadResponseBody builds the HTTP response body from the result of the
 // "put" endpoint of the "operator" service.
-func NewPutBadResponseBody(res *operator.Drop) *PutBadResponseBody {
+func NewPutBadResponseBody(res *operator.Refusal) *PutBadResponseBody {
 	body := &PutBadResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -467,7 +467,7 @@
 
 // NewPutMissingResponseBody builds the HTTP response body from the result of
 // the "put" endpoint of the "operator" service.
-func NewPutMissingResponseBody(res *operator.Drop) *PutMissingResponseBody {
+func NewPutMissingResponseBody(res *operator.Refusal) *PutMissingResponseBody {
 	body := &PutMissingResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -483,7 +483,7 @@
 
 // NewPutStaleResponseBody builds the HTTP response body from the result of the
 // "put" endpoint of the "operator" service.
-func NewPutStaleResponseBody(res *operator.Drop) *PutStaleResponseBody {
+func NewPutStaleResponseBody(res *operator.Refusal) *PutStaleResponseBody {
 	body := &PutStaleResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -499,7 +499,7 @@
 
 // NewPutNoQuorumResponseBody builds the HTTP response body from the result of
 // the "put" endpoint of the "operator" service.
-func NewPutNoQuorumResponseBody(res *operator.Drop) *PutNoQuorumResponseBody {
+func NewPutNoQuorumResponseBody(res *operator.Refusal) *PutNoQuorumResponseBody {
 	body := &PutNoQuorumResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -515,7 +515,7 @@
 
 // NewPutUnknownOutcomeResponseBody builds the HTTP response body from the
 // result of the "put" endpoint of the "operator" service.
-func NewPutUnknownOutcomeResponseBody(res *operator.Drop) *PutUnknownOutcomeResponseBody {
+func NewPutUnknownOutcomeResponseBody(res *operator.Refusal) *PutUnknownOutcomeResponseBody {
 	body := &PutUnknownOutcomeResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -531,7 +531,7 @@
 
 // NewPutTooLargeResponseBody builds the HTTP response body from the result of
 // the "put" endpoint of the "operator" service.
-func NewPutTooLargeResponseBody(res *operator.Drop) *PutTooLargeResponseBody {
+func NewPutTooLargeResponseBody(res *operator.Refusal) *PutTooLargeResponseBody {
 	body := &PutTooLargeResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -547,7 +547,7 @@
 
 // NewPatchBadResponseBody builds the HTTP response body from the result of the
 // "patch" endpoint of the "operator" service.
-func NewPatchBadResponseBody(res *operator.Drop) *PatchBadResponseBody {
+func NewPatchBadResponseBody(res *operator.Refusal) *PatchBadResponseBody {
 	body := &PatchBadResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -563,7 +563,7 @@
 
 // NewPatchMissingResponseBody builds the HTTP response body from the result of
 // the "patch" endpoint of the "operator" service.
-func NewPatchMissingResponseBody(res *operator.Drop) *PatchMissingResponseBody {
+func NewPatchMissingResponseBody(res *operator.Refusal) *PatchMissingResponseBody {
 	body := &PatchMissingResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -579,7 +579,7 @@
 
 // NewPatchStaleResponseBody builds the HTTP response body from the result of
 // the "patch" endpoint of the "operator" service.
-func NewPatchStaleResponseBody(res *operator.Drop) *PatchStaleResponseBody {
+func NewPatchStaleResponseBody(res *operator.Refusal) *PatchStaleResponseBody {
 	body := &PatchStaleResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -595,7 +595,7 @@
 
 // NewPatchNoQuorumResponseBody builds the HTTP response body from the result
 // of the "patch" endpoint of the "operator" service.
-func NewPatchNoQuorumResponseBody(res *operator.Drop) *PatchNoQuorumResponseBody {
+func NewPatchNoQuorumResponseBody(res *operator.Refusal) *PatchNoQuorumResponseBody {
 	body := &PatchNoQuorumResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -611,7 +611,7 @@
 
 // NewPatchUnknownOutcomeResponseBody builds the HTTP response body from the
 // result of the "patch" endpoint of the "operator" service.
-func NewPatchUnknownOutcomeResponseBody(res *operator.Drop) *PatchUnknownOutcomeResponseBody {
+func NewPatchUnknownOutcomeResponseBody(res *operator.Refusal) *PatchUnknownOutcomeResponseBody {
 	body := &PatchUnknownOutcomeResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -627,7 +627,7 @@
 
 // NewPatchTooLargeResponseBody builds the HTTP response body from the result
 // of the "patch" endpoint of the "operator" service.
-func NewPatchTooLargeResponseBody(res *operator.Drop) *PatchTooLargeResponseBody {
+func NewPatchTooLargeResponseBody(res *operator.Refusal) *PatchTooLargeResponseBody {
 	body := &PatchTooLargeResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -643,7 +643,7 @@
 
 // NewGetBadResponseBody builds the HTTP response body from the result of the
 // "get" endpoint of the "operator" service.
-func NewGetBadResponseBody(res *operator.Drop) *GetBadResponseBody {
+func NewGetBadResponseBody(res *operator.Refusal) *GetBadResponseBody {
 	body := &GetBadResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -659,7 +659,7 @@
 
 // NewGetMissingResponseBody builds the HTTP response body from the result of
 // the "get" endpoint of the "operator" service.
-func NewGetMissingResponseBody(res *operator.Drop) *GetMissingResponseBody {
+func NewGetMissingResponseBody(res *operator.Refusal) *GetMissingResponseBody {
 	body := &GetMissingResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -675,7 +675,7 @@
 
 // NewGetStaleResponseBody builds the HTTP response body from the result of the
 // "get" endpoint of the "operator" service.
-func NewGetStaleResponseBody(res *operator.Drop) *GetStaleResponseBody {
+func NewGetStaleResponseBody(res *operator.Refusal) *GetStaleResponseBody {
 	body := &GetStaleResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -691,7 +691,7 @@
 
 // NewGetNoQuorumResponseBody builds the HTTP response body from the result of
 // the "get" endpoint of the "operator" service.
-func NewGetNoQuorumResponseBody(res *operator.Drop) *GetNoQuorumResponseBody {
+func NewGetNoQuorumResponseBody(res *operator.Refusal) *GetNoQuorumResponseBody {
 	body := &GetNoQuorumResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -707,7 +707,7 @@
 
 // NewGetUnknownOutcomeResponseBody builds the HTTP response body from the
 // result of the "get" endpoint of the "operator" service.
-func NewGetUnknownOutcomeResponseBody(res *operator.Drop) *GetUnknownOutcomeResponseBody {
+func NewGetUnknownOutcomeResponseBody(res *operator.Refusal) *GetUnknownOutcomeResponseBody {
 	body := &GetUnknownOutcomeResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -723,7 +723,7 @@
 
 // NewGetTooLargeResponseBody builds the HTTP response body from the result of
 // the "get" endpoint of the "operator" service.
-func NewGetTooLargeResponseBody(res *operator.Drop) *GetTooLargeResponseBody {
+func NewGetTooLargeResponseBody(res *operator.Refusal) *GetTooLargeResponseBody {
 	body := &GetTooLargeResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -739,7 +739,7 @@
 
 // NewStatusBadResponseBody builds the HTTP response body from the result of
 // the "status" endpoint of the "operator" service.
-func NewStatusBadResponseBody(res *operator.Drop) *StatusBadResponseBody {
+func NewStatusBadResponseBody(res *operator.Refusal) *StatusBadResponseBody {
 	body := &StatusBadResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -755,7 +755,7 @@
 
 // NewStatusMissingResponseBody builds the HTTP response body from the result
 // of the "status" endpoint of the "operator" service.
-func NewStatusMissingResponseBody(res *operator.Drop) *StatusMissingResponseBody {
+func NewStatusMissingResponseBody(res *operator.Refusal) *StatusMissingResponseBody {
 	body := &StatusMissingResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -771,7 +771,7 @@
 
 // NewStatusStaleResponseBody builds the HTTP response body from the result of
 // the "status" endpoint of the "operator" service.
-func NewStatusStaleResponseBody(res *operator.Drop) *StatusStaleResponseBody {
+func NewStatusStaleResponseBody(res *operator.Refusal) *StatusStaleResponseBody {
 	body := &StatusStaleResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -787,7 +787,7 @@
 
 // NewStatusNoQuorumResponseBody builds the HTTP response body from the result
 // of the "status" endpoint of the "operator" service.
-func NewStatusNoQuorumResponseBody(res *operator.Drop) *StatusNoQuorumResponseBody {
+func NewStatusNoQuorumResponseBody(res *operator.Refusal) *StatusNoQuorumResponseBody {
 	body := &StatusNoQuorumResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -803,7 +803,7 @@
 
 // NewStatusUnknownOutcomeResponseBody builds the HTTP response body from the
 // result of the "status" endpoint of the "operator" service.
-func NewStatusUnknownOutcomeResponseBody(res *operator.Drop) *StatusUnknownOutcomeResponseBody {
+func NewStatusUnknownOutcomeResponseBody(res *operator.Refusal) *StatusUnknownOutcomeResponseBody {
 	body := &StatusUnknownOutcomeResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -819,7 +819,7 @@
 
 // NewStatusTooLargeResponseBody builds the HTTP response body from the result
 // of the "status" endpoint of the "operator" service.
-func NewStatusTooLargeResponseBody(res *operator.Drop) *StatusTooLargeResponseBody {
+func NewStatusTooLargeResponseBody(res *operator.Refusal) *StatusTooLargeResponseBody {
 	body := &StatusTooLargeResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -835,7 +835,7 @@
 
 // NewExplainBadResponseBody builds the HTTP response body from the result of
 // the "explain" endpoint of the "operator" service.
-func NewExplainBadResponseBody(res *operator.Drop) *ExplainBadResponseBody {
+func NewExplainBadResponseBody(res *operator.Refusal) *ExplainBadResponseBody {
 	body := &ExplainBadResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -851,7 +851,7 @@
 
 // NewExplainMissingResponseBody builds the HTTP response body from the result
 // of the "explain" endpoint of the "operator" service.
-func NewExplainMissingResponseBody(res *operator.Drop) *ExplainMissingResponseBody {
+func NewExplainMissingResponseBody(res *operator.Refusal) *ExplainMissingResponseBody {
 	body := &ExplainMissingResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -867,7 +867,7 @@
 
 // NewExplainStaleResponseBody builds the HTTP response body from the result of
 // the "explain" endpoint of the "operator" service.
-func NewExplainStaleResponseBody(res *operator.Drop) *ExplainStaleResponseBody {
+func NewExplainStaleResponseBody(res *operator.Refusal) *ExplainStaleResponseBody {
 	body := &ExplainStaleResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -883,7 +883,7 @@
 
 // NewExplainNoQuorumResponseBody builds the HTTP response body from the result
 // of the "explain" endpoint of the "operator" service.
-func NewExplainNoQuorumResponseBody(res *operator.Drop) *ExplainNoQuorumResponseBody {
+func NewExplainNoQuorumResponseBody(res *operator.Refusal) *ExplainNoQuorumResponseBody {
 	body := &ExplainNoQuorumResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -899,7 +899,7 @@
 
 // NewExplainUnknownOutcomeResponseBody builds the HTTP response body from the
 // result of the "explain" endpoint of the "operator" service.
-func NewExplainUnknownOutcomeResponseBody(res *operator.Drop) *ExplainUnknownOutcomeResponseBody {
+func NewExplainUnknownOutcomeResponseBody(res *operator.Refusal) *ExplainUnknownOutcomeResponseBody {
 	body := &ExplainUnknownOutcomeResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -915,7 +915,7 @@
 
 // NewExplainTooLargeResponseBody builds the HTTP response body from the result
 // of the "explain" endpoint of the "operator" service.
-func NewExplainTooLargeResponseBody(res *operator.Drop) *ExplainTooLargeResponseBody {
+func NewExplainTooLargeResponseBody(res *operator.Refusal) *ExplainTooLargeResponseBody {
 	body := &ExplainTooLargeResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -931,7 +931,7 @@
 
 // NewRescueBadResponseBody builds the HTTP response body from the result of
 // the "rescue" endpoint of the "operator" service.
-func NewRescueBadResponseBody(res *operator.Drop) *RescueBadResponseBody {
+func NewRescueBadResponseBody(res *operator.Refusal) *RescueBadResponseBody {
 	body := &RescueBadResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -947,7 +947,7 @@
 
 // NewRescueMissingResponseBody builds the HTTP response body from the result
 // of the "rescue" endpoint of the "operator" service.
-func NewRescueMissingResponseBody(res *operator.Drop) *RescueMissingResponseBody {
+func NewRescueMissingResponseBody(res *operator.Refusal) *RescueMissingResponseBody {
 	body := &RescueMissingResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -963,7 +963,7 @@
 
 // NewRescueStaleResponseBody builds the HTTP response body from the result of
 // the "rescue" endpoint of the "operator" service.
-func NewRescueStaleResponseBody(res *operator.Drop) *RescueStaleResponseBody {
+func NewRescueStaleResponseBody(res *operator.Refusal) *RescueStaleResponseBody {
 	body := &RescueStaleResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -979,7 +979,7 @@
 
 // NewRescueNoQuorumResponseBody builds the HTTP response body from the result
 // of the "rescue" endpoint of the "operator" service.
-func NewRescueNoQuorumResponseBody(res *operator.Drop) *RescueNoQuorumResponseBody {
+func NewRescueNoQuorumResponseBody(res *operator.Refusal) *RescueNoQuorumResponseBody {
 	body := &RescueNoQuorumResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -995,7 +995,7 @@
 
 // NewRescueUnknownOutcomeResponseBody builds the HTTP response body from the
 // result of the "rescue" endpoint of the "operator" service.
-func NewRescueUnknownOutcomeResponseBody(res *operator.Drop) *RescueUnknownOutcomeResponseBody {
+func NewRescueUnknownOutcomeResponseBody(res *operator.Refusal) *RescueUnknownOutcomeResponseBody {
 	body := &RescueUnknownOutcomeResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
@@ -1011,7 +1011,7 @@
 
 // NewRescueTooLargeResponseBody builds the HTTP response body from the result
 // of the "rescue" endpoint of the "operator" service.
-func NewRescueTooLargeResponseBody(res *operator.Drop) *RescueTooLargeResponseBody {
+func NewRescueTooLargeResponseBody(res *operator.Refusal) *RescueTooLargeResponseBody {
 	body := &RescueTooLargeResponseBody{
 		Name:   res.Name,
 		Detail: res.Detail,
--- a/gen/http/replica/client/encode_decode.go
+++ b/gen/http/replica/client/encode_decode.go
@@ -108,9 +108,9 @@
 // order endpoint. restoreBody controls whether the response body should be
 // restored after having been read.
 // DecodeOrderResponse may return the following errors:
-//   - "busy" (type *replica.Drop): http.StatusConflict
-//   - "stale" (type *replica.Drop): http.StatusPreconditionFailed
-//   - "bad" (type *replica.Drop): http.StatusBadRequest
+//   - "busy" (type *replica.Refusal): http.StatusConflict
+//   - "stale" (type *replica.Refusal): http.StatusPreconditionFailed
+//   - "bad" (type *replica.Refusal): http.StatusBadRequest
 //   - error: internal error
 func DecodeOrderResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
--- a/gen/http/replica/client/types.go
+++ b/gen/http/replica/client/types.go
@@ -152,8 +152,8 @@
 }
 
 // NewOrderBusy builds a replica service order endpoint busy error.
-func NewOrderBusy(body *OrderBusyResponseBody) *replica.Drop {
-	v := &replica.Drop{
+func NewOrderBusy(body *OrderBusyResponseBody) *replica.Refusal {
+	v := &replica.Refusal{
 		Name:       *body.Name,
 		Detail:     *body.Detail,
 		Outcome:    *body.Outcome,
@@ -170,8 +170,8 @@
 }
 
 // NewOrderStale builds a replica service order endpoint stale error.
-func NewOrderStale(body *OrderStaleResponseBody) *replica.Drop {
-	v := &replica.Drop{
+func NewOrderStale(body *OrderStaleResponseBody) *replica.Refusal {
+	v := &replica.Refusal{
 		Name:       *body.Name,
 		Detail:     *body.Detail,
 		Outcome:    *body.Outcome,
@@ -188,8 +188,8 @@
 }
 
 // NewOrderBad builds a replica service order endpoint bad error.
-func NewOrderBad(body *OrderBadResponseBody) *replica.Drop {
-	v := &replica.Drop{
+func NewOrderBad(body *OrderBadResponseBody) *replica.Refusal {
+	v := &replica.Refusal{
 		Name:       *body.Name,
 		Detail:     *body.Detail,
 		Outcome:    *body.Outcome,
--- a/gen/http/replica/server/encode_decode.go
+++ b/gen/http/replica/server/encode_decode.go
@@ -80,7 +80,7 @@
 		}
 		switch en.GoaErrorName() {
 		case "busy":
-			var res *replica.Drop
+			var res *replica.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -93,7 +93,7 @@
 			w.WriteHeader(http.StatusConflict)
 			return enc.Encode(body)
 		case "stale":
-			var res *replica.Drop
+			var res *replica.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
@@ -106,7 +106,7 @@
 			w.WriteHeader(http.StatusPreconditionFailed)
 			return enc.Encode(body)
 		case "bad":
-			var res *replica.Drop
+			var res *replica.Refusal
 			errors.As(v, &res)
 			enc := encoder(ctx, w)
 			var body any
--- a/gen/http/replica/server/types.go
+++ b/gen/http/replica/server/types.go
@@ -137,7 +137,7 @@
 
 // NewOrderBusyResponseBody builds the HTTP response body from the result of
 // the "order" endpoint of the "replica" service.
-func NewOrderBusyResponseBody(res *replica.Drop) *OrderBusyResponseBody {
+func NewOrderBusyResponseBody(res *replica.Refusal) *OrderBusyResponseBody {
 	body := &OrderBusyResponseBody{
 		Name:       res.Name,
 		Detail:     res.Detail,
@@ -155,7 +155,7 @@
 
 // NewOrderStaleResponseBody builds the HTTP response body from the result of
 // the "order" endpoint of the "replica" service.
-func NewOrderStaleResponseBody(res *replica.Drop) *OrderStaleResponseBody {
+func NewOrderStaleResponseBody(res *replica.Refusal) *OrderStaleResponseBody {
 	body := &OrderStaleResponseBody{
 		Name:       res.Name,
 		Detail:     res.Detail,
@@ -173,7 +173,7 @@
 
 // NewOrderBadResponseBody builds the HTTP response body from the result of the
 // "order" endpoint of the "replica" service.
-func NewOrderBadResponseBody(res *replica.Drop) *OrderBadResponseBody {
+func NewOrderBadResponseBody(res *replica.Refusal) *OrderBadResponseBody {
 	body := &OrderBadResponseBody{
 		Name:       res.Name,
 		Detail:     res.Detail,
--- a/gen/operator/client.go
+++ b/gen/operator/client.go
@@ -40,12 +40,12 @@
 
 // Put calls the "put" endpoint of the "operator" service.
 // Put may return the following errors:
-//   - "bad" (type *Drop)
-//   - "missing" (type *Drop)
-//   - "stale" (type *Drop)
-//   - "no_quorum" (type *Drop)
-//   - "unknown_outcome" (type *Drop)
-//   - "too_large" (type *Drop)
+//   - "bad" (type *Refusal)
+//   - "missing" (type *Refusal)
+//   - "stale" (type *Refusal)
+//   - "no_quorum" (type *Refusal)
+//   - "unknown_outcome" (type *Refusal)
+//   - "too_large" (type *Refusal)
 //   - error: internal error
 func (c *Client) Put(ctx context.Context, p *PutPayload, req io.ReadCloser) (res *Submitted, err error) {
 	var ires any
@@ -58,12 +58,12 @@
 
 // Patch calls the "patch" endpoint of the "operator" service.
 // Patch may return the following errors:
-//   - "bad" (type *Drop)
-//   - "missing" (type *Drop)
-//   - "stale" (type *Drop)
-//   - "no_quorum" (type *Drop)
-//   - "unknown_outcome" (type *Drop)
-//   - "too_large" (type *Drop)
+//   - "bad" (type *Refusal)
+//   - "missing" (type *Refusal)
+//   - "stale" (type *Refusal)
+//   - "no_quorum" (type *Refusal)
+//   - "unknown_outcome" (type *Refusal)
+//   - "too_large" (type *Refusal)
 //   - error: internal error
 func (c *Client) Patch(ctx context.Context, p *PatchPayload, req io.ReadCloser) (res *Submitted, err error) {
 	var ires any
@@ -76,12 +76,12 @@
 
 // Get calls the "get" endpoint of the "operator" service.
 // Get may return the following errors:
-//   - "bad" (type *Drop)
-//   - "missing" (type *Drop)
-//   - "stale" (type *Drop)
-//   - "no_quorum" (type *Drop)
-//   - "unknown_outcome" (type *Drop)
-//   - "too_large" (type *Drop)
+//   - "bad" (type *Refusal)
+//   - "missing" (type *Refusal)
+//   - "stale" (type *Refusal)
+//   - "no_quorum" (type *Refusal)
+//   - "unknown_outcome" (type *Refusal)
+//   - "too_large" (type *Refusal)
 //   - error: internal error
 func (c *Client) Get(ctx context.Context, p *GetPayload) (res *GetResult, resp io.ReadCloser, err error) {
 	var ires any
@@ -95,12 +95,12 @@
 
 // Status calls the "status" endpoint of the "operator" service.
 // Status may return the following errors:
-//   - "bad" (type *Drop)
-//   - "missing" (type *Drop)
-//   - "stale" (type *Drop)
-//   - "no_quorum" (type *Drop)
-//   - "unknown_outcome" (type *Drop)
-//   - "too_large" (type *Drop)
+//   - "bad" (type *Refusal)
+//   - "missing" (type *Refusal)
+//   - "stale" (type *Refusal)
+//   - "no_quorum" (type *Refusal)
+//   - "unknown_outcome" (type *Refusal)
+//   - "too_large" (type *Refusal)
 //   - error: internal error
 func (c *Client) Status(ctx context.Context) (res any, err error) {
 	var ires any
@@ -113,12 +113,12 @@
 
 // Explain calls the "explain" endpoint of the "operator" service.
 // Explain may return the following errors:
-//   - "bad" (type *Drop)
-//   - "missing" (type *Drop)
-//   - "stale" (type *Drop)
-//   - "no_quorum" (type *Drop)
-//   - "unknown_outcome" (type *Drop)
-//   - "too_large" (type *Drop)
+//   - "bad" (type *Refusal)
+//   - "missing" (type *Refusal)
+//   - "stale" (type *Refusal)
+//   - "no_quorum" (type *Refusal)
+//   - "unknown_outcome" (type *Refusal)
+//   - "too_large" (type *Refusal)
 //   - error: internal error
 func (c *Client) Explain(ctx context.Context, p *ExplainPayload) (res any, err error) {
 	var ires any
@@ -131,12 +131,12 @@
 
 // Rescue calls the "rescue" endpoint of the "operator" service.
 // Rescue may return the following errors:
-//   - "bad" (type *Drop)
-//   - "missing" (type *Drop)
-//   - "stale" (type *Drop)
-//   - "no_quorum" (type *Drop)
-//   - "unknown_outcome" (type *Drop)
-//   - "too_large" (type *Drop)
+//   - "bad" (type *Refusal)
+//   - "missing" (type *Refusal)
+//   - "stale" (type *Refusal)
+//   - "no_quorum" (type *Refusal)
+//   - "unknown_outcome" (type *Refusal)
+//   - "too_large" (type *Refusal)
 //   - error: internal error
 func (c *Client) Rescue(ctx context.Context, p *RescuePayload) (res any, err error) {
 	var ires any
@@ -149,12 +149,12 @@
 
 // Logs calls the "logs" endpoint of the "operator" service.
 // Logs may return the following errors:
-//   - "bad" (type *Drop)
-//   - "missing" (type *Drop)
-//   - "stale" (type *Drop)
-//   - "no_quorum" (type *Drop)
-//   - "unknown_outcome" (type *Drop)
-//   - "too_large" (type *Drop)
+//   - "bad" (type *Refusal)
+//   - "missing" (type *Refusal)
+//   - "stale" (type *Refusal)
+//   - "no_quorum" (type *Refusal)
+//   - "unknown_outcome" (type *Refusal)
+//   - "too_large" (type *Refusal)
 //   - error: internal error
 func (c *Client) Logs(ctx context.Context) (res []string, err error) {
 	var ires any
--- a/gen/operator/service.go
+++ b/gen/operator/service.go
@@ -53,19 +53,6 @@
 // MethodKey key.
 var MethodNames = [7]string{"put", "patch", "get", "status", "explain", "rescue", "logs"}
 
-type Drop struct {
-	// Short reason
-	Name string
-	// What happened, in one sentence
-	Detail string
-	// not-run, unknown or ran
-	Outcome string
-	// Seconds until another try is worth it
-	RetryAfter *string
-	// Every fault found in what was sent
-	Faults []string
-}
-
 // ExplainPayload is the payload type of the operator service explain method.
 type ExplainPayload struct {
 	Model *string
@@ -98,6 +85,19 @@
 	ContentType *string
 }
 
+type Refusal struct {
+	// Short reason
+	Name string
+	// What happened, in one sentence
+	Detail string
+	// not-run, unknown or ran
+	Outcome string
+	// Seconds until another try is worth it
+	RetryAfter *string
+	// Every fault found in what was sent
+	Faults []string
+}
+
 // RescuePayload is the payload type of the operator service rescue method.
 type RescuePayload struct {
 	// Names of the members that are lost
@@ -115,18 +115,18 @@
 }
 
 // Error returns an error description.
-func (e *Drop) Error() string {
+func (e *Refusal) Error() string {
 	return ""
 }
 
-// ErrorName returns "Drop".
+// ErrorName returns "Refusal".
 //
 // Deprecated: Use GoaErrorName - https://github.com/goadesign/goa/issues/3105
-func (e *Drop) ErrorName() string {
+func (e *Refusal) ErrorName() string {
 	return e.GoaErrorName()
 }
 
-// GoaErrorName returns "Drop".
-func (e *Drop) GoaErrorName() string {
+// GoaErrorName returns "Refusal".
+func (e *Refusal) GoaErrorName() string {
 	return e.Name
 }
--- a/gen/replica/client.go
+++ b/gen/replica/client.go
@@ -29,9 +29,9 @@
 
 // Vitals calls the "vitals" endpoint of the "replica" service.
 // Vitals may return the following errors:
-//   - "busy" (type *Drop)
-//   - "stale" (type *Drop)
-//   - "bad" (type *Drop)
+//   - "busy" (type *Refusal)
+//   - "stale" (type *Refusal)
+//   - "bad" (type *Refusal)
 //   - error: internal error
 func (c *Client) Vitals(ctx context.Context) (res *ReplicaVitals, err error) {
 	var ires any
@@ -44,9 +44,9 @@
 
 // Order calls the "order" endpoint of the "replica" service.
 // Order may return the following errors:
-//   - "busy" (type *Drop)
-//   - "stale" (type *Drop)
-//   - "bad" (type *Drop)
+//   - "busy" (type *Refusal)
+//   - "stale" (type *Refusal)
+//   - "bad" (type *Refusal)
 //   - error: internal error
 func (c *Client) Order(ctx context.Context, p *LoadOrder) (err error) {
 	_, err = c.OrderEndpoint(ctx, p)
--- a/gen/replica/service.go
+++ b/gen/replica/service.go
@@ -42,19 +42,6 @@
 	Inflight int
 }
 
-type Drop struct {
-	// Short reason
-	Name string
-	// What happened, in one sentence
-	Detail string
-	// not-run, unknown or ran
-	Outcome string
-	// Seconds until another try is worth it
-	RetryAfter *string
-	// Every fault found in what was sent
-	Faults []string
-}
-
 // LoadOrder is the payload type of the replica service order method.
 type LoadOrder struct {
 	ID string
@@ -77,6 +64,19 @@
 	Adapters []*AdapterVitals
 }
 
+type Refusal struct {
+	// Short reason
+	Name string
+	// What happened, in one sentence
+	Detail string
+	// not-run, unknown or ran
+	Outcome string
+	// Seconds until another try is worth it
+	RetryAfter *string
+	// Every fault found in what was sent
+	Faults []string
+}
+
 // ReplicaVitals is the result type of the replica service vitals method.
 type ReplicaVitals struct {
 	ID string
@@ -96,18 +96,18 @@
 }
 
 // Error returns an error description.
-func (e *Drop) Error() string {
+func (e *Refusal) Error() string {
 	return ""
 }
 
-// ErrorName returns "Drop".
+// ErrorName returns "Refusal".
 //
 // Deprecated: Use GoaErrorName - https://github.com/goadesign/goa/issues/3105
-func (e *Drop) ErrorName() string {
+func (e *Refusal) ErrorName() string {
 	return e.GoaErrorName()
 }
 
-// GoaErrorName returns "Drop".
-func (e *Drop) GoaErrorName() string {
+// GoaErrorName returns "Refusal".
+func (e *Refusal) GoaErrorName() string {
 	return e.Name
 }
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -86,7 +86,7 @@
 		for _, c := range ac.queue.Order() {
 			c.Lanes(func(l *queue.Lane) (bool, bool) {
 				for i := range l.Waiters.Len() {
-					drop(l.Waiters.At(i), stopped)
+					refuse(l.Waiters.At(i), stopped)
 				}
 				return false, false
 			})
@@ -97,7 +97,7 @@
 // stopped is the answer once admission has closed.
 var stopped = queue.Answer{Why: "this proxy is stopping", RetryS: 1}
 
-func drop(w *queue.Waiter, a queue.Answer) {
+func refuse(w *queue.Waiter, a queue.Answer) {
 	if w.Withdraw() {
 		w.Answer <- a
 	}
@@ -105,18 +105,18 @@
 
 func (ac *Controller) take(w *queue.Waiter) {
 	if ac.closed.Load() {
-		drop(w, stopped)
+		refuse(w, stopped)
 		return
 	}
 	cl, known := ac.routes.Now().Conf.Classes[w.Class]
 	if !known {
-		drop(w, queue.Answer{Why: "its class has gone", RetryS: 1})
+		refuse(w, queue.Answer{Why: "its class has gone", RetryS: 1})
 		return
 	}
 	c := ac.queue.Class(w.Class, cl)
 	ac.sweep.In(sweep)
 	if !ac.queue.Put(c, w) {
-		drop(w, queue.Answer{Why: "the holding of class " + w.Class + " is full", RetryS: 1})
+		refuse(w, queue.Answer{Why: "the holding of class " + w.Class + " is full", RetryS: 1})
 		return
 	}
 	ac.dispatch()
@@ -136,7 +136,7 @@
 		// Why: who waits longest for the same tells best how long it takes, other edges and other classes included.
 		ahead = max(ahead, ac.now().Sub(c.Oldest(w).Since))
 		if ahead > w.Deadline.Sub(w.Since) {
-			drop(w, queue.Answer{Why: "too many wait ahead of it", RetryS: retry(ahead - w.Deadline.Sub(w.Since))})
+			refuse(w, queue.Answer{Why: "too many wait ahead of it", RetryS: retry(ahead - w.Deadline.Sub(w.Since))})
 		}
 	}
 }
@@ -173,7 +173,7 @@
 				// Why: an attempt whose first piece comes after the deadline does the work, and tells its caller that nobody
 				// knows whether it did.
 				if w.Deadline.Sub(ac.now()) < r.Live.FirstFor() {
-					drop(w, queue.Answer{Why: "its answer would begin after the deadline", Late: true, RetryS: 1})
+					refuse(w, queue.Answer{Why: "its answer would begin after the deadline", Late: true, RetryS: 1})
 				} else if w.Claim() {
 					ac.give(w, r, c.Conf)
 				}
@@ -256,12 +256,12 @@
 				switch {
 				case !w.Waits():
 				case coming && ready.After(w.Deadline):
-					drop(w, queue.Answer{Why: "it will be loaded too late", RetryS: retry(ready.Sub(now))})
+					refuse(w, queue.Answer{Why: "it will be loaded too late", RetryS: retry(ready.Sub(now))})
 				case coming:
 				case told && x.Refused:
-					drop(w, queue.Answer{Why: x.Why, RetryS: max(1, x.RetryS)})
+					refuse(w, queue.Answer{Why: x.Why, RetryS: max(1, x.RetryS)})
 				case now.Sub(later(w.Since, l.Empty)) > ac.hold:
-					drop(w, queue.Answer{Why: "nobody has it and no controller answers", RetryS: 2})
+					refuse(w, queue.Answer{Why: "nobody has it and no controller answers", RetryS: 2})
 				}
 			}
 			return false, false
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -214,9 +214,9 @@
 	if err == nil {
 		return nil
 	}
-	var drop *replica.Drop
-	if errors.As(err, &drop) {
-		return errors.Wrapf(ErrRefused, "%s: %s", drop.Name, drop.Detail)
+	var refused *replica.Refusal
+	if errors.As(err, &refused) {
+		return errors.Wrapf(ErrRefused, "%s: %s", refused.Name, refused.Detail)
 	}
 	return errors.Wrap(ErrUnsure, err.Error())
 }
--- a/internal/core/consider.go
+++ b/internal/core/consider.go
@@ -20,7 +20,7 @@
 func (c *Core) considerHere(ctx context.Context, q order.Consider) (order.Considered, error) {
 	controller := (*c.controllersNow.Load())[q.Replica]
 	if controller == nil {
-		return order.Considered{}, wire.Drop("not-owner", q.Replica+" is not controlled here")
+		return order.Considered{}, wire.Refuse("not-owner", q.Replica+" is not controlled here")
 	}
 	return controller.Consider(ctx, q)
 }
--- a/internal/core/consider_test.go
+++ b/internal/core/consider_test.go
@@ -28,7 +28,7 @@
 	wire.Handle(mux, considerPath, func(_ context.Context, q order.Consider) (order.Considered, error) {
 		a.calls.Add(1)
 		if q.Replica == "elsewhere" {
-			return order.Considered{}, wire.Drop("not-owner", "not here")
+			return order.Considered{}, wire.Refuse("not-owner", "not here")
 		}
 		return answer(q), nil
 	})
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -32,7 +32,7 @@
 	Entry gossip.Entry `cbor:"2,keyasint"`
 }
 
-var errNotOwner = wire.Drop("not-owner", "the key is not held here")
+var errNotOwner = wire.Refuse("not-owner", "the key is not held here")
 
 // holder is the core that holds a slot: the one that did last, or else the one
 // that says so now, under the highest epoch.
@@ -111,9 +111,9 @@
 	case errors.Is(err, state.ErrNotOwner):
 		return errNotOwner
 	case errors.Is(err, state.ErrNoQuorum):
-		return wire.Drop("no-quorum", err.Error())
+		return wire.Refuse("no-quorum", err.Error())
 	case errors.Is(err, state.ErrUnknown):
-		return wire.Drop("unknown", err.Error())
+		return wire.Refuse("unknown", err.Error())
 	}
 	return err
 }
--- a/internal/kernel/wire/wire.go
+++ b/internal/kernel/wire/wire.go
@@ -60,8 +60,8 @@
 
 func (r Refused) Error() string { return "peer refused: " + r.Code + ": " + r.Detail }
 
-// Drop makes a considered no with a code.
-func Drop(code, detail string) error { return Refused{Code: code, Detail: detail} }
+// Refuse makes a considered no with a code.
+func Refuse(code, detail string) error { return Refused{Code: code, Detail: detail} }
 
 // Code is the code of a considered no, or "".
 func Code(err error) string {
--- a/internal/kernel/wire/wire_test.go
+++ b/internal/kernel/wire/wire_test.go
@@ -22,7 +22,7 @@
 	Handle(m, "/x", func(_ context.Context, v q) (q, error) {
 		acted++
 		if v.N == 7 {
-			return q{}, Drop("seven", "not that one")
+			return q{}, Refuse("seven", "not that one")
 		}
 		return v, nil
 	})
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -63,8 +63,8 @@
 	return mux
 }
 
-func drop(name, detail, outcome, retry string, faults []string) error {
-	d := &gen.Drop{Name: name, Detail: detail, Outcome: outcome, Faults: faults}
+func refusal(name, detail, outcome, retry string, faults []string) error {
+	d := &gen.Refusal{Name: name, Detail: detail, Outcome: outcome, Faults: faults}
 	if retry != "" {
 		d.RetryAfter = &retry
 	}
@@ -82,28 +82,28 @@
 	if ifMatch != nil {
 		n, err := strconv.ParseUint(strings.Trim(*ifMatch, `"`), 10, 64)
 		if err != nil {
-			return nil, drop("bad", "If-Match must be a serial", "not-run", "", []string{"If-Match: " + *ifMatch})
+			return nil, refusal("bad", "If-Match must be a serial", "not-run", "", []string{"If-Match: " + *ifMatch})
 		}
 		sub.IfMatch = &n
 	}
 	b, err := io.ReadAll(io.LimitReader(body, conf.MaxBytes+1))
 	if err != nil {
-		return nil, drop("bad", "the body broke off", "not-run", "", nil)
+		return nil, refusal("bad", "the body broke off", "not-run", "", nil)
 	}
 	if len(b) > conf.MaxBytes {
-		return nil, drop("too_large", "a configuration has at most "+strconv.Itoa(conf.MaxBytes)+" bytes", "not-run", "", nil)
+		return nil, refusal("too_large", "a configuration has at most "+strconv.Itoa(conf.MaxBytes)+" bytes", "not-run", "", nil)
 	}
 	sub.Body = b
 	got, err := s.c.Submit(ctx, sub)
 	switch {
 	case errors.Is(err, ErrNoQuorum):
-		return nil, drop("no_quorum", err.Error(), "not-run", "3", nil)
+		return nil, refusal("no_quorum", err.Error(), "not-run", "3", nil)
 	case err != nil:
-		return nil, drop("unknown_outcome", ErrUnknown.Error(), "unknown", "3", nil)
+		return nil, refusal("unknown_outcome", ErrUnknown.Error(), "unknown", "3", nil)
 	case len(got.Faults) > 0:
-		return nil, drop("bad", "the configuration is refused whole", "not-run", "", got.Faults)
+		return nil, refusal("bad", "the configuration is refused whole", "not-run", "", got.Faults)
 	case got.Stale:
-		return nil, drop("stale", "the serial now is "+serial(got.Serial), "not-run", "", nil)
+		return nil, refusal("stale", "the serial now is "+serial(got.Serial), "not-run", "", nil)
 	}
 	return &gen.Submitted{Serial: serial(got.Serial), Sum: got.Sum}, nil
 }
@@ -119,10 +119,10 @@
 func (s *service) Get(ctx context.Context, p *gen.GetPayload) (*gen.GetResult, io.ReadCloser, error) {
 	k, found, err := s.c.Newest(ctx)
 	if err != nil {
-		return nil, nil, drop("no_quorum", "the newest configuration cannot be told without a quorum", "not-run", "3", nil)
+		return nil, nil, refusal("no_quorum", "the newest configuration cannot be told without a quorum", "not-run", "3", nil)
 	}
 	if !found {
-		return nil, nil, drop("missing", "no configuration was ever kept", "ran", "", nil)
+		return nil, nil, refusal("missing", "no configuration was ever kept", "ran", "", nil)
 	}
 	res := &gen.GetResult{Serial: serial(k.Serial), ContentType: "application/json", Manner: k.Manner}
 	var b []byte
@@ -139,7 +139,7 @@
 			break
 		}
 		if b, found = k.Objects[p.What]; !found {
-			return nil, nil, drop("missing", "there is no object "+p.What, "ran", "", nil)
+			return nil, nil, refusal("missing", "there is no object "+p.What, "ran", "", nil)
 		}
 	}
 	return res, io.NopCloser(bytes.NewReader(b)), nil
@@ -158,7 +158,7 @@
 func (s *service) Rescue(ctx context.Context, p *gen.RescuePayload) (any, error) {
 	got, err := s.c.Rescue(ctx, p.Lost, p.Serial)
 	if err != nil {
-		return nil, drop("bad", err.Error(), "not-run", "", nil)
+		return nil, refusal("bad", err.Error(), "not-run", "", nil)
 	}
 	return got, nil
 }
--- a/internal/place/order/expect_test.go
+++ b/internal/place/order/expect_test.go
@@ -121,7 +121,7 @@
 	ctl.tasks.PushBack(&task{item: conf.Item{Model: "m"}, victims: []conf.Item{{Model: "old"}}})
 	ctl.tasks.PushBack(&task{item: conf.Item{Model: "n"}})
 	ctl.tasks.PushBack(&task{item: conf.Item{Model: "o"}})
-	ctl.drop(0, "the store had no room")
+	ctl.giveUp(0, "the store had no room")
 	if ctl.tasks.Len() != 1 || ctl.tasks.Front().item.Model != "n" || ctl.book[conf.Item{Model: "o"}] != nil || ctl.book[conf.Item{Model: "old"}].State != backend.Loaded {
 		t.Errorf("%d loads are left, the first for %v", ctl.tasks.Len(), ctl.tasks.Front().item)
 	}
--- a/internal/place/order/task.go
+++ b/internal/place/order/task.go
@@ -56,7 +56,7 @@
 	}
 	for i := c.tasks.Len() - 1; i > 0; i-- {
 		if t := c.tasks.At(i); t.waits() && now-t.begun > paceLimit {
-			c.drop(i, "the store had no room")
+			c.giveUp(i, "the store had no room")
 		}
 	}
 	if c.tasks.Len() < 2 || !c.tasks.Front().waits() {
@@ -115,22 +115,22 @@
 }
 
 // fail gives up the task in front.
-func (c *Controller) fail(why string) { c.drop(0, why) }
+func (c *Controller) fail(why string) { c.giveUp(0, why) }
 
-func (c *Controller) drop(i int, why string) {
-	c.let(i, why)
+func (c *Controller) giveUp(i int, why string) {
+	c.remove(i, why)
 	// Why: its victims stay after all, and whoever counted on the room they would have left over has none; it would
 	// hold up the others until it noticed.
 	for j := c.tasks.Len() - 1; j >= 0 && c.overbooked(); j-- {
 		if c.tasks.At(j).waits() {
-			c.let(j, "the room it counted on is not given up")
+			c.remove(j, "the room it counted on is not given up")
 		}
 	}
 	c.keep()
 }
 
-// let takes a task out and puts back what it had claimed.
-func (c *Controller) let(i int, why string) {
+// remove takes a task out and puts back what it had claimed.
+func (c *Controller) remove(i int, why string) {
 	t := c.tasks.Remove(i)
 	c.d.Log.Info("load given up", "replica", c.listed.ID, "item", t.item.String(), "why", why)
 	c.undo(t)
--- a/internal/proxy/native.go
+++ b/internal/proxy/native.go
@@ -15,9 +15,9 @@
 	"drumstall.example/internal/route"
 )
 
-// drop is a refusal in the design's own form.
-func (r *Refusal) drop() error {
-	d := &gen.Drop{Name: string(r.Reason), Detail: r.Detail, Outcome: string(r.Outcome)}
+// goaError is a refusal in the design's own form.
+func (r *Refusal) goaError() error {
+	d := &gen.Refusal{Name: string(r.Reason), Detail: r.Detail, Outcome: string(r.Outcome)}
 	if r.RetryAfter > 0 {
 		s := strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds())))
 		d.RetryAfter = &s
@@ -29,7 +29,7 @@
 func (p *Proxy) Vitals(context.Context) (map[string]string, error) {
 	serial, serving := p.InForce()
 	if !serving || p.leaving.Load() {
-		return nil, (&Refusal{Reason: Full, Detail: "not serving yet, or no more", Outcome: attempt.NotRun, RetryAfter: time.Second}).drop()
+		return nil, (&Refusal{Reason: Full, Detail: "not serving yet, or no more", Outcome: attempt.NotRun, RetryAfter: time.Second}).goaError()
 	}
 	return map[string]string{"node": p.s.Name, "conf": strconv.FormatUint(serial, 10), "shots": strconv.FormatInt(p.admission.Attempts(), 10),
 		"cut": strconv.FormatInt(p.cut.Load(), 10)}, nil
@@ -40,20 +40,20 @@
 	defer body.Close()
 	began := time.Now()
 	if refusal := p.Ready(ctx); refusal != nil {
-		return nil, nil, refusal.drop()
+		return nil, nil, refusal.goaError()
 	}
 	target, refusal := p.target(q)
 	if refusal != nil {
-		return nil, nil, refusal.drop()
+		return nil, nil, refusal.goaError()
 	}
 	raw, err := io.ReadAll(io.LimitReader(body, target.Route.MaxBody+1))
 	if err != nil {
-		return nil, nil, (&Refusal{Reason: Bad, Detail: "the body broke off or stalled", Outcome: attempt.NotRun}).drop()
+		return nil, nil, (&Refusal{Reason: Bad, Detail: "the body broke off or stalled", Outcome: attempt.NotRun}).goaError()
 	}
 	relay.BodyRead(ctx)
 	if int64(len(raw)) > target.Route.MaxBody {
 		detail := fmt.Sprintf("a body on this route has at most %d bytes", target.Route.MaxBody)
-		return nil, nil, (&Refusal{Reason: TooLarge, Detail: detail, Outcome: attempt.NotRun}).drop()
+		return nil, nil, (&Refusal{Reason: TooLarge, Detail: detail, Outcome: attempt.NotRun}).goaError()
 	}
 	if target.Route.Kind == "model" {
 		target.Prompt = route.ReadPrompt(target.Item.String(), raw)
@@ -67,7 +67,7 @@
 	}
 	a, refusal := p.Serve(ctx, call)
 	if refusal != nil {
-		return nil, nil, refusal.drop()
+		return nil, nil, refusal.goaError()
 	}
 	return &gen.ShootResult{Outcome: string(attempt.Ran), ContentType: a.ContentType, Replica: a.Replica}, a.Body, nil
 }
--- a/internal/stand/orders.go
+++ b/internal/stand/orders.go
@@ -12,7 +12,7 @@
 )
 
 func no(name, detail string) error {
-	return &gen.Drop{Name: name, Detail: detail, Outcome: backend.NotRun}
+	return &gen.Refusal{Name: name, Detail: detail, Outcome: backend.NotRun}
 }
 
 // Order takes a load or unload order.
--- a/internal/state/acceptor/grant.go
+++ b/internal/state/acceptor/grant.go
@@ -59,7 +59,7 @@
 	head, ok := a.vote(q.Set)
 	out.Set = head.Set
 	if !ok {
-		return out, wire.Drop(head.Why, "renewal")
+		return out, wire.Refuse(head.Why, "renewal")
 	}
 	for slot, epoch := range q.Epochs {
 		r, err := a.onSlot(ctx, state.Ask{Set: q.Set, From: q.From, Slot: slot, Epoch: epoch}, func(t *table, r *state.Reply) {
--- a/internal/state/acceptor/slot.go
+++ b/internal/state/acceptor/slot.go
@@ -85,7 +85,7 @@
 // onSlot runs f in the desk of a slot if this core may vote under the asker's set.
 func (a *Acceptor) onSlot(ctx context.Context, q state.Ask, f func(t *table, r *state.Reply)) (state.Reply, error) {
 	if q.Slot < 0 || q.Slot >= state.Slots {
-		return state.Reply{}, wire.Drop("bad", fmt.Sprintf("slot %d", q.Slot))
+		return state.Reply{}, wire.Refuse("bad", fmt.Sprintf("slot %d", q.Slot))
 	}
 	t := a.slots[q.Slot]
 	// Why: a stalled disk must not hold up who asked; what it syncs later counts all the same.
--- a/internal/state/coreset/admission.go
+++ b/internal/state/coreset/admission.go
@@ -52,7 +52,7 @@
 			return call[Joining, None](ctx, k, c, "/state/join", q)
 		}
 	}
-	return None{}, wire.Drop("not-owner", "nobody holds the core set")
+	return None{}, wire.Refuse("not-owner", "nobody holds the core set")
 }
 
 // replace gives a core the place of the member that it names, or of its own past.
@@ -69,7 +69,7 @@
 			continue
 		}
 		if _, alive := k.d.Live()[c]; alive {
-			return next, wire.Drop("alive", "member "+name+" is alive; it is not replaced")
+			return next, wire.Refuse("alive", "member "+name+" is alive; it is not replaced")
 		}
 		next.Cores = append(next.Cores, q.Core)
 		replaced = true
@@ -80,7 +80,7 @@
 		replaced = true
 	}
 	if !replaced {
-		return next, wire.Drop("unknown", "no member "+name+"; start the core with --replaces")
+		return next, wire.Refuse("unknown", "no member "+name+"; start the core with --replaces")
 	}
 	return next, nil
 }
@@ -95,7 +95,7 @@
 		}
 	}
 	if !found && k.doubts(set) {
-		return set, wire.Drop("doubt", "a member may be gone; its place is given when that is sure")
+		return set, wire.Refuse("doubt", "a member may be gone; its place is given when that is sure")
 	}
 	next := state.CoreSet{Serial: set.Serial + 1}
 	for _, c := range set.Cores {
--- a/internal/state/coreset/change.go
+++ b/internal/state/coreset/change.go
@@ -17,7 +17,7 @@
 		if found {
 			var kept state.CoreSet
 			if err := wire.Unpack(old.Value, &kept); err == nil && kept.Serial > set.Serial {
-				return nil, wire.Drop("busy", "a change is under way")
+				return nil, wire.Refuse("busy", "a change is under way")
 			}
 		}
 		var err error
--- a/internal/state/coreset/founding.go
+++ b/internal/state/coreset/founding.go
@@ -163,7 +163,7 @@
 		return st, false
 	})
 	if err == nil && why != "" {
-		err = wire.Drop("formation", why)
+		err = wire.Refuse("formation", why)
 	}
 	return None{}, err
 }
--- a/internal/state/coreset/rescue.go
+++ b/internal/state/coreset/rescue.go
@@ -18,7 +18,7 @@
 	}
 	for c := range k.d.Live() {
 		if !c.Is(k.d.Self()) && named[c.Name] && k.d.Acceptor.Standing().Set.Has(c) {
-			return state.CoreSet{}, wire.Drop("alive", c.Name+" is alive")
+			return state.CoreSet{}, wire.Refuse("alive", c.Name+" is alive")
 		}
 	}
 	why := ""
@@ -41,7 +41,7 @@
 		return acceptor.Standing{Phase: acceptor.Voter, Old: st.Set, Set: state.CoreSet{Serial: st.Set.Serial + 1000, Cores: []state.Core{k.d.Self()}}}, true
 	})
 	if err == nil && why != "" {
-		err = wire.Drop("refused", why)
+		err = wire.Refuse("refused", why)
 	}
 	return st.Set, err
 }
--- a/internal/state/coreset/trim.go
+++ b/internal/state/coreset/trim.go
@@ -27,7 +27,7 @@
 	}
 	if err := k.decide(ctx, func(set state.CoreSet) (state.CoreSet, error) {
 		if set.Serial != st.Set.Serial {
-			return set, wire.Drop("busy", "the set has changed")
+			return set, wire.Refuse("busy", "the set has changed")
 		}
 		return next, nil
 	}); err == nil {
