--- a/design/design.go
+++ b/design/design.go
@@ -205,23 +205,23 @@
 	})
 })
 
-var AdapterVitals = Type("AdapterVitals", func() {
+var AdapterReport = Type("AdapterReport", func() {
 	Attribute("name", String)
 	Attribute("state", String, "loading, loaded or unloading")
 	Attribute("inflight", Int)
 	Required("name", "state", "inflight")
 })
 
-var ModelVitals = Type("ModelVitals", func() {
+var ModelReport = Type("ModelReport", func() {
 	Attribute("name", String)
 	Attribute("state", String, "loading, loaded or unloading")
 	Attribute("sizeMib", Int)
 	Attribute("inflight", Int)
-	Attribute("adapters", ArrayOf(AdapterVitals))
+	Attribute("adapters", ArrayOf(AdapterReport))
 	Required("name", "state", "sizeMib", "inflight")
 })
 
-var ReplicaVitals = Type("ReplicaVitals", func() {
+var ReplicaReport = Type("ReplicaReport", func() {
 	Attribute("id", String)
 	Attribute("incarnation", String, "Changes whenever the replica starts anew")
 	Attribute("kind", String, "model or service")
@@ -230,7 +230,7 @@
 	Attribute("slots", Int, "Requests it runs side by side")
 	Attribute("inflight", Int)
 	Attribute("leaving", Boolean)
-	Attribute("models", ArrayOf(ModelVitals))
+	Attribute("models", ArrayOf(ModelReport))
 	Attribute("serveMs", Int, "Recent mean time to serve one request")
 	Required("id", "incarnation", "kind", "slots", "inflight", "leaving")
 })
@@ -250,7 +250,7 @@
 	Description("What drumstall expects of a back end.")
 	refusals("busy", "stale", "bad")
 	Method("vitals", func() {
-		Result(ReplicaVitals)
+		Result(ReplicaReport)
 		HTTP(func() { GET("/vitals") })
 	})
 	Method("order", func() {
--- a/gen/http/replica/client/encode_decode.go
+++ b/gen/http/replica/client/encode_decode.go
@@ -64,7 +64,7 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("replica", "vitals", err)
 			}
-			res := NewVitalsReplicaVitalsOK(&body)
+			res := NewVitalsReplicaReportOK(&body)
 			return res, nil
 		default:
 			body, _ := io.ReadAll(resp.Body)
@@ -178,39 +178,39 @@
 	}
 }
 
-// unmarshalModelVitalsResponseBodyToReplicaModelVitals builds a value of type
-// *replica.ModelVitals from a value of type *ModelVitalsResponseBody.
-func unmarshalModelVitalsResponseBodyToReplicaModelVitals(v *ModelVitalsResponseBody) *replica.ModelVitals {
+// unmarshalModelReportResponseBodyToReplicaModelReport builds a value of type
+// *replica.ModelReport from a value of type *ModelReportResponseBody.
+func unmarshalModelReportResponseBodyToReplicaModelReport(v *ModelReportResponseBody) *replica.ModelReport {
 	if v == nil {
 		return nil
 	}
-	res := &replica.ModelVitals{
+	res := &replica.ModelReport{
 		Name:     *v.Name,
 		State:    *v.State,
 		SizeMib:  *v.SizeMib,
 		Inflight: *v.Inflight,
 	}
 	if v.Adapters != nil {
-		res.Adapters = make([]*replica.AdapterVitals, len(v.Adapters))
+		res.Adapters = make([]*replica.AdapterReport, len(v.Adapters))
 		for i, val := range v.Adapters {
 			if val == nil {
 				res.Adapters[i] = nil
 				continue
 			}
-			res.Adapters[i] = unmarshalAdapterVitalsResponseBodyToReplicaAdapterVitals(val)
+			res.Adapters[i] = unmarshalAdapterReportResponseBodyToReplicaAdapterReport(val)
 		}
 	}
 
 	return res
 }
 
-// unmarshalAdapterVitalsResponseBodyToReplicaAdapterVitals builds a value of
-// type *replica.AdapterVitals from a value of type *AdapterVitalsResponseBody.
-func unmarshalAdapterVitalsResponseBodyToReplicaAdapterVitals(v *AdapterVitalsResponseBody) *replica.AdapterVitals {
+// unmarshalAdapterReportResponseBodyToReplicaAdapterReport builds a value of
+// type *replica.AdapterReport from a value of type *AdapterReportResponseBody.
+func unmarshalAdapterReportResponseBodyToReplicaAdapterReport(v *AdapterReportResponseBody) *replica.AdapterReport {
 	if v == nil {
 		return nil
 	}
-	res := &replica.AdapterVitals{
+	res := &replica.AdapterReport{
 		Name:     *v.Name,
 		State:    *v.State,
 		Inflight: *v.Inflight,
--- a/gen/http/replica/client/types.go
+++ b/gen/http/replica/client/types.go
@@ -40,7 +40,7 @@
 	Slots    *int                       `form:"slots,omitempty" json:"slots,omitempty" xml:"slots,omitempty"`
 	Inflight *int                       `form:"inflight,omitempty" json:"inflight,omitempty" xml:"inflight,omitempty"`
 	Leaving  *bool                      `form:"leaving,omitempty" json:"leaving,omitempty" xml:"leaving,omitempty"`
-	Models   []*ModelVitalsResponseBody `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
+	Models   []*ModelReportResponseBody `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
 	// Recent mean time to serve one request
 	ServeMs *int `form:"serveMs,omitempty" json:"serveMs,omitempty" xml:"serveMs,omitempty"`
 }
@@ -90,18 +90,18 @@
 	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
 }
 
-// ModelVitalsResponseBody is used to define fields on response body types.
-type ModelVitalsResponseBody struct {
+// ModelReportResponseBody is used to define fields on response body types.
+type ModelReportResponseBody struct {
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// loading, loaded or unloading
 	State    *string                      `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
 	SizeMib  *int                         `form:"sizeMib,omitempty" json:"sizeMib,omitempty" xml:"sizeMib,omitempty"`
 	Inflight *int                         `form:"inflight,omitempty" json:"inflight,omitempty" xml:"inflight,omitempty"`
-	Adapters []*AdapterVitalsResponseBody `form:"adapters,omitempty" json:"adapters,omitempty" xml:"adapters,omitempty"`
+	Adapters []*AdapterReportResponseBody `form:"adapters,omitempty" json:"adapters,omitempty" xml:"adapters,omitempty"`
 }
 
-// AdapterVitalsResponseBody is used to define fields on response body types.
-type AdapterVitalsResponseBody struct {
+// AdapterReportResponseBody is used to define fields on response body types.
+type AdapterReportResponseBody struct {
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// loading, loaded or unloading
 	State    *string `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
@@ -123,10 +123,10 @@
 	return body
 }
 
-// NewVitalsReplicaVitalsOK builds a "replica" service "vitals" endpoint result
+// NewVitalsReplicaReportOK builds a "replica" service "vitals" endpoint result
 // from a HTTP "OK" response.
-func NewVitalsReplicaVitalsOK(body *VitalsResponseBody) *replica.ReplicaVitals {
-	v := &replica.ReplicaVitals{
+func NewVitalsReplicaReportOK(body *VitalsResponseBody) *replica.ReplicaReport {
+	v := &replica.ReplicaReport{
 		ID:            *body.ID,
 		Incarnation:   *body.Incarnation,
 		Kind:          *body.Kind,
@@ -138,13 +138,13 @@
 		ServeMs:       body.ServeMs,
 	}
 	if body.Models != nil {
-		v.Models = make([]*replica.ModelVitals, len(body.Models))
+		v.Models = make([]*replica.ModelReport, len(body.Models))
 		for i, val := range body.Models {
 			if val == nil {
 				v.Models[i] = nil
 				continue
 			}
-			v.Models[i] = unmarshalModelVitalsResponseBodyToReplicaModelVitals(val)
+			v.Models[i] = unmarshalModelReportResponseBodyToReplicaModelReport(val)
 		}
 	}
 
@@ -227,7 +227,7 @@
 	}
 	for _, e := range body.Models {
 		if e != nil {
-			if err2 := ValidateModelVitalsResponseBody(e); err2 != nil {
+			if err2 := ValidateModelReportResponseBody(e); err2 != nil {
 				err = goa.MergeErrors(err, err2)
 			}
 		}
@@ -280,9 +280,9 @@
 	return
 }
 
-// ValidateModelVitalsResponseBody runs the validations defined on
-// ModelVitalsResponseBody
-func ValidateModelVitalsResponseBody(body *ModelVitalsResponseBody) (err error) {
+// ValidateModelReportResponseBody runs the validations defined on
+// ModelReportResponseBody
+func ValidateModelReportResponseBody(body *ModelReportResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -297,7 +297,7 @@
 	}
 	for _, e := range body.Adapters {
 		if e != nil {
-			if err2 := ValidateAdapterVitalsResponseBody(e); err2 != nil {
+			if err2 := ValidateAdapterReportResponseBody(e); err2 != nil {
 				err = goa.MergeErrors(err, err2)
 			}
 		}
@@ -305,9 +305,9 @@
 	return
 }
 
-// ValidateAdapterVitalsResponseBody runs the validations defined on
-// AdapterVitalsResponseBody
-func ValidateAdapterVitalsResponseBody(body *AdapterVitalsResponseBody) (err error) {
+// ValidateAdapterReportResponseBody runs the validations defined on
+// AdapterReportResponseBody
+func ValidateAdapterReportResponseBody(body *AdapterReportResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
--- a/gen/http/replica/server/encode_decode.go
+++ b/gen/http/replica/server/encode_decode.go
@@ -22,7 +22,7 @@
 // replica vitals endpoint.
 func EncodeVitalsResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res, _ := v.(*replica.ReplicaVitals)
+		res, _ := v.(*replica.ReplicaReport)
 		enc := encoder(ctx, w)
 		body := NewVitalsResponseBody(res)
 		w.WriteHeader(http.StatusOK)
@@ -124,39 +124,39 @@
 	}
 }
 
-// marshalReplicaModelVitalsToModelVitalsResponseBody builds a value of type
-// *ModelVitalsResponseBody from a value of type *replica.ModelVitals.
-func marshalReplicaModelVitalsToModelVitalsResponseBody(v *replica.ModelVitals) *ModelVitalsResponseBody {
+// marshalReplicaModelReportToModelReportResponseBody builds a value of type
+// *ModelReportResponseBody from a value of type *replica.ModelReport.
+func marshalReplicaModelReportToModelReportResponseBody(v *replica.ModelReport) *ModelReportResponseBody {
 	if v == nil {
 		return nil
 	}
-	res := &ModelVitalsResponseBody{
+	res := &ModelReportResponseBody{
 		Name:     v.Name,
 		State:    v.State,
 		SizeMib:  v.SizeMib,
 		Inflight: v.Inflight,
 	}
 	if v.Adapters != nil {
-		res.Adapters = make([]*AdapterVitalsResponseBody, len(v.Adapters))
+		res.Adapters = make([]*AdapterReportResponseBody, len(v.Adapters))
 		for i, val := range v.Adapters {
 			if val == nil {
 				res.Adapters[i] = nil
 				continue
 			}
-			res.Adapters[i] = marshalReplicaAdapterVitalsToAdapterVitalsResponseBody(val)
+			res.Adapters[i] = marshalReplicaAdapterReportToAdapterReportResponseBody(val)
 		}
 	}
 
 	return res
 }
 
-// marshalReplicaAdapterVitalsToAdapterVitalsResponseBody builds a value of
-// type *AdapterVitalsResponseBody from a value of type *replica.AdapterVitals.
-func marshalReplicaAdapterVitalsToAdapterVitalsResponseBody(v *replica.AdapterVitals) *AdapterVitalsResponseBody {
+// marshalReplicaAdapterReportToAdapterReportResponseBody builds a value of
+// type *AdapterReportResponseBody from a value of type *replica.AdapterReport.
+func marshalReplicaAdapterReportToAdapterReportResponseBody(v *replica.AdapterReport) *AdapterReportResponseBody {
 	if v == nil {
 		return nil
 	}
-	res := &AdapterVitalsResponseBody{
+	res := &AdapterReportResponseBody{
 		Name:     v.Name,
 		State:    v.State,
 		Inflight: v.Inflight,
--- a/gen/http/replica/server/types.go
+++ b/gen/http/replica/server/types.go
@@ -40,7 +40,7 @@
 	Slots    int                        `form:"slots" json:"slots" xml:"slots"`
 	Inflight int                        `form:"inflight" json:"inflight" xml:"inflight"`
 	Leaving  bool                       `form:"leaving" json:"leaving" xml:"leaving"`
-	Models   []*ModelVitalsResponseBody `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
+	Models   []*ModelReportResponseBody `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
 	// Recent mean time to serve one request
 	ServeMs *int `form:"serveMs,omitempty" json:"serveMs,omitempty" xml:"serveMs,omitempty"`
 }
@@ -90,18 +90,18 @@
 	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
 }
 
-// ModelVitalsResponseBody is used to define fields on response body types.
-type ModelVitalsResponseBody struct {
+// ModelReportResponseBody is used to define fields on response body types.
+type ModelReportResponseBody struct {
 	Name string `form:"name" json:"name" xml:"name"`
 	// loading, loaded or unloading
 	State    string                       `form:"state" json:"state" xml:"state"`
 	SizeMib  int                          `form:"sizeMib" json:"sizeMib" xml:"sizeMib"`
 	Inflight int                          `form:"inflight" json:"inflight" xml:"inflight"`
-	Adapters []*AdapterVitalsResponseBody `form:"adapters,omitempty" json:"adapters,omitempty" xml:"adapters,omitempty"`
+	Adapters []*AdapterReportResponseBody `form:"adapters,omitempty" json:"adapters,omitempty" xml:"adapters,omitempty"`
 }
 
-// AdapterVitalsResponseBody is used to define fields on response body types.
-type AdapterVitalsResponseBody struct {
+// AdapterReportResponseBody is used to define fields on response body types.
+type AdapterReportResponseBody struct {
 	Name string `form:"name" json:"name" xml:"name"`
 	// loading, loaded or unloading
 	State    string `form:"state" json:"state" xml:"state"`
@@ -110,7 +110,7 @@
 
 // NewVitalsResponseBody builds the HTTP response body from the result of the
 // "vitals" endpoint of the "replica" service.
-func NewVitalsResponseBody(res *replica.ReplicaVitals) *VitalsResponseBody {
+func NewVitalsResponseBody(res *replica.ReplicaReport) *VitalsResponseBody {
 	body := &VitalsResponseBody{
 		ID:            res.ID,
 		Incarnation:   res.Incarnation,
@@ -123,13 +123,13 @@
 		ServeMs:       res.ServeMs,
 	}
 	if res.Models != nil {
-		body.Models = make([]*ModelVitalsResponseBody, len(res.Models))
+		body.Models = make([]*ModelReportResponseBody, len(res.Models))
 		for i, val := range res.Models {
 			if val == nil {
 				body.Models[i] = nil
 				continue
 			}
-			body.Models[i] = marshalReplicaModelVitalsToModelVitalsResponseBody(val)
+			body.Models[i] = marshalReplicaModelReportToModelReportResponseBody(val)
 		}
 	}
 	return body
--- a/gen/replica/client.go
+++ b/gen/replica/client.go
@@ -33,13 +33,13 @@
 //   - "stale" (type *Refusal)
 //   - "bad" (type *Refusal)
 //   - error: internal error
-func (c *Client) Vitals(ctx context.Context) (res *ReplicaVitals, err error) {
+func (c *Client) Vitals(ctx context.Context) (res *ReplicaReport, err error) {
 	var ires any
 	ires, err = c.VitalsEndpoint(ctx, nil)
 	if err != nil {
 		return
 	}
-	return ires.(*ReplicaVitals), nil
+	return ires.(*ReplicaReport), nil
 }
 
 // Order calls the "order" endpoint of the "replica" service.
--- a/gen/replica/service.go
+++ b/gen/replica/service.go
@@ -14,7 +14,7 @@
 // What drumstall expects of a back end.
 type Service interface {
 	// Vitals implements vitals.
-	Vitals(context.Context) (res *ReplicaVitals, err error)
+	Vitals(context.Context) (res *ReplicaReport, err error)
 	// Order implements order.
 	Order(context.Context, *LoadOrder) (err error)
 }
@@ -35,7 +35,7 @@
 // MethodKey key.
 var MethodNames = [2]string{"vitals", "order"}
 
-type AdapterVitals struct {
+type AdapterReport struct {
 	Name string
 	// loading, loaded or unloading
 	State    string
@@ -55,13 +55,13 @@
 	Controller string
 }
 
-type ModelVitals struct {
+type ModelReport struct {
 	Name string
 	// loading, loaded or unloading
 	State    string
 	SizeMib  int
 	Inflight int
-	Adapters []*AdapterVitals
+	Adapters []*AdapterReport
 }
 
 type Refusal struct {
@@ -77,8 +77,8 @@
 	Faults []string
 }
 
-// ReplicaVitals is the result type of the replica service vitals method.
-type ReplicaVitals struct {
+// ReplicaReport is the result type of the replica service vitals method.
+type ReplicaReport struct {
 	ID string
 	// Changes whenever the replica starts anew
 	Incarnation string
@@ -90,7 +90,7 @@
 	Slots    int
 	Inflight int
 	Leaving  bool
-	Models   []*ModelVitals
+	Models   []*ModelReport
 	// Recent mean time to serve one request
 	ServeMs *int
 }
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -157,7 +157,7 @@
 	if err != nil {
 		return Report{}, errors.Wrap(ErrDark, err.Error())
 	}
-	return check(res.(*replica.ReplicaVitals), r.ID)
+	return check(res.(*replica.ReplicaReport), r.ID)
 }
 
 func num(p *int) int {
@@ -168,7 +168,7 @@
 }
 
 // check turns a report into ours; one that makes no sense is not acted on.
-func check(r *replica.ReplicaVitals, id string) (Report, error) {
+func check(r *replica.ReplicaReport, id string) (Report, error) {
 	v := Report{ID: r.ID, Incarnation: r.Incarnation, Model: r.Kind == "model", CapacityMib: num(r.CapacityMib),
 		AdapterPlaces: num(r.AdapterPlaces), Slots: r.Slots, Inflight: r.Inflight, Leaving: r.Leaving,
 		ServeFor: time.Duration(num(r.ServeMs)) * time.Millisecond, Items: map[conf.Item]Line{}}
--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -146,7 +146,7 @@
 }
 
 // Vitals is the replica's report.
-func (r *Replica) Vitals(context.Context) (*gen.ReplicaVitals, error) {
+func (r *Replica) Vitals(context.Context) (*gen.ReplicaReport, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.leaving && !r.leftTold {
@@ -160,18 +160,18 @@
 	}
 	// Why: the report is written out after the lock is gone, so it must hold nothing of ours.
 	capacity, places, serve := r.s.CapacityMib, r.s.AdapterPlaces, int(r.served.Milliseconds())
-	v := &gen.ReplicaVitals{ID: r.s.ID, Incarnation: r.incarnation, Kind: kind, CapacityMib: &capacity, AdapterPlaces: &places,
+	v := &gen.ReplicaReport{ID: r.s.ID, Incarnation: r.incarnation, Kind: kind, CapacityMib: &capacity, AdapterPlaces: &places,
 		Slots: r.s.Slots, Inflight: r.inflight, Leaving: r.leaving, ServeMs: &serve}
-	by := map[string]*gen.ModelVitals{}
+	by := map[string]*gen.ModelReport{}
 	for it, l := range r.items {
 		if it.Adapter == "" {
-			by[it.Model] = &gen.ModelVitals{Name: it.Model, State: l.state, SizeMib: l.size, Inflight: l.inflight}
+			by[it.Model] = &gen.ModelReport{Name: it.Model, State: l.state, SizeMib: l.size, Inflight: l.inflight}
 			v.Models = append(v.Models, by[it.Model])
 		}
 	}
 	for it, l := range r.items {
 		if it.Adapter != "" && by[it.Model] != nil {
-			by[it.Model].Adapters = append(by[it.Model].Adapters, &gen.AdapterVitals{Name: it.Adapter, State: l.state, Inflight: l.inflight})
+			by[it.Model].Adapters = append(by[it.Model].Adapters, &gen.AdapterReport{Name: it.Adapter, State: l.state, Inflight: l.inflight})
 		}
 	}
 	sort.Slice(v.Models, func(i, j int) bool { return v.Models[i].Name < v.Models[j].Name })
