--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -32,7 +32,7 @@
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/state"
 	"drumstall.example/internal/state/acceptor"
-	"drumstall.example/internal/state/coreset"
+	"drumstall.example/internal/state/coremembers"
 	"drumstall.example/internal/state/owner"
 )
 
@@ -88,7 +88,7 @@
 	base           *run.Group // what it stands on: servers, datagrams, disk
 	acc            *acceptor.Acceptor
 	own            *owner.Owner
-	set            *coreset.Keeper
+	set            *coremembers.Keeper
 	members        *member.Table
 	touch          *touch.Keeper
 	gossip         *gossip.Table
@@ -187,7 +187,7 @@
 		Addr: c.addrOf, Rank: c.voters, Behind: func(v state.Core) { c.set.Behind(v) }, Quarantine: s.Bounds.Lease, OwnQuarantine: ownQuarantine, Handback: s.Cadence.Handback, OnTake: c.onTake})
 	c.planner = plan.New(plan.Deps{Group: c.group, Clock: env.Clock, Log: c.log, Self: s.Name, Cadence: s.Cadence, Store: s.Bounds.Store, Owner: c.own, Gossip: c.gossip,
 		Reports: c.reports, Conf: c.effective, Views: c.views.Views, Ask: c.consider, AskAll: c.considerAll, Tell: c.tellShared})
-	c.set = coreset.New(coreset.Deps{Self: c.self, Want: s.Cores, Founders: s.Founders, MayFound: s.MayFound, Target: 2*s.Bounds.Tolerated + 1, Replaces: s.Replaces, Group: c.group, Log: c.log, Caller: c.caller,
+	c.set = coremembers.New(coremembers.Deps{Self: c.self, Want: s.Cores, Founders: s.Founders, MayFound: s.MayFound, Target: 2*s.Bounds.Tolerated + 1, Replaces: s.Replaces, Group: c.group, Log: c.log, Caller: c.caller,
 		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf, Gone: c.goneFor, Heard: c.heardFor}, c.mux)
 	c.watch.Start(c.group, s.Cadence.List, func() bool { return true })
 	c.serve()
--- a/internal/core/roll.go
+++ b/internal/core/roll.go
@@ -86,7 +86,7 @@
 	return out
 }
 
-// heardMost is how long ago most of the core set was heard, this core among them.
+// heardMost is how long ago most of the core membership was heard, this core among them.
 func (c *Core) heardMost() time.Duration {
 	st := c.acc.Standing()
 	if st.Phase != acceptor.Voter {
@@ -101,7 +101,7 @@
 	return touch.Most(st.Set.Quorum(), ago)
 }
 
-// voters are the live members of the core set, most preferred for the slot first.
+// voters are the live members of the core membership, most preferred for the slot first.
 func (c *Core) voters(slot int) []state.Core {
 	set := c.acc.Standing().Set
 	type scored struct {
--- a/internal/runbook/rescue.go
+++ b/internal/runbook/rescue.go
@@ -17,10 +17,10 @@
 				if err != nil {
 					return err
 				}
-				return c.Rescue(ctx, addr, lost, s.CoreSet.Serial)
+				return c.Rescue(ctx, addr, lost, s.CoreMembers.Serial)
 			}, Done: func(ctx context.Context, _ Status) (bool, string) {
 				s, err := c.StatusOf(ctx, addr)
-				return err == nil && s.inSet(s.Core) && (len(s.CoreSet.Cores) == 1 || s.CoreSet.Serial > 1000), "not yet"
+				return err == nil && s.inSet(s.Core) && (len(s.CoreMembers.Cores) == 1 || s.CoreMembers.Serial > 1000), "not yet"
 			}},
 			{Name: "every slot is held again", Done: func(_ context.Context, s Status) (bool, string) {
 				return s.held() >= slots, fmt.Sprintf("%d of %d slots are held", s.held(), slots)
@@ -34,16 +34,16 @@
 
 // notLost says why the core that made the status should not go on alone.
 func notLost(s Status, lost []string) (missing []string) {
-	if len(s.CoreSet.Cores) == 1 && s.CoreSet.Cores[0].Name == s.Core {
+	if len(s.CoreMembers.Cores) == 1 && s.CoreMembers.Cores[0].Name == s.Core {
 		return nil
 	}
 	if s.Phase != "voter" {
 		missing = append(missing, "the core asked is "+s.Phase+"; give the operator address of one that holds the data")
 	}
-	if len(lost) < len(s.CoreSet.Cores)/2 {
+	if len(lost) < len(s.CoreMembers.Cores)/2 {
 		missing = append(missing, "a quorum is left; start the lost machines, or see the runbook replace-core")
 	}
-	for _, o := range s.CoreSet.Cores {
+	for _, o := range s.CoreMembers.Cores {
 		named := slices.Contains(lost, o.Name)
 		switch m, _ := s.Member(o.Name); {
 		case o.Name == s.Core:
--- a/internal/runbook/roll.go
+++ b/internal/runbook/roll.go
@@ -8,8 +8,8 @@
 // Roll waits while every process comes to run a build, cores first and one at a time.
 func Roll(s Status, build string) Book {
 	b := Book{Name: "roll build " + build, Check: func(s Status) (missing []string) {
-		if n := len(s.healthyCores()); n < len(s.CoreSet.Cores) {
-			missing = append(missing, fmt.Sprintf("%d of %d cores are alive and vote; bring all back before one is stopped on purpose", n, len(s.CoreSet.Cores)))
+		if n := len(s.healthyCores()); n < len(s.CoreMembers.Cores) {
+			missing = append(missing, fmt.Sprintf("%d of %d cores are alive and vote; bring all back before one is stopped on purpose", n, len(s.CoreMembers.Cores)))
 		}
 		if ok, why := quiet(s); !ok {
 			missing = append(missing, why+"; wait until it is so")
--- a/internal/runbook/runbook.go
+++ b/internal/runbook/runbook.go
@@ -54,7 +54,7 @@
 	Patch(ctx context.Context, body []byte) error
 	// ReadBack gives the newest submission as one core has it; serial is its version.
 	ReadBack(ctx context.Context, addr string) (serial, manner string, body []byte, err error)
-	// Rescue makes the core at addr the only voter, if its core set has the version serial.
+	// Rescue makes the core at addr the only voter, if its core membership has the version serial.
 	Rescue(ctx context.Context, addr string, lost []string, serial uint64) error
 }
 
--- a/internal/runbook/status.go
+++ b/internal/runbook/status.go
@@ -2,9 +2,9 @@
 
 // Status is the part of a core's status that runbooks read.
 type Status struct {
-	Core    string `json:"core"`
-	Phase   string `json:"phase"`
-	CoreSet struct {
+	Core        string `json:"core"`
+	Phase       string `json:"phase"`
+	CoreMembers struct {
 		Serial uint64
 		Cores  []struct{ Name, Disk, Addr string }
 	} `json:"coreSet"`
@@ -56,7 +56,7 @@
 
 // inSet says whether a core of this name is a voter.
 func (s Status) inSet(name string) bool {
-	for _, c := range s.CoreSet.Cores {
+	for _, c := range s.CoreMembers.Cores {
 		if c.Name == name {
 			return true
 		}
@@ -74,7 +74,7 @@
 }
 
 // quorum is how many voters make a majority.
-func (s Status) quorum() int { return len(s.CoreSet.Cores)/2 + 1 }
+func (s Status) quorum() int { return len(s.CoreMembers.Cores)/2 + 1 }
 
 // healthyCores lists the live voters.
 func (s Status) healthyCores() []string {
--- a/internal/sim/fleet/unattended_test.go
+++ b/internal/sim/fleet/unattended_test.go
@@ -10,7 +10,7 @@
 	"drumstall.example/internal/state/acceptor"
 )
 
-// unattended is a small fleet whose core set nobody looks after.
+// unattended is a small fleet whose core membership nobody looks after.
 func unattended(seed uint64) stand.Deployment {
 	d := Small(3 + int(seed%2))
 	d.Unattended = true
--- a/internal/stand/deploy.go
+++ b/internal/stand/deploy.go
@@ -27,7 +27,7 @@
 	Link, Near time.Duration
 	PaceLoads  int
 	Allowance  int
-	// Unattended says that the core set forms from its first three cores and changes by itself.
+	// Unattended says that the core membership forms from its first three cores and changes by itself.
 	Unattended bool
 	classes    string
 	routes     string
--- a/internal/state/acceptor/acceptor_test.go
+++ b/internal/state/acceptor/acceptor_test.go
@@ -24,7 +24,7 @@
 	"drumstall.example/internal/state"
 )
 
-var voters = state.CoreSet{Serial: 1, Cores: []state.Core{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
+var voters = state.CoreMembers{Serial: 1, Cores: []state.Core{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
 
 func open(t *testing.T, g *run.Group, fs vfs.FS) *Acceptor {
 	t.Helper()
--- a/internal/state/acceptor/slot.go
+++ b/internal/state/acceptor/slot.go
@@ -66,7 +66,7 @@
 	t.anew, t.freed = true, bid{}
 }
 
-// vote checks what every vote needs: to be a voter, under the same core set.
+// vote checks what every vote needs: to be a voter, under the same core membership.
 func (a *Acceptor) vote(set uint64) (state.Reply, bool) {
 	st := a.standing.Load()
 	switch {
--- a/internal/state/acceptor/standing.go
+++ b/internal/state/acceptor/standing.go
@@ -23,15 +23,15 @@
 
 // Standing is the part of an acceptor that is not about slots.
 type Standing struct {
-	Phase Phase         `cbor:"1,keyasint"`
-	Set   state.CoreSet `cbor:"2,keyasint"`
-	Old   state.CoreSet `cbor:"3,keyasint"` // while filling: whom to be filled from
+	Phase Phase             `cbor:"1,keyasint"`
+	Set   state.CoreMembers `cbor:"2,keyasint"`
+	Old   state.CoreMembers `cbor:"3,keyasint"` // while filling: whom to be filled from
 }
 
-// Standing is a copy of the phase and the core set.
+// Standing is a copy of the phase and the core membership.
 func (a *Acceptor) Standing() Standing { return *a.standing.Load() }
 
-// SetStanding changes phase and core set through f, one change at a time and
+// SetStanding changes phase and core membership through f, one change at a time and
 // synced before it returns. state.ErrSick says that it may not have been kept, and
 // an ended ctx that it may yet be.
 func (a *Acceptor) SetStanding(ctx context.Context, f func(Standing) (Standing, bool)) (Standing, error) {
@@ -56,7 +56,7 @@
 }
 
 // Reset forgets everything and goes on as an empty core with an identity of its
-// own. Why: a voter that the core set has gone on without may only come back as a
+// own. Why: a voter that the core membership has gone on without may only come back as a
 // new member, filled by the others.
 func (a *Acceptor) Reset(ctx context.Context) error {
 	disk, err := newDisk()
--- a/internal/state/coreset/admission.go
+++ b/internal/state/coremembers/admission.go
@@ -1,4 +1,4 @@
-package coreset
+package coremembers
 
 import (
 	"context"
@@ -19,12 +19,12 @@
 	}
 }
 
-// join is answered by the owner of the core set; others pass it on.
+// join is answered by the owner of the core membership; others pass it on.
 func (k *Keeper) join(ctx context.Context, q Joining) (None, error) {
 	if !k.d.Owner.Holds(Key) {
 		return k.passOn(ctx, q)
 	}
-	err := k.decide(ctx, func(set state.CoreSet) (state.CoreSet, error) {
+	err := k.decide(ctx, func(set state.CoreMembers) (state.CoreMembers, error) {
 		if set.Has(q.Core) {
 			return set, nil
 		}
@@ -40,7 +40,7 @@
 	return None{}, nil
 }
 
-// passOn hands a joining to whoever holds the core set; the refusal "not-owner"
+// passOn hands a joining to whoever holds the core membership; the refusal "not-owner"
 // says that nobody does.
 func (k *Keeper) passOn(ctx context.Context, q Joining) (None, error) {
 	for c := range k.d.Live() {
@@ -56,12 +56,12 @@
 }
 
 // replace gives a core the place of the member that it names, or of its own past.
-func (k *Keeper) replace(set state.CoreSet, q Joining) (state.CoreSet, error) {
+func (k *Keeper) replace(set state.CoreMembers, q Joining) (state.CoreMembers, error) {
 	name := q.Replaces
 	if name == "" {
 		name = q.Core.Name
 	}
-	next := state.CoreSet{Serial: set.Serial + 1}
+	next := state.CoreMembers{Serial: set.Serial + 1}
 	replaced := false
 	for _, c := range set.Cores {
 		if c.Name != name {
@@ -87,7 +87,7 @@
 
 // admit takes a core in: in the place of its own past, of a voter that is gone,
 // or beside the others.
-func (k *Keeper) admit(set state.CoreSet, joiner state.Core) (state.CoreSet, error) {
+func (k *Keeper) admit(set state.CoreMembers, joiner state.Core) (state.CoreMembers, error) {
 	out, found := k.lost(set)
 	for _, c := range set.Cores {
 		if c.Name == joiner.Name {
@@ -97,7 +97,7 @@
 	if !found && k.doubts(set) {
 		return set, wire.Refuse("doubt", "a member may be gone; its place is given when that is sure")
 	}
-	next := state.CoreSet{Serial: set.Serial + 1}
+	next := state.CoreMembers{Serial: set.Serial + 1}
 	for _, c := range set.Cores {
 		if !found || !c.Is(out) {
 			next.Cores = append(next.Cores, c)
@@ -109,7 +109,7 @@
 
 // doubts says that a voter is silent and may be gone. Why: a set that grew beside
 // one that is gone would need more of the others for a majority, until it is let go of.
-func (k *Keeper) doubts(set state.CoreSet) bool {
+func (k *Keeper) doubts(set state.CoreMembers) bool {
 	for _, c := range set.Cores {
 		if c.Is(k.d.Self()) {
 			continue
--- a/internal/state/coreset/catchup.go
+++ b/internal/state/coremembers/catchup.go
@@ -1,4 +1,4 @@
-package coreset
+package coremembers
 
 import (
 	"context"
--- a/internal/state/coreset/change.go
+++ b/internal/state/coremembers/change.go
@@ -1,4 +1,4 @@
-package coreset
+package coremembers
 
 import (
 	"context"
@@ -10,12 +10,12 @@
 )
 
 // decide changes the set through a majority of the old one and spreads it.
-func (k *Keeper) decide(ctx context.Context, change func(set state.CoreSet) (state.CoreSet, error)) error {
-	var next state.CoreSet
+func (k *Keeper) decide(ctx context.Context, change func(set state.CoreMembers) (state.CoreMembers, error)) error {
+	var next state.CoreMembers
 	_, err := k.d.Owner.Update(ctx, Key, func(old state.Record, found bool) ([]byte, error) {
 		set := k.d.Acceptor.Standing().Set
 		if found {
-			var kept state.CoreSet
+			var kept state.CoreMembers
 			if err := wire.Unpack(old.Value, &kept); err == nil && kept.Serial > set.Serial {
 				return nil, wire.Refuse("busy", "a change is under way")
 			}
@@ -42,14 +42,14 @@
 	if err != nil || !found {
 		return
 	}
-	var set state.CoreSet
+	var set state.CoreMembers
 	if wire.Unpack(rec.Value, &set) == nil && set.Serial > st.Set.Serial {
 		k.spread(ctx, set)
 	}
 }
 
 // spread hands a decided set to the voters of the old one and to its own.
-func (k *Keeper) spread(ctx context.Context, next state.CoreSet) {
+func (k *Keeper) spread(ctx context.Context, next state.CoreMembers) {
 	old := k.d.Acceptor.Standing().Set
 	if old.Serial >= next.Serial {
 		old = k.d.Acceptor.Standing().Old
--- a/internal/state/coreset/coreset.go
+++ b/internal/state/coremembers/coremembers.go
@@ -1,4 +1,4 @@
-// Package coreset forms the first set of voters, and changes it one member at
+// Package coremembers forms the first set of voters, and changes it one member at
 // a time: agreed by a majority of the old set, then filled, then voting.
 //
 // Each core makes one Keeper, which acts by itself, answers the other cores'
@@ -7,7 +7,7 @@
 // changed here alone. It never takes part in reading or writing slots beyond
 // filling a new member, and never decides a change without a majority of the
 // old set, but for a rescue.
-package coreset
+package coremembers
 
 import (
 	"context"
@@ -22,7 +22,7 @@
 	"drumstall.example/internal/state/owner"
 )
 
-// Key is where a change of the core set is decided; it lies so on disk.
+// Key is where a change of the core membership is decided; it lies so on disk.
 const Key = "coreset"
 
 const (
@@ -54,7 +54,7 @@
 	Heard func(state.Core) time.Duration
 }
 
-// Keeper keeps the core set.
+// Keeper keeps the core membership.
 type Keeper struct {
 	d     Deps
 	desk  *run.Desk
@@ -76,7 +76,7 @@
 	lookTicks = 4
 )
 
-// New starts to keep the core set, and answers the other cores on mux, until the
+// New starts to keep the core membership, and answers the other cores on mux, until the
 // group of d stops.
 func New(d Deps, mux *wire.Mux) *Keeper {
 	k := &Keeper{d: d}
--- a/internal/state/coreset/founding.go
+++ b/internal/state/coremembers/founding.go
@@ -1,4 +1,4 @@
-package coreset
+package coremembers
 
 import (
 	"context"
@@ -81,8 +81,8 @@
 
 // offer is the set to be formed from these cores: the one that all have agreed
 // to, or else one under a higher version than any of them has.
-func (k *Keeper) offer(ctx context.Context, cores []state.Core) (state.CoreSet, bool) {
-	set := state.CoreSet{Cores: cores}
+func (k *Keeper) offer(ctx context.Context, cores []state.Core) (state.CoreMembers, bool) {
+	set := state.CoreMembers{Cores: cores}
 	agreed := false
 	for _, c := range cores {
 		st := k.d.Acceptor.Standing()
@@ -98,7 +98,7 @@
 			return set, false
 		}
 		if n := theirs.Set.Serial; n > set.Serial {
-			set.Serial, agreed = n, alike(theirs.Set, state.CoreSet{Serial: n, Cores: cores})
+			set.Serial, agreed = n, alike(theirs.Set, state.CoreMembers{Serial: n, Cores: cores})
 		}
 	}
 	if !agreed {
@@ -108,7 +108,7 @@
 }
 
 // alike says whether two sets are the same.
-func alike(a, b state.CoreSet) bool {
+func alike(a, b state.CoreMembers) bool {
 	if a.Serial != b.Serial || len(a.Cores) != len(b.Cores) {
 		return false
 	}
@@ -124,7 +124,7 @@
 // to and never became firm: the same machines, of which a minority came back with other disks.
 // Why: a majority of the old set stands here or there as agreed and not voting, so nobody can have been
 // acknowledged anything under it; and under the lower version nobody ever will be.
-func refounds(old, next state.CoreSet) bool {
+func refounds(old, next state.CoreMembers) bool {
 	lost := 0
 	for _, c := range old.Cores {
 		if next.Has(c) {
--- a/internal/state/coreset/trim.go
+++ b/internal/state/coremembers/trim.go
@@ -1,4 +1,4 @@
-package coreset
+package coremembers
 
 import (
 	"context"
@@ -19,13 +19,13 @@
 	if !found {
 		return
 	}
-	next := state.CoreSet{Serial: st.Set.Serial + 1}
+	next := state.CoreMembers{Serial: st.Set.Serial + 1}
 	for _, c := range st.Set.Cores {
 		if !c.Is(lost) {
 			next.Cores = append(next.Cores, c)
 		}
 	}
-	if err := k.decide(ctx, func(set state.CoreSet) (state.CoreSet, error) {
+	if err := k.decide(ctx, func(set state.CoreMembers) (state.CoreMembers, error) {
 		if set.Serial != st.Set.Serial {
 			return set, wire.Refuse("busy", "the set has changed")
 		}
@@ -36,7 +36,7 @@
 }
 
 // lost is the voter that has been away longest, if one is gone.
-func (k *Keeper) lost(set state.CoreSet) (state.Core, bool) {
+func (k *Keeper) lost(set state.CoreMembers) (state.Core, bool) {
 	var lost state.Core
 	longest := time.Duration(0)
 	for _, c := range set.Cores {
--- a/internal/state/owner/late_test.go
+++ b/internal/state/owner/late_test.go
@@ -40,7 +40,7 @@
 	})
 	v := &voters{group: run.NewGroup(t.Context())}
 	log, clk := ring.New(io.Discard, 100).Logger(), simhost.NewClock()
-	set := state.CoreSet{Serial: 1}
+	set := state.CoreMembers{Serial: 1}
 	for i := range 3 {
 		host := fmt.Sprintf("10.0.0.%d", i+1)
 		acc, err := acceptor.Open(v.group, "d", acceptor.Whose{Fleet: "f", Node: host}, vfs.NewMem(), clk, log)
--- a/internal/state/owner/owner.go
+++ b/internal/state/owner/owner.go
@@ -46,7 +46,7 @@
 	Addr func(state.Core) (string, bool)
 	// Rank lists the live voters, the one who should hold the slot first.
 	Rank func(slot int) []state.Core
-	// Behind is told that a voter knows an older core set.
+	// Behind is told that a voter knows an older core membership.
 	Behind func(state.Core)
 	// Quarantine is how long a new owner gives no orders: what the old one sent
 	// may still be on its way.
--- a/internal/state/owner/poll.go
+++ b/internal/state/owner/poll.go
@@ -21,21 +21,21 @@
 
 // voterAnswer is what came of asking one voter.
 type voterAnswer struct {
-	i   int // of the voter in the core set
+	i   int // of the voter in the core membership
 	r   state.Reply
 	err error
 }
 
 // poll asks every voter side by side. It returns once a majority agreed or all
 // have answered; missed are voters without a yes at that moment.
-func (o *Owner) poll(set state.CoreSet, path string, q state.Ask, local func(context.Context, state.Ask) (state.Reply, error), early bool) (yes, noes []state.Reply, missed []state.Core) {
+func (o *Owner) poll(set state.CoreMembers, path string, q state.Ask, local func(context.Context, state.Ask) (state.Reply, error), early bool) (yes, noes []state.Reply, missed []state.Core) {
 	yes, noes, missed, _ = o.pollSome(set, path, q, local, early)
 	return yes, noes, missed
 }
 
 // pollSome is poll that also gives the answers that come later, one for each of
 // the voters that had not answered yet.
-func (o *Owner) pollSome(set state.CoreSet, path string, q state.Ask, local func(context.Context, state.Ask) (state.Reply, error), early bool) (yes, noes []state.Reply, missed []state.Core, late later) {
+func (o *Owner) pollSome(set state.CoreMembers, path string, q state.Ask, local func(context.Context, state.Ask) (state.Reply, error), early bool) (yes, noes []state.Reply, missed []state.Core, late later) {
 	self := o.d.Self()
 	ch := run.Fan(o.d.Group, len(set.Cores), func(ctx context.Context, i int) voterAnswer {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/state/owner/repair.go
+++ b/internal/state/owner/repair.go
@@ -17,7 +17,7 @@
 
 // repair hands voters what they missed: those with a hint, and those whose
 // digest differs.
-func (s *slot) repair(set state.CoreSet) {
+func (s *slot) repair(set state.CoreMembers) {
 	o := s.o
 	all := make([]state.Record, 0, len(s.table))
 	for _, r := range s.table {
--- a/internal/state/owner/slot.go
+++ b/internal/state/owner/slot.go
@@ -81,7 +81,7 @@
 
 // takeOrHandBack takes the slot if this core should hold it, and gives it up if
 // another should and can.
-func (s *slot) takeOrHandBack(set state.CoreSet) {
+func (s *slot) takeOrHandBack(set state.CoreMembers) {
 	o := s.o
 	now := o.d.Clock.Since()
 	rank := o.d.Rank(s.n)
--- a/internal/state/owner/take.go
+++ b/internal/state/owner/take.go
@@ -10,7 +10,7 @@
 
 // take asks a majority for the slot, carries their newest records forward
 // under the new epoch, and only then serves.
-func (s *slot) take(set state.CoreSet) {
+func (s *slot) take(set state.CoreMembers) {
 	o := s.o
 	if !s.free(set) {
 		s.tryAgainIn(100, 200)
@@ -50,7 +50,7 @@
 
 // prepare asks for a majority's promises under the epoch of q. If too few are
 // given it lets go of them and has the slot wait.
-func (s *slot) prepare(set state.CoreSet, q state.Ask) (yes []state.Reply, ok bool) {
+func (s *slot) prepare(set state.CoreMembers, q state.Ask) (yes []state.Reply, ok bool) {
 	o := s.o
 	// Why: a majority's promises are enough; a core that is cut off must not hold them up.
 	yes, noes, _ := o.poll(set, "/state/prepare", q, o.d.Acceptor.Prepare, true)
@@ -98,7 +98,7 @@
 
 // free asks whether a majority would promise the slot, and learns the epochs that
 // they have seen.
-func (s *slot) free(set state.CoreSet) bool {
+func (s *slot) free(set state.CoreMembers) bool {
 	q := state.Ask{Set: set.Serial, From: s.o.d.Self(), Slot: s.n}
 	yes, noes, _ := s.o.poll(set, "/state/peek", q, s.o.d.Acceptor.Peek, true)
 	for _, r := range append(noes, yes...) {
--- a/internal/state/owner/write.go
+++ b/internal/state/owner/write.go
@@ -121,7 +121,7 @@
 
 // awaitLate strikes off what voters confirm after a majority has. Why: a majority is
 // the quicker half; the others have nearly always kept the write a moment later, and need no repair.
-func (s *slot) awaitLate(set state.CoreSet, late later, written state.Stamp) {
+func (s *slot) awaitLate(set state.CoreMembers, late later, written state.Stamp) {
 	if late.left == 0 {
 		return
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -1,5 +1,5 @@
 // Package state holds the words that the parts of the control state share:
-// keys in slots, records, the core set and the messages between cores.
+// keys in slots, records, the core membership and the messages between cores.
 package state
 
 import (
@@ -72,17 +72,17 @@
 // Is says whether two are the same voter, wherever it may be reached.
 func (c Core) Is(o Core) bool { return c.Name == o.Name && c.Disk == o.Disk }
 
-// CoreSet is the voters that count, under a rising serial.
-type CoreSet struct {
+// CoreMembers is the voters that count, under a rising serial.
+type CoreMembers struct {
 	Serial uint64 `cbor:"1,keyasint" json:"serial"`
 	Cores  []Core `cbor:"2,keyasint" json:"cores"`
 }
 
 // Quorum is how many make a majority.
-func (s CoreSet) Quorum() int { return len(s.Cores)/2 + 1 }
+func (s CoreMembers) Quorum() int { return len(s.Cores)/2 + 1 }
 
 // Has says whether c is a voter.
-func (s CoreSet) Has(c Core) bool {
+func (s CoreMembers) Has(c Core) bool {
 	for _, o := range s.Cores {
 		if o.Is(c) {
 			return true
