--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -33,7 +33,7 @@
 		k := route.NewKeeper(route.Deps{Group: group, Gossip: n, Clock: inBubble{time.Now()}, Zone: func() string { return "z" },
 			HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 1 }})
 		g := New(group, k, time.Second, func() {})
-		n.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: conf.Kept{Serial: 1, Objects: map[string][]byte{"classes/c": []byte(`{}`)}}.Pack()})
+		n.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Version: 1}, Value: conf.Kept{Serial: 1, Objects: map[string][]byte{"classes/c": []byte(`{}`)}}.Pack()})
 		synctest.Wait()
 		f(g, n)
 	})
@@ -43,8 +43,8 @@
 	return route.Target{Route: conf.Route{Kind: "model", Class: "c"}, Item: conf.Item{Model: "m"}}
 }
 
-func holder(serial uint64) gossip.Entry {
-	return gossip.Entry{Key: order.Key("r"), Stamp: state.Stamp{Epoch: 1, Serial: serial},
+func holder(version uint64) gossip.Entry {
+	return gossip.Entry{Key: order.Key("r"), Stamp: state.Stamp{Epoch: 1, Version: version},
 		Value: wire.Pack(order.Status{Listed: inventory.Listed{ID: "r", Model: true}, Slots: 1, Items: map[string]string{"m": backend.Loaded}})}
 }
 
--- a/internal/admission/work_test.go
+++ b/internal/admission/work_test.go
@@ -29,7 +29,7 @@
 		zero := func() time.Duration { return 0 }
 		routes := route.NewKeeper(route.Deps{Group: group, Gossip: told, Clock: bubble{time.Now()}, Zone: func() string { return "" }, HeardFor: zero, Edges: func() int { return 1 }})
 		kept := conf.Kept{Serial: 1, Objects: map[string][]byte{"classes/plain": []byte(`{}`)}}
-		told.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: kept.Pack()})
+		told.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Version: 1}, Value: kept.Pack()})
 		synctest.Wait()
 		misses := 0
 		g := New(group, routes, time.Second, func() { misses++ })
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -231,7 +231,7 @@
 	d := feed.Down{AgentBoot: a.boot, Confirmed: a.confirmed.Load(), Conf: a.gossip.StampOf(conf.Key), HeardMs: min(a.touch.For().Milliseconds()+1, 1<<40),
 		Edges: len(a.members.Live(member.RoleAgent)), Agent: a.s.Name, Zone: a.s.Zone}
 	if fed := a.fed.Load(); fed != nil && fed.Boot == up.Boot {
-		d.Holds = fed.Serial
+		d.Holds = fed.Version
 	}
 	peers := a.members.Peers()
 	d.Peers = peers[:min(len(peers), maxPeers)]
--- a/internal/agent/fed_test.go
+++ b/internal/agent/fed_test.go
@@ -21,11 +21,11 @@
 		now := report.Report{Agent: "e", Zone: "z", Boot: "b", Demand: map[string]uint64{}}
 		var base report.Report
 		for range 60 {
-			now.Serial++
+			now.Version++
 			now.Demand = maps.Clone(now.Demand)
 			now.Demand["m"+strconv.Itoa(rnd.IntN(5))]++
 			sent := now
-			if base.Serial != 0 {
+			if base.Version != 0 {
 				sent = now.Since(base)
 			}
 			switch rnd.IntN(10) {
@@ -53,11 +53,11 @@
 
 func TestADifferenceFromAnotherLifeOfTheProxyIsNotTaken(t *testing.T) {
 	a := &Agent{s: Settings{Name: "e"}, env: core.Env{Clock: tick.Machine()}}
-	first := report.Report{Boot: "b", Serial: 1, Demand: map[string]uint64{"m": 7}}
+	first := report.Report{Boot: "b", Version: 1, Demand: map[string]uint64{"m": 7}}
 	a.takeFed(first)
-	other := report.Report{Boot: "c", Serial: 2}
-	a.takeFed(other.Since(report.Report{Boot: "c", Serial: 1}))
-	if a.fed.Load() != nil || a.latest.Load().r.Serial != 1 {
+	other := report.Report{Boot: "c", Version: 2}
+	a.takeFed(other.Since(report.Report{Boot: "c", Version: 1}))
+	if a.fed.Load() != nil || a.latest.Load().r.Version != 1 {
 		t.Errorf("held %+v", a.latest.Load().r)
 	}
 }
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -101,15 +101,15 @@
 		if !found || base.report.Boot != latest.Boot || now-base.wholeAt > wholeEvery {
 			base = takenReport{}
 		}
-		serial := base.report.Serial
-		if _, done := packed[serial]; !done {
-			if serial == 0 {
-				packed[serial] = wire.Pack(latest)
+		version := base.report.Version
+		if _, done := packed[version]; !done {
+			if version == 0 {
+				packed[version] = wire.Pack(latest)
 			} else {
-				packed[serial] = wire.Pack(latest.Since(base.report))
+				packed[version] = wire.Pack(latest.Since(base.report))
 			}
 		}
-		out[i] = body{packed: packed[serial], whole: serial == 0}
+		out[i] = body{packed: packed[version], whole: version == 0}
 	}
 	return out
 }
--- a/internal/agent/report_test.go
+++ b/internal/agent/report_test.go
@@ -22,14 +22,14 @@
 // that is nothing, of another life of the proxy, or long ago.
 func TestWhatEachCoreIsSent(t *testing.T) {
 	cores := []member.Node{{Addr: "new"}, {Addr: "current"}, {Addr: "behind"}, {Addr: "other life"}, {Addr: "long ago"}}
-	first := report.Report{Agent: "e", Boot: "b", Serial: 1, Demand: map[string]uint64{"m1": 1, "m2": 1}}
-	second := report.Report{Agent: "e", Boot: "b", Serial: 2, Demand: map[string]uint64{"m1": 2, "m2": 1}}
-	latest := report.Report{Agent: "e", Boot: "b", Serial: 3, Demand: map[string]uint64{"m1": 2, "m2": 2}}
+	first := report.Report{Agent: "e", Boot: "b", Version: 1, Demand: map[string]uint64{"m1": 1, "m2": 1}}
+	second := report.Report{Agent: "e", Boot: "b", Version: 2, Demand: map[string]uint64{"m1": 2, "m2": 1}}
+	latest := report.Report{Agent: "e", Boot: "b", Version: 3, Demand: map[string]uint64{"m1": 2, "m2": 2}}
 	now := time.Hour
 	r := reports{taken: map[string]takenReport{
 		"current":    {report: second, wholeAt: now - time.Second},
 		"behind":     {report: first, wholeAt: now - time.Second},
-		"other life": {report: report.Report{Agent: "e", Boot: "a", Serial: 2}, wholeAt: now},
+		"other life": {report: report.Report{Agent: "e", Boot: "a", Version: 2}, wholeAt: now},
 		"long ago":   {report: second, wholeAt: now - wholeEvery - 1},
 	}}
 	got := r.bodies(latest, cores, now)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -44,6 +44,6 @@
 	Agent     string         `cbor:"9,keyasint"`
 	Zone      string         `cbor:"10,keyasint"`
 	Peers     []string       `cbor:"11,keyasint"` // whom to ask for news while the agent is away
-	// Holds is the serial of the report that the agent has from these exchanges, from which the next may be the difference; 0 is none.
+	// Holds is the version of the report that the agent has from these exchanges, from which the next may be the difference; 0 is none.
 	Holds uint64 `cbor:"12,keyasint,omitempty"`
 }
--- a/internal/gossip/cursor_bench_test.go
+++ b/internal/gossip/cursor_bench_test.go
@@ -12,11 +12,11 @@
 			for i := range size {
 				table.Put(entry(fmt.Sprint("k", i), 1, 1))
 			}
-			serial := uint64(1)
+			version := uint64(1)
 			_, cursor, _ := table.After(0)
 			for b.Loop() {
-				serial++
-				table.Put(entry("k1", 1, serial))
+				version++
+				table.Put(entry("k1", 1, version))
 				_, cursor, _ = table.After(cursor)
 			}
 		})
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -42,7 +42,7 @@
 
 // sumOf is what an entry adds to the sum of its bucket.
 func sumOf(e Entry) [sha256.Size]byte {
-	return sha256.Sum256(wire.Pack([]any{e.Key, e.Stamp.Epoch, e.Stamp.Serial}))
+	return sha256.Sum256(wire.Pack([]any{e.Key, e.Stamp.Epoch, e.Stamp.Version}))
 }
 
 // xor adds b to a sum, or takes it out again.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -8,8 +8,8 @@
 	"drumstall.example/internal/state"
 )
 
-func entry(key string, epoch, serial uint64) Entry {
-	return Entry{Key: key, Stamp: state.Stamp{Epoch: epoch, Serial: serial}, Value: []byte(fmt.Sprint(epoch, serial))}
+func entry(key string, epoch, version uint64) Entry {
+	return Entry{Key: key, Stamp: state.Stamp{Epoch: epoch, Version: version}, Value: []byte(fmt.Sprint(epoch, version))}
 }
 
 func TestNewsNeverRunsBackwards(t *testing.T) {
@@ -19,7 +19,7 @@
 	for _, s := range [][2]uint64{{1, 5}, {1, 4}, {1, 5}, {2, 1}, {1, 9}, {2, 2}} {
 		table.Put(entry("k", s[0], s[1]))
 	}
-	if got := table.StampOf("k"); got != (state.Stamp{Epoch: 2, Serial: 2}) {
+	if got := table.StampOf("k"); got != (state.Stamp{Epoch: 2, Version: 2}) {
 		t.Errorf("newest is %v", got)
 	}
 	for i := 1; i < len(seen); i++ {
--- a/internal/gossip/push_test.go
+++ b/internal/gossip/push_test.go
@@ -128,16 +128,16 @@
 // Large documents one after another: each is everywhere soon after its push, and none holds up the next.
 func TestLargeDocumentsInQuickSuccession(t *testing.T) {
 	spreaders(t, 94, func(fleet *nodes) {
-		for serial := range uint64(6) {
-			e := entry("config/main", 1, serial+1)
-			e.Value = append(routes(2000), fmt.Sprint(serial)...)
+		for version := range uint64(6) {
+			e := entry("config/main", 1, version+1)
+			e.Value = append(routes(2000), fmt.Sprint(version)...)
 			ctx, cancel := context.WithTimeout(fleet.g.Context(), 700*time.Millisecond)
 			fleet.tables[0].Put(e)
 			fleet.spreads[0].Push(ctx, fleet.addrs[1:], e)
 			cancel()
 			time.Sleep(300 * time.Millisecond)
 			if n := fleet.have(e); n != len(fleet.addrs) {
-				t.Errorf("document %d: %d of %d nodes have it", serial, n, len(fleet.addrs))
+				t.Errorf("document %d: %d of %d nodes have it", version, n, len(fleet.addrs))
 			}
 		}
 	})
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -167,11 +167,11 @@
 func MarkKey(id string) string { return "mark/" + id }
 
 // Mark says in the gossip that a replica is leaving. A mark taken back has an
-// even serial, one that stands an odd one, so two who learn of it say the same.
+// even version, one that stands an odd one, so two who learn of it say the same.
 func Mark(t *gossip.Table, id string) {
 	s := t.StampOf(MarkKey(id))
-	if s.Serial%2 == 0 {
-		t.Put(gossip.Entry{Key: MarkKey(id), Stamp: state.Stamp{Serial: s.Serial + 1}, Value: []byte{1}})
+	if s.Version%2 == 0 {
+		t.Put(gossip.Entry{Key: MarkKey(id), Stamp: state.Stamp{Version: s.Version + 1}, Value: []byte{1}})
 	}
 }
 
@@ -179,10 +179,10 @@
 // platform has listed the replica as staying for a while.
 func Unmark(t *gossip.Table, id string) {
 	s := t.StampOf(MarkKey(id))
-	if s.Serial%2 == 1 {
-		t.Put(gossip.Entry{Key: MarkKey(id), Stamp: state.Stamp{Serial: s.Serial + 1}, Gone: true})
+	if s.Version%2 == 1 {
+		t.Put(gossip.Entry{Key: MarkKey(id), Stamp: state.Stamp{Version: s.Version + 1}, Gone: true})
 	}
 }
 
 // Marked says whether a replica is known to be leaving.
-func Marked(t *gossip.Table, id string) bool { return t.StampOf(MarkKey(id)).Serial%2 == 1 }
+func Marked(t *gossip.Table, id string) bool { return t.StampOf(MarkKey(id)).Version%2 == 1 }
--- a/internal/member/fanout/fleet_test.go
+++ b/internal/member/fanout/fleet_test.go
@@ -41,11 +41,11 @@
 
 // simulated is a fleet of such nodes on a simulated network.
 type simulated struct {
-	t      *testing.T
-	fabric *simnet.Fabric
-	group  *run.Group
-	nodes  []*node
-	serial uint64
+	t       *testing.T
+	fabric  *simnet.Fabric
+	group   *run.Group
+	nodes   []*node
+	version uint64
 }
 
 func start(t *testing.T) *simulated {
@@ -116,8 +116,8 @@
 
 // put enters something new at a node.
 func (s *simulated) put(at string) gossip.Entry {
-	s.serial++
-	e := gossip.Entry{Key: fmt.Sprintf("replica/r-%d", s.serial), Stamp: state.Stamp{Epoch: 1, Serial: s.serial}, Value: make([]byte, 300)}
+	s.version++
+	e := gossip.Entry{Key: fmt.Sprintf("replica/r-%d", s.version), Stamp: state.Stamp{Epoch: 1, Version: s.version}, Value: make([]byte, 300)}
 	s.nodes[slices.IndexFunc(s.nodes, func(n *node) bool { return n.name == at })].table.Put(e)
 	return e
 }
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -108,7 +108,7 @@
 	packed     []byte                   // what was published, with etas for what is on its way
 	toldAt     time.Duration            // when the store\'s keeper was last told of a load that may still start
 	etas       map[string]time.Duration // what is on its way: when it will probably be there, as published
-	serial     uint64
+	version    uint64
 	orders     uint64
 	staying    time.Duration
 	closed     bool
@@ -176,7 +176,7 @@
 	if err != nil {
 		return
 	}
-	c.epoch, c.serial, c.known = epoch, 0, false
+	c.epoch, c.version, c.known = epoch, 0, false
 	c.tasks.Clear()
 	c.book = map[conf.Item]*line{}
 	now := c.d.Clock.Since()
@@ -194,7 +194,7 @@
 	_ = c.desk.Ask(ctx, func() {
 		c.closed = true
 		if gone && c.epoch > 0 {
-			c.serial++
+			c.version++
 			c.d.Gossip.Put(gossip.Entry{Key: Key(c.listed.ID), Stamp: c.stampNow(), Gone: true})
 		}
 	})
--- a/internal/place/order/hold_test.go
+++ b/internal/place/order/hold_test.go
@@ -82,7 +82,7 @@
 				}
 				self := state.Core{Name: "a", Disk: acc.Disk(), Addr: "10.0.0.1:7000"}
 				if _, err := acc.SetStanding(t.Context(), func(acceptor.Standing) (acceptor.Standing, bool) {
-					return acceptor.Standing{Phase: acceptor.Voter, Set: state.CoreMembers{Serial: 1, Cores: []state.Core{self}}}, true
+					return acceptor.Standing{Phase: acceptor.Voter, Set: state.CoreMembers{Version: 1, Cores: []state.Core{self}}}, true
 				}); err != nil {
 					t.Fatal(err)
 				}
--- a/internal/place/order/tell.go
+++ b/internal/place/order/tell.go
@@ -117,7 +117,7 @@
 	*seen = 0.7**seen + 0.3*took
 }
 
-func (c *Controller) stampNow() state.Stamp { return state.Stamp{Epoch: c.epoch, Serial: c.serial} }
+func (c *Controller) stampNow() state.Stamp { return state.Stamp{Epoch: c.epoch, Version: c.version} }
 
 // publish tells the others what has changed.
 func (c *Controller) publish() {
@@ -135,10 +135,10 @@
 	}
 	c.etas = c.expect()
 	packed := wire.Pack([]any{n, c.etas})
-	if c.serial > 0 && bytes.Equal(packed, c.packed) {
+	if c.version > 0 && bytes.Equal(packed, c.packed) {
 		return
 	}
-	c.serial++
+	c.version++
 	c.packed = packed
 	// Why: whoever reads it counts from when it came, so what is left is told anew with each status.
 	n.ReadyMs = map[string]int{}
--- a/internal/place/order/victims_test.go
+++ b/internal/place/order/victims_test.go
@@ -35,7 +35,7 @@
 	ctl.book[conf.Item{Model: "fresh"}].loadedAt = c.now - 200*time.Millisecond
 	used := ctl.book[conf.Item{Model: "used"}]
 	used.loadedAt, used.lastUsed = c.now-200*time.Millisecond, c.now-100*time.Millisecond
-	reports.Put(report.Report{Agent: "e", Boot: "b", Serial: 1, Pressed: map[string]int{"pressed": pressedFew, "old": pressedFew - 1}}, c.now)
+	reports.Put(report.Report{Agent: "e", Boot: "b", Version: 1, Pressed: map[string]int{"pressed": pressedFew, "old": pressedFew - 1}}, c.now)
 	if got := idleNames(ctl, cfg); !slices.Equal(got, []string{"old", "used"}) {
 		t.Errorf("may go: %v, want old and used", got)
 	}
--- a/internal/place/plan/decide.go
+++ b/internal/place/plan/decide.go
@@ -100,7 +100,7 @@
 		it := conf.ParseItem(d.Item)
 		epoch, _, _ := p.d.Owner.MayOrder(DemandKey(it, 0))
 		p.expSer++
-		p.d.Gossip.Put(gossip.Entry{Key: ExpectKey(d.Item), Stamp: state.Stamp{Epoch: epoch, Serial: p.expSer}, Value: wire.Pack(e)})
+		p.d.Gossip.Put(gossip.Entry{Key: ExpectKey(d.Item), Stamp: state.Stamp{Epoch: epoch, Version: p.expSer}, Value: wire.Pack(e)})
 	})
 }
 
--- a/internal/place/plan/nudge_test.go
+++ b/internal/place/plan/nudge_test.go
@@ -31,7 +31,7 @@
 	}
 	self := state.Core{Name: "a", Disk: acc.Disk(), Addr: "10.0.0.1:7000"}
 	if _, err := acc.SetStanding(t.Context(), func(acceptor.Standing) (acceptor.Standing, bool) {
-		return acceptor.Standing{Phase: acceptor.Voter, Set: state.CoreMembers{Serial: 1, Cores: []state.Core{self}}}, true
+		return acceptor.Standing{Phase: acceptor.Voter, Set: state.CoreMembers{Version: 1, Cores: []state.Core{self}}}, true
 	}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/place/plan/views_test.go
+++ b/internal/place/plan/views_test.go
@@ -13,13 +13,13 @@
 	"drumstall.example/internal/state"
 )
 
-// replicaEntry is a replica's status under a serial.
-func replicaEntry(id string, serial uint64, items int) gossip.Entry {
-	n := order.Status{Listed: inventory.Listed{ID: id, Labels: map[string]string{"service": "s"}}, Controller: "c", Items: map[string]string{}, FreeMib: int(serial)}
+// replicaEntry is a replica's status under a version.
+func replicaEntry(id string, version uint64, items int) gossip.Entry {
+	n := order.Status{Listed: inventory.Listed{ID: id, Labels: map[string]string{"service": "s"}}, Controller: "c", Items: map[string]string{}, FreeMib: int(version)}
 	for i := range items {
 		n.Items[fmt.Sprint("m", i)] = "loaded"
 	}
-	return gossip.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Serial: serial}, Value: wire.Pack(n)}
+	return gossip.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Version: version}, Value: wire.Pack(n)}
 }
 
 // What is kept decoded is what the table says, through changes, removals and entries
@@ -29,9 +29,9 @@
 		rnd := rand.New(rand.NewPCG(seed, 1))
 		table := gossip.NewTable()
 		cache := NewViewCache(table)
-		for serial := range uint64(100) {
+		for version := range uint64(100) {
 			id := fmt.Sprint("r", rnd.IntN(8))
-			e := replicaEntry(id, serial+1, rnd.IntN(4))
+			e := replicaEntry(id, version+1, rnd.IntN(4))
 			switch rnd.IntN(6) {
 			case 0:
 				e.Gone, e.Value = true, nil
@@ -44,10 +44,10 @@
 			kept := append([]order.Status(nil), before...)
 			table.Put(e)
 			if got, want := cache.Views(), Views(table); len(got)+len(want) > 0 && !reflect.DeepEqual(got, want) {
-				t.Fatalf("seed %d, entry %d: got %+v, want %+v", seed, serial, got, want)
+				t.Fatalf("seed %d, entry %d: got %+v, want %+v", seed, version, got, want)
 			}
 			if !reflect.DeepEqual(kept, append([]order.Status(nil), before...)) {
-				t.Fatalf("seed %d, entry %d: a list that was handed out has changed", seed, serial)
+				t.Fatalf("seed %d, entry %d: a list that was handed out has changed", seed, version)
 			}
 		}
 	}
@@ -78,11 +78,11 @@
 			for i := range 140 {
 				table.Put(replicaEntry(fmt.Sprint("r", i), 1, 8))
 			}
-			serial := uint64(1)
+			version := uint64(1)
 			b.ReportAllocs()
 			for b.Loop() {
-				serial++
-				table.Put(replicaEntry("r7", serial, 8))
+				version++
+				table.Put(replicaEntry("r7", version, 8))
 				views()
 			}
 		})
--- a/internal/place/plan/work_test.go
+++ b/internal/place/plan/work_test.go
@@ -12,8 +12,8 @@
 )
 
 // reported is a report of running totals.
-func reported(serial uint64, work map[string]uint64) report.Report {
-	return report.Report{Agent: "e", Boot: "b", Serial: serial, WorkMs: work}
+func reported(version uint64, work map[string]uint64) report.Report {
+	return report.Report{Agent: "e", Boot: "b", Version: version, WorkMs: work}
 }
 
 // The models that want more than one copy are those of their work now, for as long
--- a/internal/place/report/difference.go
+++ b/internal/place/report/difference.go
@@ -7,7 +7,7 @@
 // of the moment stays whole.
 func (r Report) Since(base Report) Report {
 	out := r
-	out.Base = base.Serial
+	out.Base = base.Version
 	out.Demand = changed(r.Demand, base.Demand)
 	out.WorkMs = changed(r.WorkMs, base.WorkMs)
 	out.Acked = changed(r.Acked, base.Acked)
@@ -25,7 +25,7 @@
 	if r.Base == 0 {
 		return r, true
 	}
-	if base.Agent != r.Agent || base.Boot != r.Boot || base.Serial != r.Base {
+	if base.Agent != r.Agent || base.Boot != r.Boot || base.Version != r.Base {
 		return Report{}, false
 	}
 	out := r
--- a/internal/place/report/difference_test.go
+++ b/internal/place/report/difference_test.go
@@ -22,12 +22,12 @@
 
 func (e *edge) next() Report {
 	r := e.now
-	r.Serial++
+	r.Version++
 	r.Demand, r.WorkMs, r.Acked = clone(r.Demand), clone(r.WorkMs), clone(r.Acked)
 	for range e.rnd.IntN(4) {
 		r.Demand[fmt.Sprint("m", e.rnd.IntN(9))]++
 		r.WorkMs[fmt.Sprint("m", e.rnd.IntN(3))] += uint64(e.rnd.IntN(50))
-		r.Acked[fmt.Sprint("r", e.rnd.IntN(5))] = state.Stamp{Epoch: 1, Serial: r.Serial}
+		r.Acked[fmt.Sprint("r", e.rnd.IntN(5))] = state.Stamp{Epoch: 1, Version: r.Version}
 	}
 	if e.rnd.IntN(3) == 0 {
 		delete(r.Acked, fmt.Sprint("r", e.rnd.IntN(5)))
@@ -63,14 +63,14 @@
 		for range 30 {
 			r := e.next()
 			what := r
-			if taken.Serial > 0 {
+			if taken.Version > 0 {
 				what = r.Since(taken)
 			}
 			if e.rnd.IntN(4) == 0 {
 				continue // lost on the way, or its answer: the next one is from the same base
 			}
 			if outcome := core.Put(sent(t, what), 0); outcome != Kept {
-				t.Fatalf("seed %d: report %d on %d: outcome %d", seed, r.Serial, taken.Serial, outcome)
+				t.Fatalf("seed %d: report %d on %d: outcome %d", seed, r.Version, taken.Version, outcome)
 			}
 			taken = r
 			got := core.All()["edge-1"].Report
--- a/internal/place/report/report.go
+++ b/internal/place/report/report.go
@@ -18,7 +18,7 @@
 type Report struct {
 	Agent    string                    `cbor:"1,keyasint"`
 	Boot     string                    `cbor:"2,keyasint"` // of the proxy: who did the counting
-	Serial   uint64                    `cbor:"3,keyasint"` // of reports under this boot
+	Version  uint64                    `cbor:"3,keyasint"` // of reports under this boot
 	Conf     uint64                    `cbor:"4,keyasint"` // serial of the configuration in force
 	Demand   map[string]uint64         `cbor:"5,keyasint"` // item: requests so far
 	Inflight map[string]map[string]int `cbor:"6,keyasint"` // replica: item: requests now
@@ -28,7 +28,7 @@
 	Serving  bool                      `cbor:"10,keyasint"`
 	Pressed  map[string]int            `cbor:"11,keyasint,omitempty"` // item: requests that went where many are, of late
 	WorkMs   map[string]uint64         `cbor:"12,keyasint,omitempty"` // model: replicas' time to read its prompts, so far
-	Base     uint64                    `cbor:"13,keyasint,omitempty"` // serial of the report that this one is the difference from; 0 is a whole one
+	Base     uint64                    `cbor:"13,keyasint,omitempty"` // version of the report that this one is the difference from; 0 is a whole one
 	Unacked  []string                  `cbor:"14,keyasint,omitempty"` // replicas that are no longer in Acked, in a difference
 }
 
@@ -91,7 +91,7 @@
 	switch {
 	case !found:
 		was = &Dated{}
-	case was.Boot == r.Boot && was.Serial >= r.Serial:
+	case was.Boot == r.Boot && was.Version >= r.Version:
 		return Stale
 	}
 	whole, ok := r.On(was.Report)
--- a/internal/place/report/sums_test.go
+++ b/internal/place/report/sums_test.go
@@ -24,8 +24,8 @@
 }
 
 // drawn is a report of the moment.
-func drawn(rnd *rand.Rand, agent string, serial uint64) Report {
-	r := Report{Agent: agent, Boot: "b", Serial: serial, Waiting: map[string]int{}, Pressed: map[string]int{}, Inflight: map[string]map[string]int{}}
+func drawn(rnd *rand.Rand, agent string, version uint64) Report {
+	r := Report{Agent: agent, Boot: "b", Version: version, Waiting: map[string]int{}, Pressed: map[string]int{}, Inflight: map[string]map[string]int{}}
 	for range rnd.IntN(4) {
 		r.Waiting[fmt.Sprint("m", rnd.IntN(5))] = rnd.IntN(3)
 		r.Pressed[fmt.Sprint("m", rnd.IntN(5))] = 1 + rnd.IntN(3)
@@ -40,18 +40,18 @@
 	for seed := range uint64(100) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
 		table, now := NewTable(), time.Duration(0)
-		for serial := range uint64(200) {
+		for version := range uint64(200) {
 			now += time.Duration(rnd.IntN(500)) * time.Millisecond
-			table.Put(drawn(rnd, fmt.Sprint("edge-", rnd.IntN(6)), serial+1), now)
+			table.Put(drawn(rnd, fmt.Sprint("edge-", rnd.IntN(6)), version+1), now)
 			if rnd.IntN(20) == 0 {
 				now += time.Duration(rnd.IntN(12)) * time.Second
 			}
 			all := table.All()
 			if got, want := table.Waiting(now), summed(all, now, Fresh, func(r Report) map[string]int { return r.Waiting }); !maps.Equal(got, want) {
-				t.Fatalf("seed %d, report %d: waiting %v, want %v", seed, serial, got, want)
+				t.Fatalf("seed %d, report %d: waiting %v, want %v", seed, version, got, want)
 			}
 			if got, want := table.Pressed(now), summed(all, now, Fresh, func(r Report) map[string]int { return r.Pressed }); !maps.Equal(got, want) {
-				t.Fatalf("seed %d, report %d: pressed %v, want %v", seed, serial, got, want)
+				t.Fatalf("seed %d, report %d: pressed %v, want %v", seed, version, got, want)
 			}
 			for r := range 3 {
 				replica := fmt.Sprint("r", r)
@@ -61,11 +61,11 @@
 					sum += n
 				}
 				if got := table.InflightOn(replica, now); got != sum {
-					t.Fatalf("seed %d, report %d: on %s %d, want %d", seed, serial, replica, got, sum)
+					t.Fatalf("seed %d, report %d: on %s %d, want %d", seed, version, replica, got, sum)
 				}
 				for item, want := range summed(all, now, 5*Fresh, on) {
 					if got := table.Inflight(replica, item.String(), now); got != want {
-						t.Fatalf("seed %d, report %d: %s on %s %d, want %d", seed, serial, item, replica, got, want)
+						t.Fatalf("seed %d, report %d: %s on %s %d, want %d", seed, version, item, replica, got, want)
 					}
 				}
 			}
@@ -79,7 +79,7 @@
 // What a reader was given is its own.
 func TestACopyOfSumsMayBeChanged(t *testing.T) {
 	table := NewTable()
-	table.Put(Report{Agent: "e", Boot: "b", Serial: 1, Waiting: map[string]int{"m": 2}}, 0)
+	table.Put(Report{Agent: "e", Boot: "b", Version: 1, Waiting: map[string]int{"m": 2}}, 0)
 	table.Waiting(0)[conf.Item{Model: "m"}] = 7
 	if n := table.Waiting(0)[conf.Item{Model: "m"}]; n != 2 {
 		t.Errorf("%d wait, want 2", n)
@@ -89,10 +89,10 @@
 // A report of one of 64 edges, and what one decision asks of the table.
 func BenchmarkTable(b *testing.B) {
 	rnd := rand.New(rand.NewPCG(1, 1))
-	table, serial := NewTable(), uint64(0)
+	table, version := NewTable(), uint64(0)
 	put := func() {
-		serial++
-		table.Put(drawn(rnd, fmt.Sprint("edge-", serial%64), serial), 0)
+		version++
+		table.Put(drawn(rnd, fmt.Sprint("edge-", version%64), version), 0)
 	}
 	for range 64 {
 		put()
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -130,7 +130,7 @@
 
 // difference is a report as the agent needs it.
 func (f *feedState) difference(r report.Report) report.Report {
-	if f.base.Serial == 0 {
+	if f.base.Version == 0 {
 		return r
 	}
 	return r.Since(f.base)
@@ -141,12 +141,12 @@
 func (f *feedState) settle(sent report.Report, holds uint64) {
 	before := f.base
 	switch {
-	case holds != 0 && holds == sent.Serial:
+	case holds != 0 && holds == sent.Version:
 		f.base = sent
-	case holds != before.Serial:
+	case holds != before.Version:
 		f.base = report.Report{}
 	}
-	if before.Serial != 0 && f.base.Serial == 0 {
+	if before.Version != 0 && f.base.Version == 0 {
 		f.reportedAt = 0
 	}
 }
@@ -164,7 +164,7 @@
 // report is this proxy's word to the controllers.
 func (p *Proxy) report() report.Report {
 	snap := p.routes.Now()
-	return report.Report{Boot: p.boot, Serial: p.reports.Add(1), Conf: snap.Serial, Demand: p.demands(), Inflight: p.routes.Inflight(),
+	return report.Report{Boot: p.boot, Version: p.reports.Add(1), Conf: snap.Serial, Demand: p.demands(), Inflight: p.routes.Inflight(),
 		Waiting: p.admission.Waiting(), Pressed: p.routes.Pressed(), WorkMs: p.routes.Work(), Acked: snap.Acked, Zone: p.s.Zone, Serving: p.confirmed.Load()}
 }
 
--- a/internal/proxy/feed_test.go
+++ b/internal/proxy/feed_test.go
@@ -10,7 +10,7 @@
 // A proxy sends differences only from what its agent says it holds, and the whole
 // report as soon as the agent has lost that.
 func TestWhatTheAgentHoldsDecidesWhatItIsSent(t *testing.T) {
-	at := func(serial uint64) report.Report { return report.Report{Boot: "b", Serial: serial} }
+	at := func(serial uint64) report.Report { return report.Report{Boot: "b", Version: serial} }
 	for name, c := range map[string]struct {
 		base, sent, holds uint64
 		want              uint64 // the base from then on
@@ -35,8 +35,8 @@
 			sent = at(c.sent)
 		}
 		f.settle(sent, c.holds)
-		if f.base.Serial != c.want || (f.reportedAt == 0) != c.again {
-			t.Errorf("%s: base %d, due at once %v", name, f.base.Serial, f.reportedAt == 0)
+		if f.base.Version != c.want || (f.reportedAt == 0) != c.again {
+			t.Errorf("%s: base %d, due at once %v", name, f.base.Version, f.reportedAt == 0)
 		}
 	}
 }
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -75,7 +75,7 @@
 		w.proxy.edges.Store(1)
 		w.proxy.admission = admission.New(w.group, routes, time.Second, func() {})
 		kept := conf.Kept{Serial: 1, Objects: map[string][]byte{"classes/c": []byte(`{}`)}}
-		w.table.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: kept.Pack()})
+		w.table.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Version: 1}, Value: kept.Pack()})
 		listeners := []net.Listener{w.replica(0, first), w.replica(1, second)}
 		w.tell(0)
 		time.Sleep(time.Second)
@@ -122,7 +122,7 @@
 func (w *twoReplicas) tell(i int) {
 	id := fmt.Sprintf("r%d", i+1)
 	n := order.Status{Listed: inventory.Listed{ID: id, Addr: addrOf(i), Model: true, Slots: 12}, Slots: 12, Items: map[string]string{"m": backend.Loaded}}
-	w.table.Put(gossip.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: wire.Pack(n)})
+	w.table.Put(gossip.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Version: 1}, Value: wire.Pack(n)})
 }
 
 // ask asks for a stream, and gives it with how it ended.
--- a/internal/route/renew_bench_test.go
+++ b/internal/route/renew_bench_test.go
@@ -13,8 +13,8 @@
 )
 
 // benchStatus is a word on a replica that holds ten items.
-func benchStatus(number, serial int) []byte {
-	n := order.Status{Listed: inventory.Listed{ID: fmt.Sprint("r", number), Model: true, Zone: "z1"}, Slots: 8, FreeMib: serial, Items: map[string]string{}}
+func benchStatus(number, version int) []byte {
+	n := order.Status{Listed: inventory.Listed{ID: fmt.Sprint("r", number), Model: true, Zone: "z1"}, Slots: 8, FreeMib: version, Items: map[string]string{}}
 	for i := range 10 {
 		n.Items[fmt.Sprint("model-", number%60*10+i)] = backend.Loaded
 	}
--- a/internal/route/renew_test.go
+++ b/internal/route/renew_test.go
@@ -35,7 +35,7 @@
 	clock  *handClock
 	gossip *gossip.Table
 	k      *Keeper
-	serial uint64
+	version uint64
 	edges  int
 	anew   tableMadeAnew
 }
@@ -54,8 +54,8 @@
 func (w *world) item() string { return []string{"a", "b", "c", "a/x", "b/y"}[w.rnd.IntN(5)] }
 
 func (w *world) stamp() state.Stamp {
-	w.serial++
-	return state.Stamp{Epoch: 1, Serial: w.serial}
+	w.version++
+	return state.Stamp{Epoch: 1, Version: w.version}
 }
 
 // replicaStatus is a random word on a replica: those with a number below two are of a service.
@@ -76,7 +76,7 @@
 
 // configuration drains replicas of one service, or none.
 func (w *world) configuration() []byte {
-	kept := conf.Kept{Serial: w.serial, Objects: map[string][]byte{}}
+	kept := conf.Kept{Serial: w.version, Objects: map[string][]byte{}}
 	if w.rnd.IntN(2) == 0 {
 		kept.Objects["drains/one"] = fmt.Appendf(nil, `{"selector":"service=s%d"}`, 1+w.rnd.IntN(2))
 	}
--- a/internal/sim/capacity/capacity_test.go
+++ b/internal/sim/capacity/capacity_test.go
@@ -69,7 +69,7 @@
 func nodeName(i int) string   { return fmt.Sprintf("edge-%04d", i) }
 func replicaID(i int) string  { return fmt.Sprintf("m-%04d-%04x", i, i*7919&0xffff) }
 func zone(i int) string       { return fmt.Sprintf("r%d-z%d", i%3, i%7) }
-func stamp(i int) state.Stamp { return state.Stamp{Epoch: 40, Serial: uint64(1000 + i)} }
+func stamp(i int) state.Stamp { return state.Stamp{Epoch: 40, Version: uint64(1000 + i)} }
 func modelName(i int) string  { return fmt.Sprintf("model-%04d", i) }
 func itemName(i int) string {
 	if i < 1200 {
@@ -97,7 +97,7 @@
 }
 
 func aReport(node, replicas, demand, inflight int) report.Report {
-	r := report.Report{Agent: nodeName(node), Boot: "0123456789abcdef", Serial: 100000, Conf: 1000, Demand: map[string]uint64{}, Inflight: map[string]map[string]int{},
+	r := report.Report{Agent: nodeName(node), Boot: "0123456789abcdef", Version: 100000, Conf: 1000, Demand: map[string]uint64{}, Inflight: map[string]map[string]int{},
 		Waiting: map[string]int{}, Acked: map[string]state.Stamp{}, Zone: zone(node), Serving: true}
 	for i := range replicas {
 		r.Acked[replicaID(i)] = stamp(i)
@@ -114,7 +114,7 @@
 // countedSince is a later report in which some items were counted.
 func countedSince(base report.Report, items int) report.Report {
 	r := base
-	r.Serial++
+	r.Version++
 	r.Demand = maps.Clone(base.Demand)
 	for i := range items {
 		r.Demand[itemName(i)]++
@@ -125,7 +125,7 @@
 // ackedSince is a later report in which the status of some replicas was taken in.
 func ackedSince(base report.Report, replicas int) report.Report {
 	r := base
-	r.Serial++
+	r.Version++
 	r.Acked = maps.Clone(base.Acked)
 	for i := range replicas {
 		r.Acked[replicaID(i)] = stamp(i + 100000)
@@ -441,7 +441,7 @@
 			t.Put(aReport(i, 10, 10, 8), 0)
 		}
 		r, n := aReport(1, 10, 10, 8), uint64(1<<20)
-		return func() { n++; r.Serial = n; t.Put(r, 0) }
+		return func() { n++; r.Version = n; t.Put(r, 0) }
 	})
 	costs("report.Table.Waiting", "node", nodes, func(x int) func() {
 		t := report.NewTable()
@@ -495,7 +495,7 @@
 		n, v := uint64(1<<20), wire.Pack(replicaStatus(1, 10))
 		return func() {
 			n++
-			t.Put(gossip.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+			t.Put(gossip.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Version: n}, Value: v})
 		}
 	})
 	costs("news.After(last)", "key in table", its, func(x int) func() {
@@ -504,7 +504,7 @@
 		_, c, _ := t.After(0)
 		return func() {
 			n++
-			t.Put(gossip.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+			t.Put(gossip.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Version: n}, Value: v})
 			sink, c, _ = t.After(c)
 		}
 	})
@@ -550,7 +550,7 @@
 				case <-done:
 				default:
 				}
-				t.Put(gossip.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+				t.Put(gossip.Entry{Key: order.Key(replicaID(1)), Stamp: state.Stamp{Epoch: 40, Version: n}, Value: v})
 				<-done
 			}
 		})
@@ -665,7 +665,7 @@
 	caller := wire.NewCaller(env.Net)
 	ctx := context.Background()
 	k := kept(1200, 40000, 200, 12)
-	ent := bundle{Entries: []gossip.Entry{{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: k.Pack()}}}
+	ent := bundle{Entries: []gossip.Entry{{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Version: 1}, Value: k.Pack()}}}
 	if _, err := wire.Call[bundle, gossip.Pushed](ctx, caller, addr, "/news/push", ent); err != nil {
 		fmt.Println(err)
 	}
@@ -677,7 +677,7 @@
 		for a := range agents {
 			r := aReport(a, replicas, items, 8)
 			serial++
-			r.Serial = serial
+			r.Version = serial
 			if a%7 == 0 {
 				for i := range r.Demand {
 					r.Demand[i] += serial
@@ -754,7 +754,7 @@
 		g.Go(func(ctx context.Context) {
 			up := feed.Up{Boot: "0123456789abcdef", Report: aReport(i, replicas, items, 8), HoldMs: 200}
 			for ctx.Err() == nil {
-				up.Report.Serial++
+				up.Report.Version++
 				d, err := wire.Call[feed.Up, feed.Down](ctx, caller, f, feed.Path, up)
 				if err == nil {
 					up.AgentBoot, up.Cursor, up.Confirmed = d.AgentBoot, d.Cursor, d.Confirmed
--- a/internal/state/acceptor/acceptor_test.go
+++ b/internal/state/acceptor/acceptor_test.go
@@ -24,7 +24,7 @@
 	"drumstall.example/internal/state"
 )
 
-var voters = state.CoreMembers{Serial: 1, Cores: []state.Core{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
+var voters = state.CoreMembers{Version: 1, Cores: []state.Core{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
 
 func open(t *testing.T, g *run.Group, fs vfs.FS) *Acceptor {
 	t.Helper()
@@ -42,8 +42,8 @@
 	return state.Ask{Set: 1, From: state.Core{Name: from}, Epoch: epoch, At: at, Full: full, Records: recs}
 }
 
-func rec(key, value string, epoch, serial uint64) state.Record {
-	return state.Record{Key: key, Value: []byte(value), Stamp: state.Stamp{Epoch: epoch, Serial: serial}}
+func rec(key, value string, epoch, version uint64) state.Record {
+	return state.Record{Key: key, Value: []byte(value), Stamp: state.Stamp{Epoch: epoch, Version: version}}
 }
 
 func yes(t *testing.T, r state.Reply, err error) state.Reply {
@@ -88,7 +88,7 @@
 				recs[i].Stamp.Epoch = epoch
 			}
 			all(func(a *Acceptor) (state.Reply, error) {
-				return a.Accept(ctx, ask(from, epoch, pr.Serial+1, true, recs...))
+				return a.Accept(ctx, ask(from, epoch, pr.Version+1, true, recs...))
 			}, who...)
 			return recs
 		}
@@ -358,7 +358,7 @@
 					}
 					return ok >= 2
 				}
-				if !send(ask(who, epoch, pr.Serial+1, true, recs...)) {
+				if !send(ask(who, epoch, pr.Version+1, true, recs...)) {
 					continue
 				}
 				takes++
@@ -371,12 +371,12 @@
 				}
 				// What this owner serves is settled: nothing from before it may come up again.
 				acked, maybe = found, map[string]bool{}
-				serial := pr.Serial + 1
+				version := pr.Version + 1
 				for range 1 + rnd.IntN(3) {
 					n++
-					serial++
+					version++
 					v := fmt.Sprint(n)
-					if send(ask(who, epoch, serial, false, rec("k", v, epoch, serial))) {
+					if send(ask(who, epoch, version, false, rec("k", v, epoch, version))) {
 						acked, maybe = v, map[string]bool{}
 					} else {
 						maybe[v] = true
--- a/internal/state/acceptor/grant.go
+++ b/internal/state/acceptor/grant.go
@@ -48,7 +48,7 @@
 		t.keep(next)
 		t.anew = false
 		t.grant(a.clock.Since() + state.HoldFor)
-		r.OK, r.Records, r.Full, r.Serial = true, recs, next.Full, next.Serial
+		r.OK, r.Records, r.Full, r.Version = true, recs, next.Full, next.Version
 	})
 }
 
@@ -68,7 +68,7 @@
 			}
 			if epoch > t.pr.Epoch {
 				next := t.pr
-				next.Epoch, next.Holder, next.Serial = epoch, q.From, 0
+				next.Epoch, next.Holder, next.Version = epoch, q.From, 0
 				if err := a.commit(func(b *pebble.Batch) error { return b.Set(keyPromise(slot), wire.Pack(next), nil) }); err != nil {
 					return
 				}
--- a/internal/state/acceptor/records.go
+++ b/internal/state/acceptor/records.go
@@ -20,15 +20,15 @@
 			return
 		}
 		// Why: a whole table that is older than what came since must not take that away.
-		if q.Full && q.Epoch == t.pr.Full && q.At < t.pr.Serial {
+		if q.Full && q.Epoch == t.pr.Full && q.At < t.pr.Version {
 			r.OK = true
 			return
 		}
 		next := t.pr
 		if q.Epoch > next.Epoch {
-			next.Epoch, next.Holder, next.Serial = q.Epoch, q.From, 0
+			next.Epoch, next.Holder, next.Version = q.Epoch, q.From, 0
 		}
-		next.Serial = max(next.Serial, q.At)
+		next.Version = max(next.Version, q.At)
 		if q.Full {
 			next.Full, next.FullBy = q.Epoch, q.From
 		}
@@ -104,7 +104,7 @@
 			r.Why = state.WhySick
 			return
 		}
-		r.OK, r.Records, r.Full, r.Serial, r.FullBy = true, recs, t.pr.Full, t.pr.Serial, t.pr.FullBy
+		r.OK, r.Records, r.Full, r.Version, r.FullBy = true, recs, t.pr.Full, t.pr.Version, t.pr.FullBy
 	})
 }
 
@@ -160,7 +160,7 @@
 		if r.Full > pr.Full {
 			pr.Full, pr.FullBy = r.Full, r.FullBy
 		}
-		pr.Serial = max(pr.Serial, r.Serial)
+		pr.Version = max(pr.Version, r.Version)
 	}
 	for _, r := range replies {
 		for _, rec := range r.Records {
@@ -172,7 +172,7 @@
 	out := make([]state.Record, 0, len(newest))
 	for _, rec := range newest {
 		out = append(out, rec)
-		pr.Serial = max(pr.Serial, rec.Stamp.Serial)
+		pr.Version = max(pr.Version, rec.Stamp.Version)
 	}
 	return out, pr
 }
--- a/internal/state/acceptor/slot.go
+++ b/internal/state/acceptor/slot.go
@@ -13,11 +13,11 @@
 
 // promise is what is on the disk of a slot besides its records.
 type promise struct {
-	Epoch  uint64     `cbor:"1,keyasint"`
-	Holder state.Core `cbor:"2,keyasint"`
-	Full   uint64     `cbor:"3,keyasint"`           // newest epoch whose whole table is here
-	Serial uint64     `cbor:"4,keyasint"`           // newest version seen in the slot
-	FullBy state.Core `cbor:"5,keyasint,omitempty"` // who wrote the whole table under Full
+	Epoch   uint64     `cbor:"1,keyasint"`
+	Holder  state.Core `cbor:"2,keyasint"`
+	Full    uint64     `cbor:"3,keyasint"`           // newest epoch whose whole table is here
+	Version uint64     `cbor:"4,keyasint"`           // newest version seen in the slot
+	FullBy  state.Core `cbor:"5,keyasint,omitempty"` // who wrote the whole table under Full
 }
 
 // table is one slot; it belongs to its desk but for the atomic fields.
@@ -71,15 +71,15 @@
 	st := a.standing.Load()
 	switch {
 	case a.sick.Load():
-		return state.Reply{Why: state.WhySick, Set: st.Set.Serial}, false
+		return state.Reply{Why: state.WhySick, Set: st.Set.Version}, false
 	case st.Phase != Voter:
-		return state.Reply{Why: state.WhyVoter, Set: st.Set.Serial}, false
-	case set < st.Set.Serial:
-		return state.Reply{Why: state.WhySet, Set: st.Set.Serial}, false
-	case set > st.Set.Serial:
-		return state.Reply{Why: state.WhyBehind, Set: st.Set.Serial}, false
+		return state.Reply{Why: state.WhyVoter, Set: st.Set.Version}, false
+	case set < st.Set.Version:
+		return state.Reply{Why: state.WhySet, Set: st.Set.Version}, false
+	case set > st.Set.Version:
+		return state.Reply{Why: state.WhyBehind, Set: st.Set.Version}, false
 	}
-	return state.Reply{Set: st.Set.Serial}, true
+	return state.Reply{Set: st.Set.Version}, true
 }
 
 // onSlot runs f in the desk of a slot if this core may vote under the asker's set.
--- a/internal/state/coremembers/admission.go
+++ b/internal/state/coremembers/admission.go
@@ -61,7 +61,7 @@
 	if name == "" {
 		name = q.Core.Name
 	}
-	next := state.CoreMembers{Serial: set.Serial + 1}
+	next := state.CoreMembers{Version: set.Version + 1}
 	replaced := false
 	for _, c := range set.Cores {
 		if c.Name != name {
@@ -97,7 +97,7 @@
 	if !found && k.doubts(set) {
 		return set, wire.Refuse("doubt", "a member may be gone; its place is given when that is sure")
 	}
-	next := state.CoreMembers{Serial: set.Serial + 1}
+	next := state.CoreMembers{Version: set.Version + 1}
 	for _, c := range set.Cores {
 		if !found || !c.Is(out) {
 			next.Cores = append(next.Cores, c)
--- a/internal/state/coremembers/catchup.go
+++ b/internal/state/coremembers/catchup.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		a, err := k.askSet(ctx, c)
-		if err != nil || a.Phase != acceptor.Voter || !a.Set.Has(c) || a.Set.Serial <= st.Set.Serial {
+		if err != nil || a.Phase != acceptor.Voter || !a.Set.Has(c) || a.Set.Version <= st.Set.Version {
 			return
 		}
 		// Why: a core that was let go of while it was being filled is no member, and asks for a place again.
@@ -66,13 +66,13 @@
 		}
 	}
 	_, _ = k.d.Acceptor.SetStanding(ctx, func(now acceptor.Standing) (acceptor.Standing, bool) {
-		if now.Phase != acceptor.Filling || now.Set.Serial != st.Set.Serial {
+		if now.Phase != acceptor.Filling || now.Set.Version != st.Set.Version {
 			return now, false
 		}
 		now.Phase = acceptor.Voter
 		return now, true
 	})
-	k.d.Log.Info("filled; votes from now on", "set", st.Set.Serial)
+	k.d.Log.Info("filled; votes from now on", "set", st.Set.Version)
 }
 
 // dumps reads one slot from the voters of the old set, side by side, until a
@@ -84,7 +84,7 @@
 		reply state.Reply
 		err   error
 	}
-	q := state.Ask{Set: st.Set.Serial, From: k.d.Self(), Slot: slot}
+	q := state.Ask{Set: st.Set.Version, From: k.d.Self(), Slot: slot}
 	voters := st.Old.Cores
 	answers := run.Fan(k.d.Group, len(voters), func(ctx context.Context, i int) answer {
 		if voters[i].Is(k.d.Self()) {
--- a/internal/state/coremembers/change.go
+++ b/internal/state/coremembers/change.go
@@ -16,7 +16,7 @@
 		set := k.d.Acceptor.Standing().Set
 		if found {
 			var kept state.CoreMembers
-			if err := wire.Unpack(old.Value, &kept); err == nil && kept.Serial > set.Serial {
+			if err := wire.Unpack(old.Value, &kept); err == nil && kept.Version > set.Version {
 				return nil, wire.Refuse("busy", "a change is under way")
 			}
 		}
@@ -43,7 +43,7 @@
 		return
 	}
 	var set state.CoreMembers
-	if wire.Unpack(rec.Value, &set) == nil && set.Serial > st.Set.Serial {
+	if wire.Unpack(rec.Value, &set) == nil && set.Version > st.Set.Version {
 		k.spread(ctx, set)
 	}
 }
@@ -51,7 +51,7 @@
 // spread hands a decided set to the voters of the old one and to its own.
 func (k *Keeper) spread(ctx context.Context, next state.CoreMembers) {
 	old := k.d.Acceptor.Standing().Set
-	if old.Serial >= next.Serial {
+	if old.Version >= next.Version {
 		old = k.d.Acceptor.Standing().Old
 	}
 	a := Adoption{Set: next, Old: old}
@@ -79,7 +79,7 @@
 // filled first and takes only a set that counts it in.
 func (k *Keeper) adopt(ctx context.Context, a Adoption) (None, error) {
 	_, err := k.d.Acceptor.SetStanding(ctx, func(st acceptor.Standing) (acceptor.Standing, bool) {
-		if a.Set.Serial <= st.Set.Serial || len(a.Set.Cores) == 0 {
+		if a.Set.Version <= st.Set.Version || len(a.Set.Cores) == 0 {
 			return st, false
 		}
 		if st.Phase == acceptor.Empty || st.Phase == acceptor.Pending || st.Phase == acceptor.Filling {
--- a/internal/state/coremembers/coremembers.go
+++ b/internal/state/coremembers/coremembers.go
@@ -146,12 +146,12 @@
 	member := st.Set.Has(k.d.Self())
 	switch {
 	case !member && k.unattended():
-		k.d.Log.Warn("this core was replaced in the core set; it comes back as a new member", "set", st.Set.Serial)
+		k.d.Log.Warn("this core was replaced in the core set; it comes back as a new member", "set", st.Set.Version)
 		if err := k.d.Acceptor.Reset(ctx); err != nil {
 			k.d.Log.Warn("reset", "error", err)
 		}
 	case !member:
-		k.d.Log.Warn("this core was replaced in the core set", "set", st.Set.Serial)
+		k.d.Log.Warn("this core was replaced in the core set", "set", st.Set.Version)
 	case k.unattended():
 		k.catchUp(ctx, st)
 		k.trim(ctx, st)
--- a/internal/state/coremembers/founding.go
+++ b/internal/state/coremembers/founding.go
@@ -97,19 +97,19 @@
 		if theirs.Phase != acceptor.Empty && theirs.Phase != acceptor.Pending {
 			return set, false
 		}
-		if n := theirs.Set.Serial; n > set.Serial {
-			set.Serial, agreed = n, alike(theirs.Set, state.CoreMembers{Serial: n, Cores: cores})
+		if n := theirs.Set.Version; n > set.Version {
+			set.Version, agreed = n, alike(theirs.Set, state.CoreMembers{Version: n, Cores: cores})
 		}
 	}
 	if !agreed {
-		set.Serial++
+		set.Version++
 	}
 	return set, true
 }
 
 // alike says whether two sets are the same.
 func alike(a, b state.CoreMembers) bool {
-	if a.Serial != b.Serial || len(a.Cores) != len(b.Cores) {
+	if a.Version != b.Version || len(a.Cores) != len(b.Cores) {
 		return false
 	}
 	for _, c := range a.Cores {
@@ -139,7 +139,7 @@
 		}
 		lost++
 	}
-	return next.Serial > old.Serial && len(next.Cores) == len(old.Cores) && lost < old.Quorum()
+	return next.Version > old.Version && len(next.Cores) == len(old.Cores) && lost < old.Quorum()
 }
 
 // form takes what a founder offers or makes firm; a refusal has the code "formation".
@@ -148,7 +148,7 @@
 	_, err := k.d.Acceptor.SetStanding(ctx, func(st acceptor.Standing) (acceptor.Standing, bool) {
 		same := alike(st.Set, f.Set)
 		switch {
-		case !f.Set.Has(k.d.Self()) || f.Set.Serial < 1:
+		case !f.Set.Has(k.d.Self()) || f.Set.Version < 1:
 			why = "not a member"
 		case st.Phase == acceptor.Empty && !f.Firm:
 			return acceptor.Standing{Phase: acceptor.Pending, Set: f.Set}, true
--- a/internal/state/coremembers/rescue.go
+++ b/internal/state/coremembers/rescue.go
@@ -11,7 +11,7 @@
 // Rescue makes this core the only voter, after an operator has said that the
 // others' disks are lost for good. What only they had synced is lost with them.
 // Running it again finds the same set; refusals have the code "alive" or "refused".
-func (k *Keeper) Rescue(ctx context.Context, lost []string, serial uint64) (state.CoreMembers, error) {
+func (k *Keeper) Rescue(ctx context.Context, lost []string, version uint64) (state.CoreMembers, error) {
 	named := map[string]bool{}
 	for _, n := range lost {
 		named[n] = true
@@ -27,7 +27,7 @@
 		if len(st.Set.Cores) == 1 && st.Set.Has(k.d.Self()) {
 			return st, false
 		}
-		if st.Phase != acceptor.Voter || st.Set.Serial != serial || !st.Set.Has(k.d.Self()) {
+		if st.Phase != acceptor.Voter || st.Set.Version != version || !st.Set.Has(k.d.Self()) {
 			why = "the core set is not the one named"
 			return st, false
 		}
@@ -38,7 +38,7 @@
 			}
 		}
 		// Why: a gap in the versions keeps a change that was under way from meeting it.
-		return acceptor.Standing{Phase: acceptor.Voter, Old: st.Set, Set: state.CoreMembers{Serial: st.Set.Serial + 1000, Cores: []state.Core{k.d.Self()}}}, true
+		return acceptor.Standing{Phase: acceptor.Voter, Old: st.Set, Set: state.CoreMembers{Version: st.Set.Version + 1000, Cores: []state.Core{k.d.Self()}}}, true
 	})
 	if err == nil && why != "" {
 		err = wire.Refuse("refused", why)
--- a/internal/state/coremembers/trim.go
+++ b/internal/state/coremembers/trim.go
@@ -19,19 +19,19 @@
 	if !found {
 		return
 	}
-	next := state.CoreMembers{Serial: st.Set.Serial + 1}
+	next := state.CoreMembers{Version: st.Set.Version + 1}
 	for _, c := range st.Set.Cores {
 		if !c.Is(lost) {
 			next.Cores = append(next.Cores, c)
 		}
 	}
 	if err := k.decide(ctx, func(set state.CoreMembers) (state.CoreMembers, error) {
-		if set.Serial != st.Set.Serial {
+		if set.Version != st.Set.Version {
 			return set, wire.Refuse("busy", "the set has changed")
 		}
 		return next, nil
 	}); err == nil {
-		k.d.Log.Info("core set shrinks", "serial", next.Serial, "without", lost.Name)
+		k.d.Log.Info("core set shrinks", "serial", next.Version, "without", lost.Name)
 	}
 }
 
--- a/internal/state/owner/late_test.go
+++ b/internal/state/owner/late_test.go
@@ -40,7 +40,7 @@
 	})
 	v := &voters{group: run.NewGroup(t.Context())}
 	log, clk := ring.New(io.Discard, 100).Logger(), simhost.NewClock()
-	set := state.CoreMembers{Serial: 1}
+	set := state.CoreMembers{Version: 1}
 	for i := range 3 {
 		host := fmt.Sprintf("10.0.0.%d", i+1)
 		acc, err := acceptor.Open(v.group, "d", acceptor.Whose{Fleet: "f", Node: host}, vfs.NewMem(), clk, log)
@@ -134,11 +134,11 @@
 // Of two writes that a voter has not answered for, one answer settles one.
 func TestOneLateAnswerSettlesOneWrite(t *testing.T) {
 	s := &slot{owes: map[string]map[state.Stamp]bool{}}
-	first, second := state.Stamp{Epoch: 1, Serial: 1}, state.Stamp{Epoch: 1, Serial: 2}
+	first, second := state.Stamp{Epoch: 1, Version: 1}, state.Stamp{Epoch: 1, Version: 2}
 	s.owe("b", first)
 	s.owe("b", second)
 	s.confirmed("b", second)
-	s.confirmed("b", state.Stamp{Epoch: 2, Serial: 1})
+	s.confirmed("b", state.Stamp{Epoch: 2, Version: 1})
 	if len(s.owes["b"]) != 1 {
 		t.Errorf("b owes %v, want the first write", s.owes["b"])
 	}
@@ -152,14 +152,14 @@
 // makes it one that has missed nothing.
 func TestAVoterThatOwesMuchIsBehindUntilItsRepair(t *testing.T) {
 	s := &slot{owes: map[string]map[state.Stamp]bool{}}
-	for serial := range uint64(10 * mostOwed) {
-		s.owe("b", state.Stamp{Epoch: 1, Serial: serial + 1})
+	for version := range uint64(10 * mostOwed) {
+		s.owe("b", state.Stamp{Epoch: 1, Version: version + 1})
 	}
 	if n := len(s.owes["b"]); n > mostOwed {
 		t.Errorf("%d writes are kept", n)
 	}
-	for serial := range uint64(10 * mostOwed) {
-		s.confirmed("b", state.Stamp{Epoch: 1, Serial: serial + 1})
+	for version := range uint64(10 * mostOwed) {
+		s.confirmed("b", state.Stamp{Epoch: 1, Version: version + 1})
 	}
 	if len(s.owes["b"]) == 0 {
 		t.Error("b counts as having missed nothing")
--- a/internal/state/owner/owner_test.go
+++ b/internal/state/owner/owner_test.go
@@ -35,7 +35,7 @@
 		t.Fatal(err)
 	}
 	self := state.Core{Name: "a", Disk: acc.Disk()}
-	set := state.CoreMembers{Serial: 1, Cores: []state.Core{self}}
+	set := state.CoreMembers{Version: 1, Cores: []state.Core{self}}
 	if _, err := acc.SetStanding(t.Context(), func(acceptor.Standing) (acceptor.Standing, bool) {
 		return acceptor.Standing{Phase: acceptor.Voter, Set: set}, true
 	}); err != nil {
--- a/internal/state/owner/renew.go
+++ b/internal/state/owner/renew.go
@@ -19,7 +19,7 @@
 	if len(epochs) == 0 || o.stop.Load() {
 		return
 	}
-	q := state.Renewal{Set: set.Serial, From: self, Epochs: epochs}
+	q := state.Renewal{Set: set.Version, From: self, Epochs: epochs}
 	ch := run.Fan(o.d.Group, len(set.Cores), func(ctx context.Context, i int) state.Renewed {
 		return o.renewAt(ctx, set.Cores[i], q, before)
 	})
--- a/internal/state/owner/repair.go
+++ b/internal/state/owner/repair.go
@@ -32,7 +32,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		q := state.Ask{Set: set.Serial, From: self, Slot: s.n, Epoch: s.epoch.Load()}
+		q := state.Ask{Set: set.Version, From: self, Slot: s.n, Epoch: s.epoch.Load()}
 		return s.repairVoter(ctx, c, q, all, sum)
 	})
 	for range set.Cores {
--- a/internal/state/owner/slot.go
+++ b/internal/state/owner/slot.go
@@ -46,7 +46,7 @@
 	s.tryAgainIn(200, 400)
 	if release {
 		set := o.d.Acceptor.Standing().Set
-		q := state.Ask{Set: set.Serial, From: o.d.Self(), Slot: s.n, Epoch: s.epoch.Load()}
+		q := state.Ask{Set: set.Version, From: o.d.Self(), Slot: s.n, Epoch: s.epoch.Load()}
 		o.poll(set, "/state/release", q, o.d.Acceptor.Release, false)
 	}
 }
--- a/internal/state/owner/take.go
+++ b/internal/state/owner/take.go
@@ -18,7 +18,7 @@
 	}
 	s.seen++
 	before := o.d.Clock.Since()
-	q := state.Ask{Set: set.Serial, From: o.d.Self(), Slot: s.n, Epoch: s.seen}
+	q := state.Ask{Set: set.Version, From: o.d.Self(), Slot: s.n, Epoch: s.seen}
 	yes, ok := s.prepare(set, q)
 	if !ok {
 		return
@@ -26,12 +26,12 @@
 	firstTime := s.epoch.Load() == 0
 	recs, pr := acceptor.Merge(yes)
 	s.table = map[string]state.Record{}
-	s.version = pr.Serial + 1
+	s.version = pr.Version + 1
 	s.epoch.Store(q.Epoch)
 	s.strayed = 0
 	s.owes = map[string]map[state.Stamp]bool{}
 	for i := range recs {
-		recs[i].Stamp = state.Stamp{Epoch: q.Epoch, Serial: recs[i].Stamp.Serial}
+		recs[i].Stamp = state.Stamp{Epoch: q.Epoch, Version: recs[i].Stamp.Version}
 	}
 	// Why: MayOrder must not find the slot held while it still goes by the quarantine of the time before.
 	s.quarantine(q.Epoch, yes, firstTime)
@@ -99,7 +99,7 @@
 // free asks whether a majority would promise the slot, and learns the epochs that
 // they have seen.
 func (s *slot) free(set state.CoreMembers) bool {
-	q := state.Ask{Set: set.Serial, From: s.o.d.Self(), Slot: s.n}
+	q := state.Ask{Set: set.Version, From: s.o.d.Self(), Slot: s.n}
 	yes, noes, _ := s.o.poll(set, "/state/peek", q, s.o.d.Acceptor.Peek, true)
 	for _, r := range append(noes, yes...) {
 		s.seen = max(s.seen, r.Epoch)
--- a/internal/state/owner/write.go
+++ b/internal/state/owner/write.go
@@ -51,7 +51,7 @@
 			failure = err
 			return
 		}
-		rec = state.Record{Key: key, Stamp: state.Stamp{Epoch: s.epoch.Load(), Serial: s.version + 1}, Value: value}
+		rec = state.Record{Key: key, Stamp: state.Stamp{Epoch: s.epoch.Load(), Version: s.version + 1}, Value: value}
 		failure = s.write([]state.Record{rec}, false)
 	})
 	// Why: a command that was given up on has not run and will not, so nothing was kept, and that can be said.
@@ -67,11 +67,11 @@
 	set := o.d.Acceptor.Standing().Set
 	at := s.version
 	for _, r := range recs {
-		at = max(at, r.Stamp.Serial)
+		at = max(at, r.Stamp.Version)
 	}
-	q := state.Ask{Set: set.Serial, From: o.d.Self(), Slot: s.n, Epoch: s.epoch.Load(), At: at, Full: full, Records: recs}
+	q := state.Ask{Set: set.Version, From: o.d.Self(), Slot: s.n, Epoch: s.epoch.Load(), At: at, Full: full, Records: recs}
 	yes, noes, missed, late := o.pollSome(set, "/state/accept", q, o.d.Acceptor.Accept, true)
-	written := state.Stamp{Epoch: q.Epoch, Serial: at}
+	written := state.Stamp{Epoch: q.Epoch, Version: at}
 	for _, c := range missed {
 		s.owe(c.Name, written)
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -31,16 +31,16 @@
 
 // Stamp orders the values of a key; the newest wins.
 type Stamp struct {
-	Epoch  uint64 `cbor:"1,keyasint"`
-	Serial uint64 `cbor:"2,keyasint"`
+	Epoch   uint64 `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
 }
 
 // Newer says whether s is after o.
 func (s Stamp) Newer(o Stamp) bool {
-	return s.Epoch > o.Epoch || s.Epoch == o.Epoch && s.Serial > o.Serial
+	return s.Epoch > o.Epoch || s.Epoch == o.Epoch && s.Version > o.Version
 }
 
-func (s Stamp) String() string { return fmt.Sprintf("%d.%d", s.Epoch, s.Serial) }
+func (s Stamp) String() string { return fmt.Sprintf("%d.%d", s.Epoch, s.Version) }
 
 // Record is one value of one key.
 type Record struct {
@@ -72,10 +72,10 @@
 // Is says whether two are the same voter, wherever it may be reached.
 func (c Core) Is(o Core) bool { return c.Name == o.Name && c.Disk == o.Disk }
 
-// CoreMembers is the voters that count, under a rising serial.
+// CoreMembers is the voters that count, under a rising version.
 type CoreMembers struct {
-	Serial uint64 `cbor:"1,keyasint" json:"serial"`
-	Cores  []Core `cbor:"2,keyasint" json:"cores"`
+	Version uint64 `cbor:"1,keyasint" json:"serial"`
+	Cores   []Core `cbor:"2,keyasint" json:"cores"`
 }
 
 // Quorum is how many make a majority.
@@ -109,7 +109,7 @@
 	Epoch   uint64   `cbor:"3,keyasint,omitempty"`
 	Set     uint64   `cbor:"4,keyasint,omitempty"`
 	Full    uint64   `cbor:"5,keyasint,omitempty"`
-	Serial  uint64   `cbor:"6,keyasint,omitempty"`
+	Version uint64   `cbor:"6,keyasint,omitempty"`
 	Records []Record `cbor:"7,keyasint,omitempty"`
 	Holder  Core     `cbor:"8,keyasint,omitempty"`
 	Sum     []byte   `cbor:"9,keyasint,omitempty"`
