--- a/cmd/dsctl/main_test.go
+++ b/cmd/dsctl/main_test.go
@@ -12,7 +12,7 @@
 	"testing"
 )
 
-// core answers like a core's operators' face, with one status.
+// core answers like a core's operators' API, with one status.
 func core(t *testing.T, status int, outcome, body string, seen *[]string) string {
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b, _ := io.ReadAll(r.Body)
--- a/design/design.go
+++ b/design/design.go
@@ -1,4 +1,4 @@
-// Package design holds the four outward faces of drumstall as goa designs:
+// Package design holds the four outward APIs of drumstall as goa designs:
 // what callers, operators, replicas and the platform see. Generated code is
 // committed under gen/.
 package design
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -44,7 +44,7 @@
 	Platform string
 	Bounds   bounds.Bounds
 	Cadence  bounds.Cadence
-	Lister   inventory.Lister // nil asks Platform over the design's own face
+	Lister   inventory.Lister // nil asks Platform over the design's own API
 }
 
 // Agent is a running dsagent.
--- a/internal/attempt/native.go
+++ b/internal/attempt/native.go
@@ -11,7 +11,7 @@
 	"drumstall.example/internal/backend"
 )
 
-// Native speaks the design's own face of replicas.
+// Native speaks the design's own API of replicas.
 type Native struct{}
 
 // Encode writes a request for the design's own replicas.
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -1,5 +1,5 @@
 // Package backend is the one place that knows what a replica looks like from
-// outside: its reports and its orders over the goa face.
+// outside: its reports and its orders over the goa API.
 package backend
 
 import (
@@ -13,7 +13,7 @@
 	"drumstall.example/gen/http/replica/client"
 	"drumstall.example/gen/replica"
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/kernel/face"
+	"drumstall.example/internal/kernel/httpapi"
 	"drumstall.example/internal/kernel/wire"
 )
 
@@ -127,7 +127,7 @@
 	AdaptersUnpaced bool
 }
 
-// Conn is the client of the design's own face.
+// Conn is the client of the design's own API.
 type Conn struct {
 	http *http.Client
 }
@@ -148,7 +148,7 @@
 func (c *Conn) Close() { c.http.CloseIdleConnections() }
 
 func (c *Conn) at(addr string) *client.Client {
-	return client.NewClient("http", addr, face.Bounded{HTTP: c.http, Max: 4 << 20}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	return client.NewClient("http", addr, httpapi.Bounded{HTTP: c.http, Max: 4 << 20}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 }
 
 // Report asks a replica how it is; the target's id is whom we expect to answer.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,5 +1,5 @@
 // Package core puts a dscore together: control state, membership, gossip,
-// placement and the operators' face.
+// placement and the operators' API.
 package core
 
 import (
@@ -54,9 +54,9 @@
 	MayFound bool
 	Bounds   bounds.Bounds
 	Cadence  bounds.Cadence
-	Lister   inventory.Lister // nil asks Platform over the design's own face
-	Replicas backend.Client   // nil asks replicas over the design's own face
-	// Operators are further faces for operators, by address.
+	Lister   inventory.Lister // nil asks Platform over the design's own API
+	Replicas backend.Client   // nil asks replicas over the design's own API
+	// Operators are further APIs for operators, by address.
 	Operators map[string]func(operator.Control) http.Handler
 }
 
@@ -156,14 +156,14 @@
 		_ = ln.Close()
 		return nil, errors.Wrap(err, "core: datagram address")
 	}
-	faces, err := c.operatorFaces()
+	servers, err := c.operatorServers()
 	if err != nil {
 		_, _ = ln.Close(), pc.Close()
 		return nil, err
 	}
 	if c.acc, err = acceptor.Open(c.base, s.Folder, acceptor.Whose{Fleet: s.Fleet, Node: s.Name}, env.FS, env.Clock, c.log); err != nil {
 		_, _ = ln.Close(), pc.Close()
-		for _, f := range faces {
+		for _, f := range servers {
 			f.Close()
 		}
 		c.base.Stop()
@@ -173,7 +173,7 @@
 	c.watch = inventory.NewWatch(s.Lister, env.Clock, c.log, c.gossip)
 	c.touch = touch.New(env.Clock, func() time.Duration { return c.watch.HeardFor() }, c.heardMost)
 	self := member.Node{Name: s.Name, Role: member.RoleCore, Zone: s.Zone, Addr: s.Addr, Boot: c.boot, Disk: c.acc.Disk(),
-		Phase: string(c.acc.Standing().Phase), Inc: uint64(max(env.Clock.Wall().UnixMilli(), 1)), Face: s.Operator, Build: env.BuildName()}
+		Phase: string(c.acc.Standing().Phase), Inc: uint64(max(env.Clock.Wall().UnixMilli(), 1)), API: s.Operator, Build: env.BuildName()}
 	c.members = member.New(c.group, env.Clock, c.log, c.post, c.caller, c.mux, self, s.Seeds, c.touch)
 	c.gossip.OnNew(c.onGossip)
 	c.views = plan.NewViewCache(c.gossip)
@@ -202,21 +202,21 @@
 		c.members.SetSelf(func(n *member.Node) { n.Phase, n.Disk = phase, disk })
 	})
 	c.base.Go(c.post.Run)
-	for _, srv := range append([]*wire.Server{wire.NewServer(ln, c.mux)}, faces...) {
+	for _, srv := range append([]*wire.Server{wire.NewServer(ln, c.mux)}, servers...) {
 		c.servers = append(c.servers, srv)
 		c.base.Go(srv.Run)
 	}
 	return c, nil
 }
 
-// operatorFaces opens the faces for operators, the design's own among them.
-func (c *Core) operatorFaces() ([]*wire.Server, error) {
+// operatorServers opens the APIs for operators, the design's own among them.
+func (c *Core) operatorServers() ([]*wire.Server, error) {
 	at := map[string]http.Handler{}
 	if c.s.Operator != "" {
 		at[c.s.Operator] = operator.NewHandler(c, c.env.Log)
 	}
-	for addr, face := range c.s.Operators {
-		at[addr] = face(c)
+	for addr, handler := range c.s.Operators {
+		at[addr] = handler(c)
 	}
 	var out []*wire.Server
 	for addr, h := range at {
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -77,7 +77,7 @@
 	sort.Strings(laggards)
 	var members []map[string]any
 	for _, n := range c.members.Nodes() {
-		members = append(members, map[string]any{"name": n.Name, "role": n.Role, "zone": n.Zone, "addr": n.Addr, "state": n.State.String(), "phase": n.Phase, "operator": n.Face, "build": n.Build})
+		members = append(members, map[string]any{"name": n.Name, "role": n.Role, "zone": n.Zone, "addr": n.Addr, "state": n.State.String(), "phase": n.Phase, "operator": n.API, "build": n.Build})
 	}
 	held := map[string]map[int]uint64{c.s.Name: c.own.Held()}
 	for _, n := range c.others() {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -15,7 +15,7 @@
 	"drumstall.example/gen/platform"
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/gossip"
-	"drumstall.example/internal/kernel/face"
+	"drumstall.example/internal/kernel/httpapi"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
 	"drumstall.example/internal/kernel/wire"
@@ -51,14 +51,14 @@
 	Close()
 }
 
-// native asks over the design's own face.
+// native asks over the design's own API.
 type native struct {
 	addr string
 	http *http.Client
 	log  *slog.Logger
 }
 
-// NewLister asks the platform at an address over the design's own face.
+// NewLister asks the platform at an address over the design's own API.
 func NewLister(n wire.Net, addr string, log *slog.Logger) Lister {
 	return &native{addr: addr, log: log, http: &http.Client{
 		Transport:     &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second},
@@ -71,7 +71,7 @@
 
 // List asks once.
 func (l *native) List(ctx context.Context) ([]Listed, error) {
-	c := client.NewClient("http", l.addr, face.Bounded{HTTP: l.http, Max: 16 << 20}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	c := client.NewClient("http", l.addr, httpapi.Bounded{HTTP: l.http, Max: 16 << 20}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 	res, err := c.List()(ctx, nil)
 	if err != nil {
 		return nil, err
--- a/internal/kernel/face/face.go
+++ b/internal/kernel/httpapi/httpapi.go
@@ -1,6 +1,6 @@
-// Package face holds what every goa face needs: muxer, codecs, and how an
+// Package httpapi holds what every HTTP API made with goa needs: muxer, codecs, and how an
 // unexpected error is told.
-package face
+package httpapi
 
 import (
 	"context"
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -57,7 +57,7 @@
 	Boot  string `cbor:"7,keyasint"`            // differs with each start of the process
 	Disk  string `cbor:"8,keyasint,omitempty"`  // of a core: its data folder's identity
 	Phase string `cbor:"9,keyasint,omitempty"`  // of a core: how far it has come towards voting
-	Face  string `cbor:"10,keyasint,omitempty"` // where operators or callers reach it
+	API   string `cbor:"10,keyasint,omitempty"` // where operators or callers reach it
 	Build string `cbor:"11,keyasint,omitempty"`
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,4 +1,4 @@
-// Package operator is the face towards operators: configuration, status and
+// Package operator is the API towards operators: configuration, status and
 // explanations over the goa design.
 package operator
 
@@ -15,7 +15,7 @@
 	"drumstall.example/gen/http/operator/server"
 	gen "drumstall.example/gen/operator"
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/kernel/face"
+	"drumstall.example/internal/kernel/httpapi"
 	"drumstall.example/internal/kernel/ring"
 )
 
@@ -41,7 +41,7 @@
 	ErrUnknown  = errors.New("it is not known whether it was kept; read it back")
 )
 
-// Control is what stands behind the face.
+// Control is what stands behind the API.
 type Control interface {
 	Submit(ctx context.Context, s Submission) (Submitted, error)
 	Newest(ctx context.Context) (conf.Kept, bool, error)
@@ -55,10 +55,10 @@
 	logs *ring.Ring
 }
 
-// NewHandler mounts the face on goa's muxer.
+// NewHandler mounts the API on goa's muxer.
 func NewHandler(c Control, logs *ring.Ring) http.Handler {
-	mux := face.NewMuxer()
-	s := server.New(gen.NewEndpoints(&service{c, logs}), mux, face.Decoder, face.Encoder, face.Quiet, face.Formatter)
+	mux := httpapi.NewMuxer()
+	s := server.New(gen.NewEndpoints(&service{c, logs}), mux, httpapi.Decoder, httpapi.Encoder, httpapi.Quiet, httpapi.Formatter)
 	s.Mount(mux)
 	return mux
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,4 +1,4 @@
-// Package proxy puts a dsproxy together: the callers' face, admission, attempts,
+// Package proxy puts a dsproxy together: the callers' API, admission, attempts,
 // relay, and the feed from the agent beside it.
 package proxy
 
@@ -22,7 +22,7 @@
 	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/bounds"
-	"drumstall.example/internal/kernel/face"
+	"drumstall.example/internal/kernel/httpapi"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member/touch"
@@ -76,10 +76,10 @@
 	Platform string
 	Bounds   bounds.Bounds
 	Cadence  bounds.Cadence
-	Lister   inventory.Lister                     // nil asks Platform over the design's own face
-	Replicas backend.Client                       // nil asks replicas over the design's own face
-	Protocol attempt.Protocol                     // nil sends requests over the design's own face
-	Faces    map[string]func(*Proxy) http.Handler // further faces, by address
+	Lister   inventory.Lister                     // nil asks Platform over the design's own API
+	Replicas backend.Client                       // nil asks replicas over the design's own API
+	Protocol attempt.Protocol                     // nil sends requests over the design's own API
+	Handlers map[string]func(*Proxy) http.Handler // further APIs, by address
 }
 
 // Proxy is a running dsproxy.
@@ -162,15 +162,15 @@
 	return p, nil
 }
 
-// listen opens the faces for callers, the design's own among them.
+// listen opens the APIs for callers, the design's own among them.
 func (p *Proxy) listen() error {
 	at := map[string]http.Handler{}
 	if p.s.Callers != "" {
-		mux := face.NewMuxer()
-		server.New(gen.NewEndpoints(p), mux, face.Decoder, face.Encoder, face.Quiet, face.Formatter).Mount(mux)
+		mux := httpapi.NewMuxer()
+		server.New(gen.NewEndpoints(p), mux, httpapi.Decoder, httpapi.Encoder, httpapi.Quiet, httpapi.Formatter).Mount(mux)
 		at[p.s.Callers] = p.lettingGo(relay.WithReadLimit(mux, bodyLimit))
 	}
-	for addr, f := range p.s.Faces {
+	for addr, f := range p.s.Handlers {
 		at[addr] = f(p)
 	}
 	for addr, h := range at {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -15,7 +15,7 @@
 	"drumstall.example/internal/route"
 )
 
-// Call is one request as a face has read it.
+// Call is one request as an API has read it.
 type Call struct {
 	Target      route.Target
 	Deadline    time.Time
--- a/internal/route/renew_test.go
+++ b/internal/route/renew_test.go
@@ -30,14 +30,14 @@
 
 // world is a keeper that is renewed by hand, and random news for it.
 type world struct {
-	t      *testing.T
-	rnd    *rand.Rand
-	clock  *handClock
-	gossip *gossip.Table
-	k      *Keeper
+	t       *testing.T
+	rnd     *rand.Rand
+	clock   *handClock
+	gossip  *gossip.Table
+	k       *Keeper
 	version uint64
-	edges  int
-	anew   tableMadeAnew
+	edges   int
+	anew    tableMadeAnew
 }
 
 func newWorld(t *testing.T, seed uint64, ask bool) *world {
--- a/internal/sim/fleet/operator.go
+++ b/internal/sim/fleet/operator.go
@@ -75,7 +75,7 @@
 	return b, true
 }
 
-// Get reads any page of a core's operators' face.
+// Get reads any page of a core's operators' API.
 func (f *Fleet) Get(at int, path string) string {
 	res, err := f.opHTTP.Get("http://" + f.Cores[at].IP + ":7001" + path)
 	if err != nil {
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -10,7 +10,7 @@
 	"drumstall.example/gen/http/platform/server"
 	gen "drumstall.example/gen/platform"
 	"drumstall.example/internal/check"
-	"drumstall.example/internal/kernel/face"
+	"drumstall.example/internal/kernel/httpapi"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 )
@@ -33,8 +33,8 @@
 	if err != nil {
 		return nil, err
 	}
-	mux := face.NewMuxer()
-	server.New(gen.NewEndpoints(p), mux, face.Decoder, face.Encoder, face.Quiet, face.Formatter).Mount(mux)
+	mux := httpapi.NewMuxer()
+	server.New(gen.NewEndpoints(p), mux, httpapi.Decoder, httpapi.Encoder, httpapi.Quiet, httpapi.Formatter).Mount(mux)
 	mux.Handle(http.MethodPost, "/control", func(w http.ResponseWriter, q *http.Request) {
 		var l gen.Listed
 		if err := json.NewDecoder(http.MaxBytesReader(w, q.Body, 1<<20)).Decode(&l); err != nil || l.ID == "" {
@@ -79,7 +79,7 @@
 	delete(p.list, id)
 }
 
-// List is the goa face.
+// List is the goa API.
 func (p *Platform) List(context.Context) ([]*gen.Listed, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -15,7 +15,7 @@
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/check"
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/kernel/face"
+	"drumstall.example/internal/kernel/httpapi"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 )
@@ -88,8 +88,8 @@
 	// Why: whatever an earlier run of it held is gone.
 	rec.Put(check.Event{Kind: check.UnloadDone, Replica: s.ID})
 	rec.Put(check.Event{Kind: check.Unlearned, Replica: s.ID, Why: s.ID})
-	mux := face.NewMuxer()
-	server.New(gen.NewEndpoints(r), mux, face.Decoder, face.Encoder, face.Quiet, face.Formatter).Mount(mux)
+	mux := httpapi.NewMuxer()
+	server.New(gen.NewEndpoints(r), mux, httpapi.Decoder, httpapi.Encoder, httpapi.Quiet, httpapi.Formatter).Mount(mux)
 	mux.Handle(http.MethodPost, backend.RunPath, r.run)
 	r.server = wire.NewServer(ln, mux)
 	r.group.Go(r.server.Run)
