--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -15,22 +15,17 @@
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/queue"
 	"drumstall.example/internal/route"
+	"drumstall.example/internal/sim/simhost"
 	"drumstall.example/internal/state"
 )
 
-// inBubble is the clock of a test in simulated time.
-type inBubble struct{ began time.Time }
-
-func (c inBubble) Since() time.Duration { return time.Hour + time.Since(c.began) }
-func (inBubble) Wall() time.Time        { return time.Now() }
-
 // opened is admission in simulated time, with a class and no replica.
 func opened(t *testing.T, f func(g *Controller, n *gossip.Table)) {
 	synctest.Test(t, func(*testing.T) {
 		group := run.NewGroup(context.Background())
 		defer group.Stop()
 		n := gossip.NewTable()
-		k := route.NewKeeper(route.Deps{Group: group, Gossip: n, Clock: inBubble{time.Now()}, Zone: func() string { return "z" },
+		k := route.NewKeeper(route.Deps{Group: group, Gossip: n, Clock: simhost.NewClock(), Zone: func() string { return "z" },
 			HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 1 }})
 		g := New(group, k, time.Second, func() {})
 		n.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Version: 1}, Value: conf.Kept{Serial: 1, Objects: map[string][]byte{"classes/c": []byte(`{}`)}}.Pack()})
--- a/internal/route/press_test.go
+++ b/internal/route/press_test.go
@@ -10,15 +10,9 @@
 
 // keeperOf is a keeper that learns of its replicas by their controllers' word.
 func keeperOf() *Keeper {
-	return &Keeper{clock: &still{}, warmth: newMemory(), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
+	return &Keeper{clock: &handClock{now: time.Hour}, warmth: newMemory(), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
 }
 
-// still is a clock that stands.
-type still struct{}
-
-func (still) Since() time.Duration { return time.Hour }
-func (still) Wall() time.Time      { return time.Time{} }
-
 // What waits for a model that nobody holds yet tells how much work it will make.
 func TestWorkIsCountedWhileARequestWaits(t *testing.T) {
 	k := keeperOf()
