--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/sample"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member/touch"
 )
@@ -87,13 +86,6 @@
 	wire.HandleLarge(mux, "/news/gap", func(_ context.Context, h Heads) (Gap, error) { return t.gap(h), nil })
 }
 
-// some picks up to n peers by chance.
-func (s *Spreader) some(n int) []string {
-	p := slices.Clone(s.peers())
-	rand.Shuffle(len(p), func(i, j int) { p[i], p[j] = p[j], p[i] })
-	return p[:min(n, len(p))]
-}
-
 // passOn sends what is new to whom it is for: in a small fleet to all, in a large
 // one down the tree. At once means that only what was never told goes out.
 func (s *Spreader) passOn(atOnce bool) {
@@ -108,7 +100,7 @@
 	}
 	s.send(all, s.due(func(h *held) bool { return h.from == own && (!atOnce || h.tell == retellDirect) }))
 	if !atOnce {
-		s.send(s.some(fanout), s.due(func(h *held) bool { return h.from != own }))
+		s.send(sample.Of(s.peers(), fanout), s.due(func(h *held) bool { return h.from != own }))
 	}
 }
 
@@ -122,7 +114,7 @@
 	tree := s.treeNow()
 	if !tree.stands() {
 		s.t.rounds.Store(&gossipRounds)
-		s.send(s.some(fanout), s.due(func(*held) bool { return true }))
+		s.send(sample.Of(s.peers(), fanout), s.due(func(*held) bool { return true }))
 		return
 	}
 	s.passDown(tree)
@@ -210,7 +202,7 @@
 
 // compare mends gaps with one peer.
 func (s *Spreader) compare(ctx context.Context) {
-	to := s.some(1)
+	to := sample.Of(s.peers(), 1)
 	if len(to) == 0 {
 		return
 	}
--- a/internal/gossip/tree.go
+++ b/internal/gossip/tree.go
@@ -1,8 +1,9 @@
 package gossip
 
 import (
-	"math/rand/v2"
 	"slices"
+
+	"drumstall.example/internal/kernel/sample"
 )
 
 // Tree is whom a node of a large fleet tells its news, by their addresses: what is new
@@ -45,20 +46,17 @@
 		s.send(tree.Below, onward)
 		return
 	}
-	if next := s.neighbour(tree); next != "" {
-		s.send([]string{next}, onward)
+	if next := s.neighbour(tree); len(next) > 0 {
+		s.send(next, onward)
 	}
 }
 
-// neighbour picks whom an agent tells what it was told.
-func (s *Spreader) neighbour(tree Tree) string {
-	if n := len(tree.Neighbours); n > 0 {
-		return tree.Neighbours[rand.IntN(n)]
-	}
-	if others := s.some(1); len(others) > 0 {
-		return others[0]
+// neighbour picks whom an agent tells what it was told: one, or none if it knows nobody.
+func (s *Spreader) neighbour(tree Tree) []string {
+	if len(tree.Neighbours) > 0 {
+		return sample.Of(tree.Neighbours, 1)
 	}
-	return ""
+	return sample.Of(s.peers(), 1)
 }
 
 // dueInTree takes the entries that are to be passed on now: those for the cores, and
--- /dev/null
+++ b/internal/kernel/sample/sample_test.go
@@ -0,0 +1,52 @@
+package sample
+
+import (
+	"slices"
+	"testing"
+)
+
+func TestASampleHasNoneTwiceAndLeavesTheRestAlone(t *testing.T) {
+	for size := range 6 {
+		all := make([]int, size)
+		for i := range all {
+			all[i] = i
+		}
+		before := slices.Clone(all)
+		for n := range 8 {
+			got := Of(all, n)
+			slices.Sort(got)
+			if want := min(n, size); len(got) != want || len(slices.Compact(got)) != want {
+				t.Errorf("%d of %d: got %v", n, size, got)
+			}
+			for _, x := range got {
+				if !slices.Contains(all, x) {
+					t.Errorf("%d of %d: got %v", n, size, got)
+				}
+			}
+		}
+		if !slices.Equal(all, before) {
+			t.Errorf("what was picked from is %v now", all)
+		}
+	}
+}
+
+// Each is picked about as often as any other.
+func TestASampleIsFair(t *testing.T) {
+	const (
+		rounds = 6000
+		size   = 6
+		picked = 2
+		want   = rounds * picked / size
+	)
+	counts := map[int]int{}
+	for range rounds {
+		for _, x := range Of([]int{0, 1, 2, 3, 4, 5}, picked) {
+			counts[x]++
+		}
+	}
+	for x := range size {
+		if n := counts[x]; n < want*8/10 || n > want*12/10 {
+			t.Errorf("%d was picked %d times, want about %d", x, n, want)
+		}
+	}
+}
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sort"
 	"time"
+
+	"drumstall.example/internal/kernel/sample"
 )
 
 // probe is one that has no answer yet.
@@ -77,8 +79,7 @@
 			out = append(out, e.node)
 		}
 	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(n, len(out))]
+	return sample.Of(out, n)
 }
 
 // someOf picks a live node of a role by chance; no name means that there is none.
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 
@@ -13,6 +11,7 @@
 	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/sample"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member/touch"
 	"drumstall.example/internal/place/report"
@@ -37,13 +36,12 @@
 // mend gets news from the agent's peers while the agent is away, or so new
 // that it may know nobody yet: a configuration must come into force here all the same.
 func (p *Proxy) mend(ctx context.Context) {
-	to := slices.Clone(*p.peers.Load())
-	if p.agentFor() <= agentLost && p.env.Clock.Since()-time.Duration(p.agentNew.Load()) > agentYoung || len(to) == 0 {
+	known := *p.peers.Load()
+	if p.agentFor() <= agentLost && p.env.Clock.Since()-time.Duration(p.agentNew.Load()) > agentYoung || len(known) == 0 {
 		return
 	}
 	// Why: some of them may be down as well; one that answers is enough.
-	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-	to = to[:min(len(to), mendWith)]
+	to := sample.Of(known, mendWith)
 	asked := p.env.Clock.Since()
 	ch := run.Fan(p.group, len(to), func(ctx context.Context, i int) touch.Word {
 		ctx, cancel := context.WithTimeout(ctx, mendInterval)
