--- a/internal/sim/fleet/fleet.go
+++ b/internal/sim/fleet/fleet.go
@@ -9,14 +9,12 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/pebble/v2/vfs"
-	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
 
 	gen "drumstall.example/gen/platform"
 	"drumstall.example/internal/agent"
@@ -161,15 +159,6 @@
 	return f
 }
 
-// Spots are the edges as clients see them.
-func (f *Fleet) Spots() []stand.Edge {
-	var out []stand.Edge
-	for _, n := range f.Edges {
-		out = append(out, stand.Edge{Name: n.Name, Addr: n.IP + ":8080", Zone: n.Zone})
-	}
-	return out
-}
-
 // Until waits in virtual time for something to become true.
 func (f *Fleet) Until(limit time.Duration, what string, ok func() bool) time.Duration {
 	f.T.Helper()
@@ -183,94 +172,6 @@
 	return time.Since(began)
 }
 
-func (f *Fleet) env(n *Node, which int) core.Env {
-	n.hosts[which] = f.Net.Host(n.IP)
-	e := core.Env{Net: n.hosts[which], Clock: n.clock, Log: n.Logs, Build: f.Build}
-	if n.FS != nil {
-		n.disk.Store(DiskGood)
-		e.FS = fillable{errorfs.Wrap(n.FS, diskFault{n}), n}
-	}
-	return e
-}
-
-// StartReplica starts a back end anew.
-func (f *Fleet) StartReplica(id string) {
-	s := f.settings[id]
-	ip, _, _ := strings.Cut(s.Addr, ":")
-	f.hosts[id] = f.Net.Host(ip)
-	r, err := stand.StartReplica(s, f.hosts[id], f.Rec)
-	if err != nil {
-		f.T.Fatalf("%s: %v", id, err)
-	}
-	f.Replicas[id] = r
-}
-
-// CrashReplica ends a back end at once.
-func (f *Fleet) CrashReplica(id string) {
-	if f.Replicas[id] != nil {
-		f.Net.Kill(f.hosts[id])
-		f.Replicas[id].Crash()
-		f.Replicas[id] = nil
-	}
-}
-
-// ReplicaIP is the address of a back end's machine.
-func (f *Fleet) ReplicaIP(id string) string {
-	ip, _, _ := strings.Cut(f.settings[id].Addr, ":")
-	return ip
-}
-
-// Between cuts or heals both ways between two sets of machines.
-func (f *Fleet) Between(a, b []string, cut bool) {
-	for _, x := range a {
-		for _, y := range b {
-			if x != y {
-				f.Net.Cut(x, y, cut)
-				f.Net.Cut(y, x, cut)
-			}
-		}
-	}
-}
-
-// IPs of nodes.
-func IPs(nodes []*Node) []string {
-	var out []string
-	for _, n := range nodes {
-		out = append(out, n.IP)
-	}
-	return out
-}
-
-// Traffic starts the deployment's flows, times scale.
-func (f *Fleet) Traffic(scale float64) {
-	ctx, cancel := context.WithCancel(context.Background())
-	if before := f.flow; before != nil {
-		f.flow = func() { before(); cancel() }
-	} else {
-		f.flow = cancel
-	}
-	f.settle()
-	flows := append([]stand.Flow(nil), f.D.Flows...)
-	for i := range flows {
-		flows[i].PerSecond *= scale
-	}
-	f.Clients.Run(f.Group, ctx, f.Rnd.Uint64(), func() []stand.Edge { return *f.spots.Load() }, flows)
-}
-
-// Quiet ends the flows and lets what is under way finish.
-func (f *Fleet) Quiet() {
-	if f.flow != nil {
-		f.flow()
-		f.flow = nil
-	}
-	// Why: a run that looks for races need not wait for what was turned away and might run later.
-	if testing.Short() {
-		f.Until(45*time.Second, "an answer to every request", func() bool { return f.Clients.Out() == 0 })
-		return
-	}
-	time.Sleep(45 * time.Second)
-}
-
 // Stop stops everything; a second time it does nothing.
 func (f *Fleet) Stop() {
 	if f.stopped {
@@ -313,26 +214,3 @@
 	}
 	return vs
 }
-
-// Tally counts answers by class and outcome.
-func (f *Fleet) Tally() map[string]map[string]int {
-	out := map[string]map[string]int{}
-	for _, e := range f.Rec.Events() {
-		if e.Kind == check.Answer {
-			if out[e.Class] == nil {
-				out[e.Class] = map[string]int{}
-			}
-			out[e.Class][e.Outcome]++
-		}
-	}
-	return out
-}
-
-// AddCore prepares a machine for one more core; StartCore starts it.
-func (f *Fleet) AddCore(name, ip, zone string) *Node {
-	n := &Node{Name: name, IP: ip, Zone: zone, FS: vfs.NewCrashableMem(), clock: &clock{zero: time.Now().Add(-time.Hour)}, Logs: ring.New(io.Discard, 500)}
-	f.zones.Store(ip, zone)
-	f.Cores = append(f.Cores, n)
-	f.settle()
-	return n
-}
