--- a/gen/replica/service.go
+++ b/gen/replica/service.go
@@ -14,7 +14,7 @@
 // What drumstall expects of a back end.
 type Service interface {
 	// Vitals implements vitals.
-	Vitals(context.Context) (res *ReplicaVitals, err error)
+	Vitals(context.Context) (res *ReplicaReport, err error)
 	// Order implements order.
 	Order(context.Context, *LoadOrder) (err error)
 }
@@ -35,26 +35,13 @@
 // MethodKey key.
 var MethodNames = [2]string{"vitals", "order"}
 
-type AdapterVitals struct {
+type AdapterReport struct {
 	Name string
 	// loading, loaded or unloading
 	State    string
 	Inflight int
 }
 
-type Drop struct {
-	// Short reason
-	Name string
-	// What happened, in one sentence
-	Detail string
-	// not-run, unknown or ran
-	Outcome string
-	// Seconds until another try is worth it
-	RetryAfter *string
-	// Every fault found in what was sent
-	Faults []string
-}
-
 // LoadOrder is the payload type of the replica service order method.
 type LoadOrder struct {
 	ID string
@@ -68,17 +55,30 @@
 	Controller string
 }
 
-type ModelVitals struct {
+type ModelReport struct {
 	Name string
 	// loading, loaded or unloading
 	State    string
 	SizeMib  int
 	Inflight int
-	Adapters []*AdapterVitals
+	Adapters []*AdapterReport
+}
+
+type Refusal struct {
+	// Short reason
+	Name string
+	// What happened, in one sentence
+	Detail string
+	// not-run, unknown or ran
+	Outcome string
+	// Seconds until another try is worth it
+	RetryAfter *string
+	// Every fault found in what was sent
+	Faults []string
 }
 
-// ReplicaVitals is the result type of the replica service vitals method.
-type ReplicaVitals struct {
+// ReplicaReport is the result type of the replica service vitals method.
+type ReplicaReport struct {
 	ID string
 	// Changes whenever the replica starts anew
 	Incarnation string
@@ -90,24 +90,24 @@
 	Slots    int
 	Inflight int
 	Leaving  bool
-	Models   []*ModelVitals
+	Models   []*ModelReport
 	// Recent mean time to serve one request
 	ServeMs *int
 }
 
 // Error returns an error description.
-func (e *Drop) Error() string {
+func (e *Refusal) Error() string {
 	return ""
 }
 
-// ErrorName returns "Drop".
+// ErrorName returns "Refusal".
 //
 // Deprecated: Use GoaErrorName - https://github.com/goadesign/goa/issues/3105
-func (e *Drop) ErrorName() string {
+func (e *Refusal) ErrorName() string {
 	return e.GoaErrorName()
 }
 
-// GoaErrorName returns "Drop".
-func (e *Drop) GoaErrorName() string {
+// GoaErrorName returns "Refusal".
+func (e *Refusal) GoaErrorName() string {
 	return e.Name
 }
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -109,9 +109,9 @@
 	return min(max(wholeEvery, time.Duration(bytes)*time.Second/wholeRate), wholeLatest)
 }
 
-// variant is a form of a report: whole, or the difference from the one of a serial.
+// variant is a form of a report: whole, or the difference from the one of a version.
 type variant struct {
-	serial   uint64 // 0 is the whole report
+	version  uint64 // 0 is the whole report
 	inflight bool   // what is in flight is a difference too
 }
 
@@ -124,11 +124,11 @@
 		if !found || base.report.Boot != latest.Boot || now-base.wholeAt > wholeGap(base.wholeLen) {
 			base = takenReport{}
 		}
-		form := variant{serial: base.report.Serial, inflight: base.inflight}
+		form := variant{version: base.report.Version, inflight: base.inflight}
 		if _, done := packed[form]; !done {
 			packed[form] = pack(latest, base)
 		}
-		out[i] = body{packed: packed[form], whole: form.serial == 0}
+		out[i] = body{packed: packed[form], whole: form.version == 0}
 	}
 	return out
 }
@@ -136,7 +136,7 @@
 // pack packs a report for a core that has another, or none.
 func pack(latest report.Report, base takenReport) cbor.RawMessage {
 	switch {
-	case base.report.Serial == 0:
+	case base.report.Version == 0:
 		return wire.Pack(latest)
 	case base.inflight:
 		return wire.Pack(latest.SinceInflight(base.report))
--- a/internal/place/report/inflight_test.go
+++ b/internal/place/report/inflight_test.go
@@ -38,7 +38,7 @@
 		b.begin()
 	}
 	r := b.now
-	r.Serial++
+	r.Version++
 	r.Inflight = map[string]map[string]int{}
 	for _, f := range b.flights {
 		if r.Inflight[f[0]] == nil {
@@ -58,7 +58,7 @@
 		for range 20 {
 			r := b.next(b.rnd.IntN(6), b.rnd.IntN(6))
 			what := r
-			if taken.Serial > 0 {
+			if taken.Version > 0 {
 				what = r.SinceInflight(taken)
 			}
 			if b.rnd.IntN(4) == 0 {
@@ -67,7 +67,7 @@
 			before := core.All()["edge-1"].Report
 			shown := sent(t, before)
 			if outcome := core.Put(sent(t, what), 0); outcome != Kept {
-				t.Fatalf("seed %d: report %d on %d: outcome %d", seed, r.Serial, taken.Serial, outcome)
+				t.Fatalf("seed %d: report %d on %d: outcome %d", seed, r.Version, taken.Version, outcome)
 			}
 			taken = r
 			if got := core.All()["edge-1"].Report; !reflect.DeepEqual(sent(t, got), sent(t, r)) {
--- a/internal/sim/capacity/agents_test.go
+++ b/internal/sim/capacity/agents_test.go
@@ -62,7 +62,7 @@
 		g.Go(func(ctx context.Context) {
 			up := feed.Up{Boot: "0123456789abcdef", Report: aReport(i, replicas, items, 8), HoldMs: 200}
 			for ctx.Err() == nil {
-				up.Report.Serial++
+				up.Report.Version++
 				d, err := wire.Call[feed.Up, feed.Down](ctx, caller, f, feed.Path, up)
 				if err == nil {
 					up.AgentBoot, up.Cursor, up.Confirmed = d.AgentBoot, d.Cursor, d.Confirmed
--- a/internal/sim/capacity/messages_test.go
+++ b/internal/sim/capacity/messages_test.go
@@ -14,7 +14,7 @@
 )
 
 func zone(i int) string       { return fmt.Sprintf("r%d-z%d", i%3, i%7) }
-func stamp(i int) state.Stamp { return state.Stamp{Epoch: 40, Serial: uint64(1000 + i)} }
+func stamp(i int) state.Stamp { return state.Stamp{Epoch: 40, Version: uint64(1000 + i)} }
 
 func listed(i int) inventory.Listed {
 	return inventory.Listed{ID: ReplicaID(i), Addr: fmt.Sprintf("10.3.%d.%d:9000", i/200, i%200), Zone: zone(i), Model: true, Slots: 32,
@@ -35,7 +35,7 @@
 }
 
 func aReport(node, replicas, demand, inflight int) report.Report {
-	r := report.Report{Agent: NodeName(node), Boot: "0123456789abcdef", Serial: 100000, Conf: 1000, Demand: map[string]uint64{}, Inflight: map[string]map[string]int{},
+	r := report.Report{Agent: NodeName(node), Boot: "0123456789abcdef", Version: 100000, Conf: 1000, Demand: map[string]uint64{}, Inflight: map[string]map[string]int{},
 		Waiting: map[string]int{}, Acked: map[string]state.Stamp{}, Zone: zone(node), Serving: true}
 	for i := range replicas {
 		r.Acked[ReplicaID(i)] = stamp(i)
@@ -52,7 +52,7 @@
 // countedSince is a later report in which some items were counted.
 func countedSince(base report.Report, items int) report.Report {
 	r := base
-	r.Serial++
+	r.Version++
 	r.Demand = maps.Clone(base.Demand)
 	for i := range items {
 		r.Demand[ItemName(i)]++
@@ -63,7 +63,7 @@
 // ackedSince is a later report in which the status of some replicas was taken in.
 func ackedSince(base report.Report, replicas int) report.Report {
 	r := base
-	r.Serial++
+	r.Version++
 	r.Acked = maps.Clone(base.Acked)
 	for i := range replicas {
 		r.Acked[ReplicaID(i)] = stamp(i + 100000)
--- a/internal/sim/capacity/onecore_test.go
+++ b/internal/sim/capacity/onecore_test.go
@@ -51,7 +51,7 @@
 	caller := wire.NewCaller(env.Net)
 	ctx := context.Background()
 	k := kept(1200, 40000, 200, 12)
-	ent := bundle{Entries: []gossip.Entry{{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: k.Pack()}}}
+	ent := bundle{Entries: []gossip.Entry{{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Version: 1}, Value: k.Pack()}}}
 	if _, err := wire.Call[bundle, gossip.Pushed](ctx, caller, addr, "/news/push", ent); err != nil {
 		fmt.Println(err)
 	}
@@ -63,7 +63,7 @@
 		for a := range agents {
 			r := aReport(a, replicas, items, 8)
 			serial++
-			r.Serial = serial
+			r.Version = serial
 			if a%7 == 0 {
 				for i := range r.Demand {
 					r.Demand[i] += serial
--- a/internal/sim/capacity/processor_test.go
+++ b/internal/sim/capacity/processor_test.go
@@ -53,7 +53,7 @@
 			t.Put(aReport(i, 10, 10, 8), 0)
 		}
 		r, n := aReport(1, 10, 10, 8), uint64(1<<20)
-		return func() { n++; r.Serial = n; t.Put(r, 0) }
+		return func() { n++; r.Version = n; t.Put(r, 0) }
 	})
 	costs("report.Table.Waiting", "node", nodes, func(x int) func() {
 		t := report.NewTable()
@@ -107,7 +107,7 @@
 		n, v := uint64(1<<20), wire.Pack(replicaStatus(1, 10))
 		return func() {
 			n++
-			t.Put(gossip.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+			t.Put(gossip.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Version: n}, Value: v})
 		}
 	})
 	costs("news.After(last)", "key in table", its, func(x int) func() {
@@ -116,7 +116,7 @@
 		_, c, _ := t.After(0)
 		return func() {
 			n++
-			t.Put(gossip.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+			t.Put(gossip.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Version: n}, Value: v})
 			sink, c, _ = t.After(c)
 		}
 	})
@@ -162,7 +162,7 @@
 				case <-done:
 				default:
 				}
-				t.Put(gossip.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Serial: n}, Value: v})
+				t.Put(gossip.Entry{Key: order.Key(ReplicaID(1)), Stamp: state.Stamp{Epoch: 40, Version: n}, Value: v})
 				<-done
 			}
 		})
--- a/internal/sim/hollow/node.go
+++ b/internal/sim/hollow/node.go
@@ -81,7 +81,7 @@
 	if elapsed := time.Since(n.sentAt); elapsed >= reportEvery {
 		sent = n.report(min(elapsed, time.Second))
 		up.NoReport, up.Report = false, sent
-		if n.base.Serial != 0 {
+		if n.base.Version != 0 {
 			up.Report = sent.Since(n.base)
 		}
 		n.sentAt = time.Now()
@@ -98,9 +98,9 @@
 // settle notes which report the agent holds.
 func (n *node) settle(sent report.Report, holds uint64) {
 	switch {
-	case holds != 0 && holds == sent.Serial:
+	case holds != 0 && holds == sent.Version:
 		n.base = sent
-	case holds != n.base.Serial:
+	case holds != n.base.Version:
 		n.base = report.Report{}
 	}
 }
@@ -141,7 +141,7 @@
 	held := n.shared.held()
 	n.callers.pass(elapsed, held)
 	r := n.now
-	r.Serial++
+	r.Version++
 	r.Demand, r.WorkMs = maps.Clone(r.Demand), maps.Clone(r.WorkMs)
 	for _, item := range n.callers.asked {
 		model, _, isAdapter := strings.Cut(item, "/")
--- a/internal/state/owner/slot.go
+++ b/internal/state/owner/slot.go
@@ -46,7 +46,7 @@
 	s.tryAgainIn(200, 400)
 	if release {
 		set := o.d.Acceptor.Standing().Set
-		q := state.Ask{Set: set.Serial, From: o.d.Self(), Slot: s.n, Epoch: s.epoch.Load()}
+		q := state.Ask{Set: set.Version, From: o.d.Self(), Slot: s.n, Epoch: s.epoch.Load()}
 		o.poll(set, "/state/release", q, o.d.Acceptor.Release, false)
 	}
 }
@@ -81,7 +81,7 @@
 
 // takeOrHandBack takes the slot if this core should hold it, and gives it up if
 // another should and can.
-func (s *slot) takeOrHandBack(set state.CoreSet) {
+func (s *slot) takeOrHandBack(set state.CoreMembers) {
 	o := s.o
 	now := o.d.Clock.Since()
 	rank := o.d.Rank(s.n)
--- a/internal/state/owner/take.go
+++ b/internal/state/owner/take.go
@@ -10,7 +10,7 @@
 
 // take asks a majority for the slot, carries their newest records forward
 // under the new epoch, and only then serves.
-func (s *slot) take(set state.CoreSet) {
+func (s *slot) take(set state.CoreMembers) {
 	o := s.o
 	if !s.free(set) {
 		s.tryAgainIn(100, 200)
@@ -18,7 +18,7 @@
 	}
 	s.seen++
 	before := o.d.Clock.Since()
-	q := state.Ask{Set: set.Serial, From: o.d.Self(), Slot: s.n, Epoch: s.seen}
+	q := state.Ask{Set: set.Version, From: o.d.Self(), Slot: s.n, Epoch: s.seen}
 	yes, ok := s.prepare(set, q)
 	if !ok {
 		return
@@ -26,18 +26,18 @@
 	firstTime := s.epoch.Load() == 0
 	recs, pr := acceptor.Merge(yes)
 	s.table = map[string]state.Record{}
-	s.version = pr.Serial + 1
+	s.version = pr.Version + 1
 	s.epoch.Store(q.Epoch)
 	s.strayed = 0
 	s.owes = map[string]map[state.Stamp]bool{}
 	for i := range recs {
-		recs[i].Stamp = state.Stamp{Epoch: q.Epoch, Serial: recs[i].Stamp.Serial}
+		recs[i].Stamp = state.Stamp{Epoch: q.Epoch, Version: recs[i].Stamp.Version}
 	}
 	// Why: MayOrder must not find the slot held while it still goes by the quarantine of the time before.
 	s.quarantine(q.Epoch, yes, firstTime)
 	s.until.Store(int64(before + state.HoldFor - state.HoldMargin))
 	if err := s.write(recs, true); err != nil {
-		o.d.Log.Info("slot not taken", "slot", s.n, "epoch", q.Epoch, "problem", err)
+		o.d.Log.Info("slot not taken", "slot", s.n, "epoch", q.Epoch, "error", err)
 		s.giveUp("table not kept", true)
 		s.table = nil
 		return
@@ -50,7 +50,7 @@
 
 // prepare asks for a majority's promises under the epoch of q. If too few are
 // given it lets go of them and has the slot wait.
-func (s *slot) prepare(set state.CoreSet, q state.Ask) (yes []state.Reply, ok bool) {
+func (s *slot) prepare(set state.CoreMembers, q state.Ask) (yes []state.Reply, ok bool) {
 	o := s.o
 	// Why: a majority's promises are enough; a core that is cut off must not hold them up.
 	yes, noes, _ := o.poll(set, "/state/prepare", q, o.d.Acceptor.Prepare, true)
@@ -98,8 +98,8 @@
 
 // free asks whether a majority would promise the slot, and learns the epochs that
 // they have seen.
-func (s *slot) free(set state.CoreSet) bool {
-	q := state.Ask{Set: set.Serial, From: s.o.d.Self(), Slot: s.n}
+func (s *slot) free(set state.CoreMembers) bool {
+	q := state.Ask{Set: set.Version, From: s.o.d.Self(), Slot: s.n}
 	yes, noes, _ := s.o.poll(set, "/state/peek", q, s.o.d.Acceptor.Peek, true)
 	for _, r := range append(noes, yes...) {
 		s.seen = max(s.seen, r.Epoch)
