--- a/cmd/dsscale/failures.go
+++ b/cmd/dsscale/failures.go
@@ -199,8 +199,8 @@
 		if err := one.Ask([]byte(command), askLimit, &answer); err != nil {
 			return errors.Wrap(err, one.spec.Name)
 		}
-		if answer.Problem != "" {
-			return errors.New(answer.Problem)
+		if answer.Error != "" {
+			return errors.New(answer.Error)
 		}
 	}
 	return nil
--- a/cmd/dsscale/figures.go
+++ b/cmd/dsscale/figures.go
@@ -24,7 +24,7 @@
 	acknowledged time.Duration
 	half         time.Duration // until half of the hollow nodes had it
 	all          time.Duration
-	problem      error // why it did not come to all nodes
+	err          error // why it did not come to all nodes
 }
 
 // roleFigures is what one unit of a role used on average: a process, or a hollow node or replica.
--- a/cmd/dsscale/fleet.go
+++ b/cmd/dsscale/fleet.go
@@ -194,8 +194,8 @@
 	if err := one.Ask(spec, startLimit, &started); err != nil {
 		return err
 	}
-	if started.Problem != "" {
-		return errors.New(started.Problem)
+	if started.Error != "" {
+		return errors.New(started.Error)
 	}
 	return nil
 }
--- a/cmd/dsscale/measure.go
+++ b/cmd/dsscale/measure.go
@@ -103,10 +103,10 @@
 func (f *fleet) timeChange(ctx context.Context) changeTimes {
 	sent := time.Now()
 	if err := f.change(f.cores(nil)); err != nil {
-		return changeTimes{problem: errors.Wrap(err, "not acknowledged")}
+		return changeTimes{err: errors.Wrap(err, "not acknowledged")}
 	}
 	out := changeTimes{acknowledged: time.Since(sent)}
-	out.half, out.all, out.problem = f.inForce(ctx, sent, nil)
+	out.half, out.all, out.err = f.inForce(ctx, sent, nil)
 	return out
 }
 
--- a/cmd/dsscale/table.go
+++ b/cmd/dsscale/table.go
@@ -48,8 +48,8 @@
 	for _, line := range shown {
 		f.printKinds(out, line.role, line.name)
 	}
-	if f.change.problem != nil {
-		fmt.Fprintf(out, "a change of the configuration: %v\n", f.change.problem)
+	if f.change.err != nil {
+		fmt.Fprintf(out, "a change of the configuration: %v\n", f.change.err)
 	} else {
 		fmt.Fprintf(out, "a change of the configuration: acknowledged after %s, at half of the nodes after %s, at all after %s\n",
 			seconds(f.change.acknowledged), seconds(f.change.half), seconds(f.change.all))
@@ -109,7 +109,7 @@
 	fmt.Fprintf(w, "%% of a processor\t%.2f\t%.1f\t%s\n", 100*processor, 100*limitProcessor, verdict(processor, limitProcessor))
 	fmt.Fprintf(w, "MB private\t%.1f\t%.0f\t%s\n", memory, limitMemory, verdict(memory, limitMemory))
 	fmt.Fprintf(w, "KB/s for control\t%.2f\t%.0f\t%s\n", network, limitNetwork, verdict(network, limitNetwork))
-	if inForce := f.change.all.Seconds(); f.change.problem == nil {
+	if inForce := f.change.all.Seconds(); f.change.err == nil {
 		fmt.Fprintf(w, "s until a change is at all nodes\t%.2f\t%.0f\t%s\n", inForce, limitInForce, verdict(inForce, limitInForce))
 	} else {
 		fmt.Fprintf(w, "s until a change is at all nodes\tnever\t%.0f\tBREAKS\n", limitInForce)
--- a/internal/sim/hollow/hollow_test.go
+++ b/internal/sim/hollow/hollow_test.go
@@ -114,7 +114,7 @@
 	if code != 0 || len(answers) != 6 {
 		t.Fatalf("%d, %q", code, answers)
 	}
-	for i, want := range []string{`"Problem":""`, `"Processor"`, `"Problem":""`, `"Problem":""`, "region", "no command"} {
+	for i, want := range []string{`"Error":""`, `"Processor"`, `"Error":""`, `"Error":""`, "region", "no command"} {
 		if !strings.Contains(answers[i], want) {
 			t.Errorf("answer %d is %q, want %q", i, answers[i], want)
 		}
--- a/internal/sim/hollow/serve.go
+++ b/internal/sim/hollow/serve.go
@@ -25,7 +25,7 @@
 	var spec Spec
 	first, err := lines.ReadBytes('\n')
 	if err != nil || json.Unmarshal(first, &spec) != nil {
-		_ = answers.Encode(Started{Problem: "the first line is no spec"})
+		_ = answers.Encode(Started{Error: "the first line is no spec"})
 		return 2
 	}
 	if len(spec.Nodes)+len(spec.Replicas) == 0 {
@@ -34,7 +34,7 @@
 	p, err := startProcess(spec, logs)
 	defer p.stop()
 	if err != nil {
-		_ = answers.Encode(Started{Problem: err.Error()})
+		_ = answers.Encode(Started{Error: err.Error()})
 		return 1
 	}
 	if answers.Encode(Started{}) != nil {
@@ -47,7 +47,7 @@
 		}
 		answer, err := p.command(context.Background(), strings.TrimSpace(line))
 		if err != nil {
-			answer = Started{Problem: err.Error()}
+			answer = Started{Error: err.Error()}
 		}
 		if answers.Encode(answer) != nil {
 			return 1
--- a/internal/sim/hollow/spec.go
+++ b/internal/sim/hollow/spec.go
@@ -37,7 +37,7 @@
 )
 
 // Started is the first line that a process writes.
-type Started struct{ Problem string }
+type Started struct{ Error string }
 
 // Sample is what a process measured of itself.
 type Sample struct {
