--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -17,7 +17,7 @@
 	"drumstall.example/internal/sim/simnet"
 )
 
-// backEnd answers each conn as it is told, and counts the requests it read.
+// backEnd answers each connection as it is told, and counts the requests it read.
 type backEnd struct {
 	runs atomic.Int64
 	ln   net.Listener
@@ -80,7 +80,7 @@
 	}
 }
 
-// net/http replays some requests by itself when a kept conn dies under them.
+// net/http replays some requests by itself when a kept connection dies under them.
 func TestTheTransportNeverReplays(t *testing.T) {
 	bench(t, func(c net.Conn, n int64) {
 		if n == 1 {
@@ -120,7 +120,7 @@
 		_, p := shoot(true, time.Second)
 		want(t, p, NotRun)
 		if !p.Refused {
-			t.Error("not told that the conn was refused")
+			t.Error("not told that the connection was refused")
 		}
 	})
 }
@@ -181,7 +181,7 @@
 		raw     string
 		outcome Outcome
 	}{
-		"ends with the conn":       {"HTTP/1.1 200 OK\r\n\r\nhalf", Ran},
+		"ends with the connection": {"HTTP/1.1 200 OK\r\n\r\nhalf", Ran},
 		"dies before a piece":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", Unknown},
 		"says not-run":             {"HTTP/1.1 503 No\r\nDrumstall-Outcome: not-run\r\nContent-Length: 0\r\n\r\n", NotRun},
 		"fails":                    {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", Ran},
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -127,14 +127,14 @@
 	AdaptersUnpaced bool
 }
 
-// Conn is the client of the design's own API.
-type Conn struct {
+// Native is the client of the design's own API.
+type Native struct {
 	http *http.Client
 }
 
-// NewConn dials through n; it follows no redirects.
-func NewConn(n wire.Net) *Conn {
-	return &Conn{http: &http.Client{
+// NewNative dials through n; it follows no redirects.
+func NewNative(n wire.Net) *Native {
+	return &Native{http: &http.Client{
 		Transport: &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
 			DisableCompression: true, MaxResponseHeaderBytes: 64 << 10},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -142,17 +142,17 @@
 }
 
 // Traits of the design's own replicas.
-func (c *Conn) Traits() Traits { return Traits{ServicesReport: true} }
+func (c *Native) Traits() Traits { return Traits{ServicesReport: true} }
 
 // Close lets go of idle connections.
-func (c *Conn) Close() { c.http.CloseIdleConnections() }
+func (c *Native) Close() { c.http.CloseIdleConnections() }
 
-func (c *Conn) at(addr string) *client.Client {
+func (c *Native) at(addr string) *client.Client {
 	return client.NewClient("http", addr, httpapi.Bounded{HTTP: c.http, Max: 4 << 20}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 }
 
 // Report asks a replica how it is; the target's id is whom we expect to answer.
-func (c *Conn) Report(ctx context.Context, r Target) (Report, error) {
+func (c *Native) Report(ctx context.Context, r Target) (Report, error) {
 	res, err := c.at(r.Addr).Vitals()(ctx, nil)
 	if err != nil {
 		return Report{}, errors.Wrap(ErrDark, err.Error())
@@ -205,7 +205,7 @@
 
 // Order sends one order. ErrRefused is a considered no; ErrUnsure means that
 // the replica may act on it.
-func (c *Conn) Order(ctx context.Context, r Target, o Order) error {
+func (c *Native) Order(ctx context.Context, r Target, o Order) error {
 	p := &replica.LoadOrder{ID: o.ID, Verb: o.Verb, Model: o.Item.Model, SizeMib: &o.SizeMib, Epoch: o.Epoch, Controller: o.Controller}
 	if o.Item.Adapter != "" {
 		p.Adapter = &o.Item.Adapter
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -23,7 +23,7 @@
 		_, _ = io.WriteString(w, body)
 	}))
 	defer srv.Close()
-	c := NewConn(wire.Host())
+	c := NewNative(wire.Host())
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
@@ -83,7 +83,7 @@
 			w.WriteHeader(c.status)
 			_, _ = io.WriteString(w, c.body)
 		}))
-		conn := NewConn(wire.Host())
+		conn := NewNative(wire.Host())
 		err := conn.Order(t.Context(), Target{Addr: strings.TrimPrefix(srv.URL, "http://")}, Order{ID: "1", Verb: Load, Item: conf.Item{Model: "m"}, Epoch: 1, Controller: "c"})
 		if c.want == nil && err != nil || c.want != nil && !errors.Is(err, c.want) {
 			t.Errorf("status %d: %v, want %v", c.status, err, c.want)
@@ -91,7 +91,7 @@
 		conn.Close()
 		srv.Close()
 	}
-	conn := NewConn(wire.Host())
+	conn := NewNative(wire.Host())
 	defer conn.Close()
 	if err := conn.Order(t.Context(), Target{Addr: "127.0.0.1:1"}, Order{ID: "1", Verb: Load, Item: conf.Item{Model: "m"}}); !errors.Is(err, ErrUnsure) {
 		t.Errorf("nobody there: %v", err)
--- a/internal/core/controllers.go
+++ b/internal/core/controllers.go
@@ -83,7 +83,7 @@
 		}
 		g := c.group.Child()
 		c.controllers[id] = &controlled{group: g, controller: order.NewController(g, order.Deps{Clock: c.env.Clock, Log: c.log, Self: c.s.Name, Boot: c.boot,
-			Cadence: c.s.Cadence, Replicas: c.conn, Owner: c.own, Gossip: c.gossip, Reports: c.reports, Conf: c.effective, Requests: c.planner.Requests,
+			Cadence: c.s.Cadence, Replicas: c.replicas, Owner: c.own, Gossip: c.gossip, Reports: c.reports, Conf: c.effective, Requests: c.planner.Requests,
 			Others: c.views.Views, Agents: c.agents, Platform: c.watch.HeardFor, Grant: c.grant, Afloat: c.afloat}, l)}
 	}
 	snap := map[string]*order.Controller{}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -97,7 +97,7 @@
 	reports        *report.Table
 	views          *plan.ViewCache
 	watch          *inventory.Watch
-	conn           backend.Client
+	replicas       backend.Client
 	caller         *wire.Caller
 	mux            *wire.Mux
 	post           *wire.Post
@@ -138,8 +138,8 @@
 	c.began = env.Clock.Since()
 	c.s.Bounds, c.s.Cadence = s.Bounds.OrDefault(), s.Cadence.OrDefault()
 	s = c.s
-	if c.conn = s.Replicas; c.conn == nil {
-		c.conn = backend.NewConn(env.Net)
+	if c.replicas = s.Replicas; c.replicas == nil {
+		c.replicas = backend.NewNative(env.Net)
 	}
 	if s.Lister == nil {
 		s.Lister = inventory.NewLister(env.Net, s.Platform, c.log)
@@ -180,7 +180,7 @@
 	c.spread = gossip.NewSpreader(c.group, c.gossip, c.log, c.post, c.caller, c.mux, func() string { return s.Addr }, c.members.Peers, c.gossipTree, c.touch)
 	c.acc.Serve(c.mux)
 	ownQuarantine := s.Bounds.Lease
-	if c.conn.Traits().KnowsByName {
+	if c.replicas.Traits().KnowsByName {
 		ownQuarantine = 0
 	}
 	c.own = owner.New(owner.Deps{Self: c.self, Group: c.group, Clock: env.Clock, Log: c.log, Caller: c.caller, Acceptor: c.acc,
@@ -258,7 +258,7 @@
 	c.group.Stop()
 	c.base.Stop()
 	c.caller.Close()
-	c.conn.Close()
+	c.replicas.Close()
 	c.watch.Close()
 	return c.acc.Close()
 }
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// Newest is the newest configuration under the owner's hold.
+// Newest is the newest configuration under the owner's lease.
 type Newest struct {
 	Found bool         `cbor:"1,keyasint"`
 	Entry gossip.Entry `cbor:"2,keyasint"`
--- a/internal/kernel/tick/tick.go
+++ b/internal/kernel/tick/tick.go
@@ -23,7 +23,7 @@
 
 func (machine) Since() time.Duration {
 	var ts unix.Timespec
-	// Why: Go's monotonic clock stops while a machine is suspended, a hold does not.
+	// Why: Go's monotonic clock stops while a machine is suspended, a lease does not.
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		panic("tick: no boot-time clock: " + err.Error())
 	}
--- a/internal/kernel/wire/post.go
+++ b/internal/kernel/wire/post.go
@@ -50,7 +50,7 @@
 // Garbled counts datagrams that could not be read or are of another version.
 func (p *Post) Garbled() int64 { return p.garbled.Load() }
 
-// Run takes datagrams until the conn is closed.
+// Run takes datagrams until the connection is closed.
 func (p *Post) Run(context.Context) {
 	buf := make([]byte, 64<<10)
 	for {
--- a/internal/kernel/wire/server.go
+++ b/internal/kernel/wire/server.go
@@ -45,7 +45,7 @@
 	s.conns[c] = connState{st, time.Now()}
 }
 
-// busy says whether a conn is at work, or was within idle.
+// busy says whether a connection is at work, or was within idle.
 func (s *Server) busy(idle time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -57,7 +57,7 @@
 	return false
 }
 
-// Quiesce takes no more conns and waits until each that is open has been idle
+// Quiesce takes no more connections and waits until each that is open has been idle
 // for so long that its caller will not write to it any more.
 func (s *Server) Quiesce(ctx context.Context, idle time.Duration) {
 	_ = s.ln.Close()
@@ -71,7 +71,7 @@
 // Close ends at once.
 func (s *Server) Close() { _ = s.http.Close() }
 
-// Drain takes no more conns and lets what was accepted finish.
+// Drain takes no more connections and lets what was accepted finish.
 func (s *Server) Drain(ctx context.Context) error {
 	// Why: the listener may have been closed before, by Quiesce.
 	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
--- a/internal/kernel/wire/wire.go
+++ b/internal/kernel/wire/wire.go
@@ -114,7 +114,7 @@
 	}}}
 }
 
-// Close lets go of idle conns.
+// Close lets go of idle connections.
 func (c *Caller) Close() { c.client.CloseIdleConnections() }
 
 // Sent counts calls made and the bytes in them and in their answers.
--- a/internal/place/order/carry.go
+++ b/internal/place/order/carry.go
@@ -11,11 +11,11 @@
 	"drumstall.example/internal/state"
 )
 
-// order sends one order, if the hold allows it at this very moment.
+// order sends one order, if the lease allows it at this very moment.
 func (c *Controller) order(verb string, item conf.Item, size int, by time.Duration) error {
 	c.orders++
 	epoch, left, ok := c.d.Owner.MayOrder(Key(c.listed.ID))
-	// Why: an order must be dead before the hold is, so it gets no more time than that.
+	// Why: an order must be dead before the lease is, so it gets no more time than that.
 	left = min(left, by)
 	if !ok || epoch != c.epoch || left < 20*time.Millisecond {
 		return backend.ErrRefused
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -1,6 +1,6 @@
 // Package order is the controller of one replica: it keeps the book of what
 // the replica holds, decides with the paper's test which idle items may go,
-// and alone sends it orders, under the hold of the replica's key.
+// and alone sends it orders, under the lease of the replica's key.
 package order
 
 import (
--- a/internal/place/order/hold_test.go
+++ b/internal/place/order/lease_test.go
@@ -59,7 +59,7 @@
 	return c.Conn.Write(b)
 }
 
-// A hold runs out while a look of the controller is under way: it has asked the replica
+// A lease runs out while a look of the controller is under way: it has asked the replica
 // and the store's keeper, both far off, and the order it meant to give must not leave any more.
 func TestNoOrderLeavesAfterTheHold(t *testing.T) {
 	orders := 0
@@ -93,7 +93,7 @@
 				for i := range 12 {
 					cfg.Models[fmt.Sprint("m", i)] = conf.Model{SizeMib: 1000, LoadFor: 100 * time.Millisecond, ServeFor: time.Second}
 				}
-				conn := backend.NewConn(out)
+				conn := backend.NewNative(out)
 				ctl := NewController(g, Deps{Clock: clk, Log: log, Self: "a", Boot: "b", Cadence: bounds.DefaultCadence(), Replicas: conn, Owner: own, Gossip: gossip.NewTable(), Reports: report.NewTable(),
 					Conf: func() conf.Effective { return cfg }, Requests: func(string) float64 { return 0 }, Others: func() []Status { return nil },
 					Agents: func() map[string]bool { return nil }, Platform: func() time.Duration { return 0 }, Afloat: func(context.Context, string) {},
@@ -110,7 +110,7 @@
 					}
 				}
 				time.Sleep(time.Duration(100+37*try) * time.Millisecond)
-				// From here on nothing renews the hold, and the controller goes on with what it has been given to do.
+				// From here on nothing renews the lease, and the controller goes on with what it has been given to do.
 				held.Freeze()
 				_, left, _ := own.MayOrder(Key("r"))
 				over := time.Now().Add(left)
@@ -119,7 +119,7 @@
 				for _, at := range out.left {
 					orders++
 					if at.After(over) {
-						t.Errorf("try %d: an order left %v after the hold ran out", try, at.Sub(over))
+						t.Errorf("try %d: an order left %v after the lease ran out", try, at.Sub(over))
 					}
 				}
 				out.mu.Unlock()
--- a/internal/place/plan/pacing.go
+++ b/internal/place/plan/pacing.go
@@ -45,7 +45,7 @@
 		wait, ok := p.pacer.keeper.Grant(now, p.starts(), q.Who, q.Worth)
 		// Why: whoever keeps the pace next must know of this start, or would have to wait out all that could have been.
 		ok = ok && p.writeGrants(ctx, now)
-		// Why: the hold may have run out meanwhile, and another keeper may be granting.
+		// Why: the lease may have run out meanwhile, and another keeper may be granting.
 		g = Granted{OK: ok && p.d.Owner.Holds(PaceKey), WaitMs: int(wait.Milliseconds())}
 	})
 	return g, err
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -52,7 +52,7 @@
 	settled = 10 * time.Second
 	// edgesLast is how long the largest count of edges holds.
 	edgesLast = 30 * time.Minute
-	// lameDuck is how long a stopping proxy still serves while it lets go of its conns.
+	// lameDuck is how long a stopping proxy still serves while it lets go of its connections.
 	lameDuck = 3 * time.Second
 	// wakeFor is how long requests wait for a proxy that has just found itself out of touch.
 	wakeFor      = time.Second
@@ -95,7 +95,7 @@
 	admission *admission.Controller
 	sender    *attempt.Sender
 	budget    *attempt.Budget
-	conn      backend.Client
+	replicas  backend.Client
 	caller    *wire.Caller
 	watch     *inventory.Watch
 	servers   []*wire.Server
@@ -111,7 +111,7 @@
 	deafAt    atomic.Int64 // since when a request has found this proxy out of touch; 0 is not
 	waking    atomic.Int64 // requests that wait for it to be in touch again
 	serving   atomic.Int64 // requests that are being served
-	leaving   atomic.Bool  // a planned stop has begun: serve, but let go of conns
+	leaving   atomic.Bool  // a planned stop has begun: serve, but let go of connections
 	stopping  atomic.Bool
 	cut       atomic.Int64
 	mu        sync.Mutex
@@ -123,7 +123,7 @@
 func Start(s Settings, env core.Env) (*Proxy, error) {
 	s.Bounds, s.Cadence = s.Bounds.OrDefault(), s.Cadence.OrDefault()
 	p := &Proxy{s: s, env: env, log: env.Log.Logger().With("node", s.Name), boot: core.NewBoot(), base: run.NewGroup(context.Background()),
-		gossip: gossip.NewTable(), budget: attempt.NewBudget(s.Bounds.Retry.Ratio), conn: s.Replicas,
+		gossip: gossip.NewTable(), budget: attempt.NewBudget(s.Bounds.Retry.Ratio), replicas: s.Replicas,
 		caller: wire.NewCaller(env.Net), demand: map[string]uint64{}}
 	p.group = p.base.Child()
 	p.began = env.Clock.Since()
@@ -131,8 +131,8 @@
 		s.Protocol = attempt.Native{}
 	}
 	p.sender = attempt.NewSender(env.Net, s.Protocol, stall)
-	if p.conn == nil {
-		p.conn = backend.NewConn(env.Net)
+	if p.replicas == nil {
+		p.replicas = backend.NewNative(env.Net)
 	}
 	if s.Lister == nil {
 		s.Lister = inventory.NewLister(env.Net, s.Platform, p.log)
@@ -143,7 +143,7 @@
 	p.agentSeen.Store(-1 << 62)
 	p.agentNew.Store(-1 << 62)
 	p.peers.Store(&[]string{})
-	p.routes = route.NewKeeper(route.Deps{Group: p.group, Gossip: p.gossip, Clock: env.Clock, Replicas: p.conn, Zone: func() string { return s.Zone },
+	p.routes = route.NewKeeper(route.Deps{Group: p.group, Gossip: p.gossip, Clock: env.Clock, Replicas: p.replicas, Zone: func() string { return s.Zone },
 		HeardFor: p.touch.For, Edges: func() int { return int(p.edges.Load()) }, Ask: s.Cadence.ProxiesAsk, Deaf: s.Bounds.Drain - deafMargin})
 	p.watch.Start(p.group, s.Cadence.List, func() bool { return p.agentFor() > agentLost })
 	misses := run.NewDesk(p.group, 4, 0, nil)
@@ -264,7 +264,7 @@
 	p.group.Stop()
 	p.base.Stop()
 	p.sender.Close()
-	p.conn.Close()
+	p.replicas.Close()
 	p.caller.Close()
 	p.watch.Close()
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,7 +39,7 @@
 	return nil
 }
 
-// WriteTo copies until the end. A break on either side aborts the conn: goa
+// WriteTo copies until the end. A break on either side aborts the connection: goa
 // would end the answer cleanly if nothing had been written yet, so it is not
 // given the choice.
 func (s *Stream) WriteTo(w io.Writer) (int64, error) {
--- a/internal/route/live.go
+++ b/internal/route/live.go
@@ -19,7 +19,7 @@
 	heardAt   atomic.Int64 // when a piece of an answer came from it last, on our clock
 	first     atomic.Int64 // how long a first piece takes, on average of late
 	strays    atomic.Int64 // how far that is off, on average of late
-	refused   atomic.Int64 // when a conn was refused last, on our clock
+	refused   atomic.Int64 // when a connection was refused last, on our clock
 	over      atomic.Int64 // when it last would not run what it was sent, on our clock
 	silent    atomic.Int64 // when it last kept us waiting for longer than it does, on our clock
 	mu        sync.Mutex
--- a/internal/sim/fleet/handback_test.go
+++ b/internal/sim/fleet/handback_test.go
@@ -6,7 +6,7 @@
 )
 
 // A slot that goes to the core that should have it is without an owner for a
-// moment, not for a whole hold.
+// moment, not for a whole lease.
 func TestASlotGoesBackInAMoment(t *testing.T) {
 	longest := time.Duration(0)
 	Seeds(t, 4, either, func(f *Fleet) {
--- a/internal/sim/simnet/conn.go
+++ b/internal/sim/simnet/conn.go
@@ -59,7 +59,7 @@
 	eof  bool
 }
 
-// flow is one direction of a conn, with a bounded window.
+// flow is one direction of a connection, with a bounded window.
 type flow struct {
 	mu     sync.Mutex
 	chunks []chunk
--- a/internal/sim/simnet/simnet.go
+++ b/internal/sim/simnet/simnet.go
@@ -87,7 +87,7 @@
 	f.wakeAll()
 }
 
-// Kill closes every conn and port of the process that listens or dials as owner.
+// Kill closes every connection and port of the process that listens or dials as owner.
 func (f *Fabric) Kill(owner *Host) {
 	f.mu.Lock()
 	var gone []*conn
@@ -129,7 +129,7 @@
 
 func (f *Fabric) blocked(from, to string) bool { return f.cut[[2]string{from, to}] }
 
-// Halt stops a machine's processes but not the machine: conns to it are still
+// Halt stops a machine's processes but not the machine: connections to it are still
 // taken up, and what is sent is there to be read when they go on. Thaw ends it.
 func (f *Fabric) Halt(machine string) {
 	f.Freeze(machine)
--- a/internal/stand/client.go
+++ b/internal/stand/client.go
@@ -49,7 +49,7 @@
 		IdleConnTimeout: 2 * time.Second, DisableCompression: true}}}
 }
 
-// Close lets go of idle conns.
+// Close lets go of idle connections.
 func (v *Clients) Close() { v.http.CloseIdleConnections() }
 
 // Out is how many requests of flows are under way.
@@ -164,7 +164,7 @@
 	return a
 }
 
-// connRefused says that nothing was sent: there was no conn to send on.
+// connRefused says that nothing was sent: there was no connection to send on.
 func connRefused(err error) bool {
 	s := err.Error()
 	for _, w := range []string{"connection refused", "dial"} {
--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -60,7 +60,7 @@
 }
 
 // Misbehave makes the replica refuse a share of requests as not run, and cut
-// the conn of another share without an answer.
+// the connection of another share without an answer.
 func (r *Replica) Misbehave(refusePct, cutPct int) {
 	r.refuse.Store(int64(refusePct))
 	r.cut.Store(int64(cutPct))
--- a/internal/state/acceptor/acceptor_test.go
+++ b/internal/state/acceptor/acceptor_test.go
@@ -135,7 +135,7 @@
 		r, err := a.Prepare(ctx, ask("a", 1, 0, false))
 		yes(t, r, err)
 		if r, _ := a.Prepare(ctx, ask("b", 2, 0, false)); r.OK || r.Why != state.WhyHeld {
-			t.Errorf("promised under a live hold: %+v", r)
+			t.Errorf("promised under a live lease: %+v", r)
 		}
 		g.Stop()
 		_ = a.Close()
@@ -144,7 +144,7 @@
 		a = open(t, g, fs)
 		time.Sleep(2 * time.Second)
 		if r, _ := a.Prepare(ctx, ask("b", 2, 0, false)); r.OK {
-			t.Error("a restarted grantor did not wait a whole hold")
+			t.Error("a restarted grantor did not wait a whole lease")
 		}
 		time.Sleep(time.Second)
 		r, err = a.Prepare(ctx, ask("b", 2, 0, false))
--- a/internal/state/acceptor/slot.go
+++ b/internal/state/acceptor/slot.go
@@ -30,7 +30,7 @@
 	last  atomic.Pointer[state.Core] // pr.Holder, for readers outside the desk
 }
 
-// bid is one try of one core to hold a slot.
+// bid is one try of one core to lease a slot.
 type bid struct {
 	epoch uint64
 	by    state.Core
