--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -23,7 +23,7 @@
 
 // Controller owns the queue of a proxy.
 type Controller struct {
-	desk     *run.Desk
+	actor    *run.Actor
 	routes   *route.Keeper
 	queue    *queue.Queue
 	now      func() time.Time
@@ -43,9 +43,9 @@
 func New(g *run.Group, routes *route.Keeper, hold time.Duration, onMiss func()) *Controller {
 	ac := &Controller{routes: routes, queue: queue.New(), now: time.Now, hold: hold, onMiss: onMiss}
 	ac.waiting.Store(&map[string]int{})
-	ac.desk = run.NewDesk(g, depth, 0, nil)
-	ac.next, ac.sweep = run.NewAlarm(ac.desk, ac.onTick), run.NewAlarm(ac.desk, ac.onSweep)
-	ac.again = run.NewNudge(ac.desk, ac.dispatch)
+	ac.actor = run.NewActor(g, depth, 0, nil)
+	ac.next, ac.sweep = run.NewAlarm(ac.actor, ac.onTick), run.NewAlarm(ac.actor, ac.onSweep)
+	ac.again = run.NewNudge(ac.actor, ac.dispatch)
 	routes.OnTable(ac.again.Now)
 	return ac
 }
@@ -59,7 +59,7 @@
 // Enter waits until a replica can take the request, and says which, or why not.
 func (ac *Controller) Enter(ctx context.Context, target route.Target, class string, deadline time.Time) queue.Answer {
 	w := queue.NewWaiter(target, class, ac.now(), deadline)
-	if ac.desk.Tell(func() { ac.take(w) }) != nil {
+	if ac.actor.Tell(func() { ac.take(w) }) != nil {
 		return queue.Answer{Why: "the holding is full", RetryS: 1}
 	}
 	wait := time.NewTimer(time.Until(deadline))
@@ -82,7 +82,7 @@
 // Close turns away whatever waits, and whatever comes from now on.
 func (ac *Controller) Close() {
 	ac.closed.Store(true)
-	_ = ac.desk.Tell(func() {
+	_ = ac.actor.Tell(func() {
 		for _, c := range ac.queue.Order() {
 			c.Lanes(func(l *queue.Lane) (bool, bool) {
 				for i := range l.Waiters.Len() {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -113,7 +113,7 @@
 	a.watch.Start(a.group, s.Cadence.List, a.asksPlatform)
 	wire.Handle(a.feedMux, feed.Path, a.exchange)
 	wire.Handle(a.feedMux, feed.UrgentPath, a.takeUrgent)
-	reports := run.NewDesk(a.group, 8, s.Cadence.Report, func() { a.report(a.group.Context()) })
+	reports := run.NewActor(a.group, 8, s.Cadence.Report, func() { a.report(a.group.Context()) })
 	a.urgent = run.NewNudge(reports, func() { a.report(a.group.Context()) })
 	a.group.Every(confirmInterval, a.confirm)
 	a.base.Go(a.post.Run)
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -22,7 +22,7 @@
 )
 
 // reports is what the cores have of this agent, by their addresses; it is used on
-// the desk of the reports only.
+// the actor of the reports only.
 type reports struct {
 	taken map[string]takenReport
 }
--- a/internal/core/controllers.go
+++ b/internal/core/controllers.go
@@ -72,7 +72,7 @@
 		gone := !there && c.own.Holds(order.Key(id))
 		delete(c.controllers, id)
 		c.group.Go(func(ctx context.Context) {
-			// Why: its last word must be out before its desk ends.
+			// Why: its last word must be out before its actor ends.
 			one.controller.Close(ctx, gone)
 			one.group.Stop()
 		})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,7 +104,7 @@
 	servers        []*wire.Server
 	conf           atomic.Pointer[conf.Effective]
 	serial         atomic.Uint64
-	controllers    map[string]*controlled // owned by the desk of tend
+	controllers    map[string]*controlled // owned by the actor of tend
 	controllersNow atomic.Pointer[map[string]*order.Controller]
 	absent         map[string]time.Duration
 	// tendSoon looks at once at which replicas are to be controlled here.
@@ -191,7 +191,7 @@
 		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf, Gone: c.goneFor, Heard: c.heardFor}, c.mux)
 	c.watch.Start(c.group, s.Cadence.List, func() bool { return true })
 	c.serve()
-	tending := run.NewDesk(c.group, 4, tendEvery, func() { c.tend(c.group.Context()) })
+	tending := run.NewActor(c.group, 4, tendEvery, func() { c.tend(c.group.Context()) })
 	c.tendSoon = run.NewNudge(tending, func() { c.tend(c.group.Context()) })
 	c.group.Every(200*time.Millisecond, func(context.Context) {
 		phase := string(c.acc.Standing().Phase)
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -51,8 +51,8 @@
 		s.take(b)
 	})
 	s.answer(mux, in)
-	desk := run.NewDesk(g, 16, interval, func() { s.passOn(false) })
-	now := run.NewNudge(desk, func() { s.passOn(true) })
+	actor := run.NewActor(g, 16, interval, func() { s.passOn(false) })
+	now := run.NewNudge(actor, func() { s.passOn(true) })
 	own := now.Now
 	t.onOwn.Store(&own)
 	g.Every(digestInterval, s.compare)
--- a/internal/kernel/run/alarm.go
+++ b/internal/kernel/run/alarm.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// Alarm hands a desk the same command a while after it is set.
+// Alarm hands an actor the same command a while after it is set.
 type Alarm struct {
-	desk *Desk
-	f    func()
-	set  atomic.Bool
+	actor *Actor
+	f     func()
+	set   atomic.Bool
 }
 
-// NewAlarm is for one command of a desk.
-func NewAlarm(d *Desk, f func()) *Alarm { return &Alarm{desk: d, f: f} }
+// NewAlarm is for one command of an actor.
+func NewAlarm(d *Actor, f func()) *Alarm { return &Alarm{actor: d, f: f} }
 
 // In sets the alarm; one that is set already stays as it is. It can be set again
 // as soon as its command begins.
@@ -25,8 +25,8 @@
 
 func (a *Alarm) wait(d time.Duration) {
 	time.AfterFunc(d, func() {
-		// Why: a desk that has no place left now has one later; one that has stopped never needs the command.
-		if a.desk.Tell(func() { a.set.Store(false); a.f() }) != nil && a.desk.group.ctx.Err() == nil {
+		// Why: an actor that has no place left now has one later; one that has stopped never needs the command.
+		if a.actor.Tell(func() { a.set.Store(false); a.f() }) != nil && a.actor.group.ctx.Err() == nil {
 			a.wait(d)
 		}
 	})
--- a/internal/kernel/run/alarm_test.go
+++ b/internal/kernel/run/alarm_test.go
@@ -13,7 +13,7 @@
 		defer g.Stop()
 		began, times := time.Now(), []time.Duration{}
 		var a *Alarm
-		a = NewAlarm(NewDesk(g, 4, 0, nil), func() {
+		a = NewAlarm(NewActor(g, 4, 0, nil), func() {
 			times = append(times, time.Since(began))
 			if len(times) < 3 {
 				a.In(time.Second)
@@ -29,11 +29,11 @@
 	})
 }
 
-func TestAnAlarmWaitsForADeskThatIsFull(t *testing.T) {
+func TestAnAlarmWaitsForAnActorThatIsFull(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewGroup(context.Background())
 		defer g.Stop()
-		d := NewDesk(g, 1, 0, nil)
+		d := NewActor(g, 1, 0, nil)
 		g.Freeze()
 		for d.Tell(func() {}) == nil {
 			synctest.Wait()
@@ -43,7 +43,7 @@
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
 		if came {
-			t.Error("a frozen desk has worked")
+			t.Error("a frozen actor has worked")
 		}
 		g.Thaw()
 		time.Sleep(2 * time.Second)
@@ -54,11 +54,11 @@
 	})
 }
 
-func TestAnAlarmOfAStoppedDeskEnds(t *testing.T) {
+func TestAnAlarmOfAStoppedActorEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewGroup(context.Background())
-		d := NewDesk(g, 1, 0, nil)
-		NewAlarm(d, func() { t.Error("a stopped desk has worked") }).In(time.Second)
+		d := NewActor(g, 1, 0, nil)
+		NewAlarm(d, func() { t.Error("a stopped actor has worked") }).In(time.Second)
 		g.Stop()
 		_ = d.Tell(func() {})
 		time.Sleep(time.Minute)
--- a/internal/kernel/run/run.go
+++ b/internal/kernel/run/run.go
@@ -11,10 +11,10 @@
 	"github.com/pkg/errors"
 )
 
-// ErrStopped is given to whoever asks a desk whose group has stopped.
+// ErrStopped is given to whoever asks an actor whose group has stopped.
 var ErrStopped = errors.New("run: stopped")
 
-// ErrFull is given when a desk's queue has no place left.
+// ErrFull is given when an actor's queue has no place left.
 var ErrFull = errors.New("run: queue is full")
 
 // Group is a set of goroutines that live and end together.
@@ -130,46 +130,46 @@
 	})
 }
 
-// Desk owns a table: commands are worked off one at a time, in order.
-type Desk struct {
+// Actor owns a table: commands are worked off one at a time, in order.
+type Actor struct {
 	group *Group
 	inbox chan func()
 }
 
-// NewDesk opens a desk with a queue of depth commands and an optional interval, at which it calls onTick.
-func NewDesk(g *Group, depth int, interval time.Duration, onTick func()) *Desk {
-	d := &Desk{group: g, inbox: make(chan func(), depth)}
-	g.Go(func(ctx context.Context) { g.loop(ctx, d.inbox, interval, onTick) })
-	return d
+// NewActor opens an actor with a queue of depth commands and an optional interval, at which it calls onTick.
+func NewActor(g *Group, depth int, interval time.Duration, onTick func()) *Actor {
+	a := &Actor{group: g, inbox: make(chan func(), depth)}
+	g.Go(func(ctx context.Context) { g.loop(ctx, a.inbox, interval, onTick) })
+	return a
 }
 
 // Tell hands over a command without waiting; it is dropped when the queue is full.
-func (d *Desk) Tell(f func()) error {
+func (a *Actor) Tell(f func()) error {
 	select {
-	case d.inbox <- f:
+	case a.inbox <- f:
 		return nil
 	default:
 		return ErrFull
 	}
 }
 
-// Nudge hands a desk the same command again and again; many before it begins
+// Nudge hands an actor the same command again and again; many before it begins
 // make one run of it.
 type Nudge struct {
-	desk  *Desk
+	actor *Actor
 	f     func()
 	asked atomic.Bool
 }
 
-// NewNudge is for one command of a desk.
-func NewNudge(d *Desk, f func()) *Nudge { return &Nudge{desk: d, f: f} }
+// NewNudge is for one command of an actor.
+func NewNudge(d *Actor, f func()) *Nudge { return &Nudge{actor: d, f: f} }
 
 // Now sees to it that the command begins after this call.
 func (n *Nudge) Now() {
 	if n.asked.Swap(true) {
 		return
 	}
-	if n.desk.Tell(func() { n.asked.Store(false); n.f() }) != nil {
+	if n.actor.Tell(func() { n.asked.Store(false); n.f() }) != nil {
 		n.asked.Store(false)
 	}
 }
@@ -177,11 +177,11 @@
 // Ask hands over a command and waits until it has been worked off. With an
 // error it has not run and never will: one that had begun is waited for, so
 // what it wrote may be read.
-func (d *Desk) Ask(ctx context.Context, f func()) error {
+func (a *Actor) Ask(ctx context.Context, f func()) error {
 	done := make(chan struct{})
 	var begun atomic.Bool
 	select {
-	case d.inbox <- func() {
+	case a.inbox <- func() {
 		if begun.CompareAndSwap(false, true) {
 			f()
 			close(done)
@@ -189,7 +189,7 @@
 	}:
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-d.group.ctx.Done():
+	case <-a.group.ctx.Done():
 		return ErrStopped
 	}
 	err := ErrStopped
@@ -198,7 +198,7 @@
 		return nil
 	case <-ctx.Done():
 		err = ctx.Err()
-	case <-d.group.ctx.Done():
+	case <-a.group.ctx.Done():
 	}
 	if begun.CompareAndSwap(false, true) {
 		return err
@@ -209,7 +209,7 @@
 
 // AskFor is Ask for commands that may take longer than anyone wants to wait:
 // it goes without the answer when ctx ends, and the command may still run.
-func AskFor[T any](ctx context.Context, d *Desk, f func() T) (T, error) {
+func AskFor[T any](ctx context.Context, d *Actor, f func() T) (T, error) {
 	answer := make(chan T, 1)
 	var zero T
 	select {
--- a/internal/member/snapshot.go
+++ b/internal/member/snapshot.go
@@ -6,7 +6,7 @@
 )
 
 // snapshot is what is known of the nodes at one moment, as it is asked for from
-// outside the desk. It is never changed; its slices are shared by all who ask.
+// outside the actor. It is never changed; its slices are shared by all who ask.
 type snapshot struct {
 	self  Node
 	nodes []Node // all, by name
@@ -17,7 +17,7 @@
 // anyRole is the key of the live nodes of all roles.
 const anyRole = ""
 
-// publish makes what is known now readable from outside the desk.
+// publish makes what is known now readable from outside the actor.
 func (t *Table) publish() {
 	s := &snapshot{self: t.self, nodes: make([]Node, 0, len(t.nodes)+1), live: map[string][]Node{}}
 	if !t.yielded {
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -41,7 +41,7 @@
 		return
 	}
 	var ours Roll
-	if t.desk.Ask(ctx, func() {
+	if t.actor.Ask(ctx, func() {
 		ours = t.roll()
 		ours.Sum = sum
 		t.mergeAll(theirs.Nodes)
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -21,9 +21,9 @@
 }
 
 // Table is the one owner of what is known of nodes. Its methods may be called from
-// anywhere; its plain fields belong to its desk.
+// anywhere; its plain fields belong to its actor.
 type Table struct {
-	desk    *run.Desk
+	actor   *run.Actor
 	group   *run.Group
 	clock   tick.Clock
 	log     *slog.Logger
@@ -58,7 +58,7 @@
 				post.Bad()
 				return
 			}
-			_ = t.desk.Tell(func() {
+			_ = t.actor.Tell(func() {
 				t.mergeAll(n.Nodes)
 				f(n)
 			})
@@ -66,21 +66,21 @@
 	}
 	wire.Handle(mux, syncPath, func(ctx context.Context, q Roll) (Roll, error) {
 		var answer Roll
-		err := t.desk.Ask(ctx, func() { answer = t.onSync(q) })
+		err := t.actor.Ask(ctx, func() { answer = t.onSync(q) })
 		return answer, err
 	})
 	wire.Handle(mux, "/member/who", func(context.Context, none) (Who, error) {
 		return Who{Name: self.Name, Boot: self.Boot}, nil
 	})
-	t.desk = run.NewDesk(g, 1024, interval, t.onTick)
+	t.actor = run.NewActor(g, 1024, interval, t.onTick)
 	// Why: a node that starts knows nobody, and need not wait for that.
-	_ = t.desk.Tell(t.onTick)
+	_ = t.actor.Tell(t.onTick)
 	return t
 }
 
 // SetSelf changes what this node tells of itself.
 func (t *Table) SetSelf(f func(*Node)) {
-	_ = t.desk.Tell(func() {
+	_ = t.actor.Tell(func() {
 		before := t.self
 		f(&t.self)
 		if t.self != before {
@@ -91,15 +91,15 @@
 }
 
 // Reseed names other seeds.
-func (t *Table) Reseed(seeds []string) { _ = t.desk.Tell(func() { t.seeds = seeds }) }
+func (t *Table) Reseed(seeds []string) { _ = t.actor.Tell(func() { t.seeds = seeds }) }
 
 // Meet names those whom an earlier process of this node knew. Why: all seeds
 // may be down just now, and a node that starts then must not stay alone.
-func (t *Table) Meet(addrs []string) { _ = t.desk.Tell(func() { t.met = addrs }) }
+func (t *Table) Meet(addrs []string) { _ = t.actor.Tell(func() { t.met = addrs }) }
 
 // Leave tells peers that this node goes on purpose.
 func (t *Table) Leave(ctx context.Context) {
-	_ = t.desk.Ask(ctx, func() {
+	_ = t.actor.Ask(ctx, func() {
 		t.self.State = Left
 		t.self.Inc++
 		for _, e := range t.nodes {
--- a/internal/place/order/consider.go
+++ b/internal/place/order/consider.go
@@ -14,7 +14,7 @@
 // load on if it passes.
 func (c *Controller) Consider(ctx context.Context, q Consider) (Considered, error) {
 	var a Considered
-	err := c.desk.Ask(ctx, func() {
+	err := c.actor.Ask(ctx, func() {
 		// Why: who asked has gone on without the answer, and may have asked another.
 		if ctx.Err() != nil {
 			return
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -98,7 +98,7 @@
 type Controller struct {
 	d          Deps
 	listed     inventory.Listed
-	desk       *run.Desk
+	actor      *run.Actor
 	report     backend.Report
 	reportAt   time.Duration // when the report we have was asked for
 	known      bool          // a report came since we took over
@@ -128,13 +128,13 @@
 func NewController(g *run.Group, d Deps, l inventory.Listed) *Controller {
 	d.Group = g
 	c := &Controller{d: d, listed: l, book: map[conf.Item]*line{}, reportAt: -1 << 62, lookedAt: -1 << 62, staying: -1, held: map[string]bool{}, traits: d.Replicas.Traits()}
-	c.desk = run.NewDesk(g, 64, d.Cadence.ReplicaBusy, c.onTick)
-	c.soon = run.NewNudge(c.desk, c.work)
+	c.actor = run.NewActor(g, 64, d.Cadence.ReplicaBusy, c.onTick)
+	c.soon = run.NewNudge(c.actor, c.work)
 	return c
 }
 
 // Listed tells the controller what the platform says now.
-func (c *Controller) Listed(l inventory.Listed) { _ = c.desk.Tell(func() { c.listed = l }) }
+func (c *Controller) Listed(l inventory.Listed) { _ = c.actor.Tell(func() { c.listed = l }) }
 
 func (c *Controller) leaving() bool {
 	return c.listed.Leaving || c.report.Leaving || inventory.Marked(c.d.Gossip, c.listed.ID) || c.d.Conf().Drained(c.listed.Labels, c.listed.Zone)
@@ -191,7 +191,7 @@
 
 // Close ends control; the platform no longer lists the replica, or another core holds it.
 func (c *Controller) Close(ctx context.Context, gone bool) {
-	_ = c.desk.Ask(ctx, func() {
+	_ = c.actor.Ask(ctx, func() {
 		c.closed = true
 		if gone && c.epoch > 0 {
 			c.version++
--- a/internal/place/pace/pace.go
+++ b/internal/place/pace/pace.go
@@ -32,7 +32,7 @@
 // float is since when a start may still come, and when that was last told.
 type float struct{ since, told time.Duration }
 
-// Keeper grants load starts; one desk owns it.
+// Keeper grants load starts; one actor owns it.
 type Keeper struct {
 	from    time.Duration    // no grants before
 	afloat  map[string]float // starts that may still come, whenever
--- a/internal/place/plan/ask_test.go
+++ b/internal/place/plan/ask_test.go
@@ -47,7 +47,7 @@
 			}
 			return out
 		}}, items: map[conf.Item]*item{}}
-	p.desk = run.NewDesk(g, 8, 0, nil)
+	p.actor = run.NewActor(g, 8, 0, nil)
 	var views []order.Status
 	d := Decision{Item: "m", claim: true}
 	for replica, controller := range map[string]string{"a": "core-1", "b": "core-2", "c": "core-1", "d": "core-3", "e": "core-2"} {
--- a/internal/place/plan/claims.go
+++ b/internal/place/plan/claims.go
@@ -57,7 +57,7 @@
 // Unmet lists claims whose copies are not all ready.
 func (p *Planner) Unmet(ctx context.Context) map[string]string {
 	out := map[string]string{}
-	_ = p.desk.Ask(ctx, func() {
+	_ = p.actor.Ask(ctx, func() {
 		maps.Copy(out, p.unmet)
 	})
 	return out
--- a/internal/place/plan/decide.go
+++ b/internal/place/plan/decide.go
@@ -70,7 +70,7 @@
 			}
 		}
 	}
-	_ = p.desk.Tell(func() {
+	_ = p.actor.Tell(func() {
 		now := p.d.Clock.Since()
 		if i := p.items[conf.ParseItem(d.Item)]; i != nil && !d.claim {
 			if d.Pass && d.Taken != "" {
@@ -144,7 +144,7 @@
 // Explain gives the newest decisions first, about one item or all.
 func (p *Planner) Explain(ctx context.Context, about string) []Decision {
 	out := []Decision{}
-	_ = p.desk.Ask(ctx, func() {
+	_ = p.actor.Ask(ctx, func() {
 		for i := p.log.Len() - 1; i >= 0; i-- {
 			d := p.log.At(i)
 			if about == "" || d.Item == about || conf.ParseItem(d.Item).Model == about {
--- a/internal/place/plan/explain_test.go
+++ b/internal/place/plan/explain_test.go
@@ -24,7 +24,7 @@
 		Ask: func(context.Context, string, order.Consider) (order.Considered, error) {
 			return order.Considered{Why: "no room", IdleModels: []judge.Idle{{Name: "dear", SizeMib: 1, Penalty: 2}, {Name: "cheap", SizeMib: 1}}, IdleAdapters: []judge.Idle{{Name: "m/a", IdleFor: time.Hour}}}, nil
 		}}, items: map[conf.Item]*item{}}
-	p.desk = run.NewDesk(g, 8, 0, nil)
+	p.actor = run.NewActor(g, 8, 0, nil)
 	facts := []judge.Replica{{Name: "a", Fits: true, FreeMib: 1, NeedMib: 2}, {Name: "b", Fits: true}}
 	p.decide(t.Context(), conf.Effective{Weights: weights}, Decision{Item: "m", Candidates: judge.RankLoad(weights, facts)}, nil)
 	for range 2 {
--- a/internal/place/plan/history.go
+++ b/internal/place/plan/history.go
@@ -41,10 +41,10 @@
 	if slot == state.SlotOf(PaceKey) {
 		// Why: what the keeper before us granted is waited out from now on, not from the first question.
 		now := p.d.Clock.Since()
-		_ = p.paceDesk.Tell(func() { p.keeperFor(p.d.Group.Context(), epoch, now) })
+		_ = p.paceActor.Tell(func() { p.keeperFor(p.d.Group.Context(), epoch, now) })
 	}
 	// Why: a full holding must not lose this; without its history the slot would never be planned for.
-	p.d.Group.Go(func(ctx context.Context) { _ = p.desk.Ask(ctx, func() { p.layIn(slot, epoch, recs) }) })
+	p.d.Group.Go(func(ctx context.Context) { _ = p.actor.Ask(ctx, func() { p.layIn(slot, epoch, recs) }) })
 }
 
 func (p *Planner) layIn(slot int, epoch uint64, recs []state.Record) {
@@ -110,7 +110,7 @@
 // slot that this core takes later is given all of it then.
 func (p *Planner) Report(ctx context.Context, r report.Report) (report.Outcome, error) {
 	outcome := report.Kept
-	err := p.desk.Ask(ctx, func() {
+	err := p.actor.Ask(ctx, func() {
 		now := p.d.Clock.Since()
 		if outcome = p.d.Reports.Put(r, now); outcome != report.Kept {
 			return
@@ -171,7 +171,7 @@
 		h  demand.Hour
 	}
 	var todo []work
-	_ = p.desk.Ask(ctx, func() {
+	_ = p.actor.Ask(ctx, func() {
 		now := p.d.Clock.Since()
 		alive := map[string]bool{}
 		for _, r := range p.d.Reports.All() {
@@ -204,7 +204,7 @@
 		cancel()
 		if err != nil {
 			p.d.Log.Info("demand not kept", "item", w.it.String(), "error", err)
-			_ = p.desk.Tell(func() {
+			_ = p.actor.Tell(func() {
 				if i := p.items[w.it]; i != nil {
 					i.dirty[w.h.Hour] = true
 				}
--- a/internal/place/plan/pacing.go
+++ b/internal/place/plan/pacing.go
@@ -29,7 +29,7 @@
 // pace may.
 func (p *Planner) Grant(ctx context.Context, q Granting) (Granted, error) {
 	var g Granted
-	err := p.paceDesk.Ask(ctx, func() {
+	err := p.paceActor.Ask(ctx, func() {
 		epoch, _, _ := p.d.Owner.MayOrder(PaceKey)
 		if !p.d.Owner.Holds(PaceKey) {
 			return
@@ -67,7 +67,7 @@
 
 // refreshGrants writes the ages of the grants down anew, until none counts any more.
 func (p *Planner) refreshGrants(ctx context.Context) {
-	_ = p.paceDesk.Ask(ctx, func() {
+	_ = p.paceActor.Ask(ctx, func() {
 		epoch, _, _ := p.d.Owner.MayOrder(PaceKey)
 		if p.pacer.keeper == nil || p.pacer.epoch != epoch || p.pacer.kept == 0 || !p.d.Owner.Holds(PaceKey) {
 			return
@@ -80,7 +80,7 @@
 // seconds that has been so; each takes a place of the store's pace.
 func (p *Planner) Afloat(ctx context.Context) map[string]int {
 	out := map[string]int{}
-	_ = p.paceDesk.Ask(ctx, func() {
+	_ = p.paceActor.Ask(ctx, func() {
 		if p.pacer.keeper == nil || !p.d.Owner.Holds(PaceKey) {
 			return
 		}
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -60,25 +60,25 @@
 
 // Planner plans for the items whose slots this core holds.
 type Planner struct {
-	d        Deps
-	desk     *run.Desk
-	items    map[conf.Item]*item
-	minutes  *demand.Minutes
-	unit     time.Duration
-	soon     *run.Nudge
-	work     workRates
-	loaded   map[int]uint64 // slot: epoch whose history has been read
-	next     atomic.Pointer[map[string]float64]
-	shared   map[string]float64
-	use      float64       // of the store's pace, as its keeper last told
-	usedAt   time.Duration // when it did
-	log      deque.Deque[Decision]
-	unmet    map[string]string
-	busy     atomic.Bool
-	claimAt  map[conf.Item]time.Duration
-	pacer    pacer
-	paceDesk *run.Desk
-	expSer   uint64
+	d         Deps
+	actor     *run.Actor
+	items     map[conf.Item]*item
+	minutes   *demand.Minutes
+	unit      time.Duration
+	soon      *run.Nudge
+	work      workRates
+	loaded    map[int]uint64 // slot: epoch whose history has been read
+	next      atomic.Pointer[map[string]float64]
+	shared    map[string]float64
+	use       float64       // of the store's pace, as its keeper last told
+	usedAt    time.Duration // when it did
+	log       deque.Deque[Decision]
+	unmet     map[string]string
+	busy      atomic.Bool
+	claimAt   map[conf.Item]time.Duration
+	pacer     pacer
+	paceActor *run.Actor
+	expSer    uint64
 }
 
 // New starts to plan.
@@ -86,9 +86,9 @@
 	p := &Planner{d: d, items: map[conf.Item]*item{}, loaded: map[int]uint64{}, shared: map[string]float64{}, usedAt: -1 << 62, unmet: map[string]string{},
 		claimAt: map[conf.Item]time.Duration{}}
 	p.next.Store(&map[string]float64{})
-	p.paceDesk = run.NewDesk(d.Group, 64, 0, nil)
-	p.desk = run.NewDesk(d.Group, 1024, d.Cadence.Plan, p.onTick)
-	p.soon = run.NewNudge(p.desk, p.onTick)
+	p.paceActor = run.NewActor(d.Group, 64, 0, nil)
+	p.actor = run.NewActor(d.Group, 1024, d.Cadence.Plan, p.onTick)
+	p.soon = run.NewNudge(p.actor, p.onTick)
 	d.Group.Every(d.Cadence.Share, p.share)
 	d.Group.Every(d.Cadence.Keep, p.keep)
 	d.Group.Every(grantsEvery, p.refreshGrants)
@@ -103,7 +103,7 @@
 }
 
 func (p *Planner) onTick() {
-	// Why: asking controllers takes time; the desk must go on taking reports, so one round runs beside it.
+	// Why: asking controllers takes time; the actor must go on taking reports, so one round runs beside it.
 	if p.busy.Swap(true) {
 		return
 	}
--- a/internal/place/plan/plan_test.go
+++ b/internal/place/plan/plan_test.go
@@ -30,7 +30,7 @@
 		Ask: func(context.Context, string, order.Consider) (order.Considered, error) {
 			return order.Considered{}, errors.New("no answer")
 		}}, items: map[conf.Item]*item{}}
-	p.desk = run.NewDesk(g, 8, 0, nil)
+	p.actor = run.NewActor(g, 8, 0, nil)
 	p.decide(t.Context(), conf.Effective{}, Decision{Item: "m", Alone: true, Candidates: []judge.Ranked{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "d"}}}, nil)
 	// Why: telling of a refusal would need an owner, and there is none here to ask.
 	got := p.Explain(t.Context(), "m")
@@ -54,7 +54,7 @@
 	} {
 		g := run.NewGroup(context.Background())
 		p := &Planner{d: Deps{Group: g, Clock: tick.Machine(), Log: slog.New(slog.NewTextHandler(io.Discard, nil))}, items: map[conf.Item]*item{}}
-		p.desk = run.NewDesk(g, 8, 0, nil)
+		p.actor = run.NewActor(g, 8, 0, nil)
 		p.decide(t.Context(), conf.Effective{}, Decision{Item: "m", Alone: true}, views)
 		if got := p.Explain(t.Context(), "m"); len(got) != 1 || got[0].Taken != "" {
 			t.Errorf("%s: %+v", name, got)
--- a/internal/place/plan/share.go
+++ b/internal/place/plan/share.go
@@ -14,10 +14,10 @@
 // share predicts for our items and tells the other cores.
 func (p *Planner) share(ctx context.Context) {
 	s := Shared{From: p.d.Self, Next: map[string]float64{}}
-	if use, err := run.AskFor(ctx, p.paceDesk, p.useNow); err == nil && use >= 0 {
+	if use, err := run.AskFor(ctx, p.paceActor, p.useNow); err == nil && use >= 0 {
 		s.Keeps, s.Use = true, use
 	}
-	err := p.desk.Ask(ctx, func() {
+	err := p.actor.Ask(ctx, func() {
 		now := p.d.Clock.Since()
 		minute, _ := p.clock(p.d.Conf()).Now(p.d.Clock.Wall(), now)
 		rule := p.rule()
@@ -36,7 +36,7 @@
 
 // Shared takes another core's predictions.
 func (p *Planner) Shared(ctx context.Context, s Shared) error {
-	return p.desk.Ask(ctx, func() { p.lay(s) })
+	return p.actor.Ask(ctx, func() { p.lay(s) })
 }
 
 func (p *Planner) lay(s Shared) {
--- a/internal/place/report/report.go
+++ b/internal/place/report/report.go
@@ -83,7 +83,7 @@
 	NoBase
 )
 
-// Put keeps a report if it is newer; its one caller is the planner's desk, so times never go back.
+// Put keeps a report if it is newer; its one caller is the planner's actor, so times never go back.
 func (t *Table) Put(r Report, at time.Duration) Outcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -146,7 +146,7 @@
 	p.routes = route.NewKeeper(route.Deps{Group: p.group, Gossip: p.gossip, Clock: env.Clock, Replicas: p.replicas, Zone: func() string { return s.Zone },
 		HeardFor: p.touch.For, Edges: func() int { return int(p.edges.Load()) }, Ask: s.Cadence.ProxiesAsk, Deaf: s.Bounds.Drain - deafMargin})
 	p.watch.Start(p.group, s.Cadence.List, func() bool { return p.agentFor() > agentLost })
-	misses := run.NewDesk(p.group, 4, 0, nil)
+	misses := run.NewActor(p.group, 4, 0, nil)
 	p.missed = run.NewNudge(misses, p.tellMiss)
 	p.admission = admission.New(p.group, p.routes, s.Cadence.Hold, p.missed.Now)
 	if err := p.listen(); err != nil {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -73,7 +73,7 @@
 	spent float64 // attempts so far over weight, for a fair share
 }
 
-// Queue is all requests that wait at a proxy, by class; one desk owns it.
+// Queue is all requests that wait at a proxy, by class; one actor owns it.
 type Queue struct {
 	classes map[string]*Class
 }
--- a/internal/route/look.go
+++ b/internal/route/look.go
@@ -61,7 +61,7 @@
 			inventory.Mark(k.gossip, a.id)
 		}
 	}
-	_ = k.desk.Tell(func() {
+	_ = k.actor.Tell(func() {
 		for _, a := range got {
 			a.r.other, a.r.was = max(0, a.r.v.Inflight-int(a.r.mine)), k.heard[a.id].other
 			a.r.luck = rand.Float64()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -71,7 +71,7 @@
 	gossip  *gossip.Table
 	clock   tick.Clock
 	group   *run.Group
-	desk    *run.Desk
+	actor   *run.Actor
 	snap    atomic.Pointer[Snapshot]
 	lives   map[string]*Live
 	heard   map[string]report
@@ -119,10 +119,10 @@
 		full:   map[bool]time.Duration{true: -1 << 61, false: -1 << 61},
 		warmth: newMemory(), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
 	k.snap.Store(&Snapshot{Conf: conf.Empty()})
-	k.desk = run.NewDesk(d.Group, 256, interval, k.renew)
+	k.actor = run.NewActor(d.Group, 256, interval, k.renew)
 	// Why: a configuration and a withdrawn item are in force at once, not at the next interval; news that comes
 	// together makes one table.
-	k.fresh = run.NewNudge(k.desk, k.renew)
+	k.fresh = run.NewNudge(k.actor, k.renew)
 	d.Gossip.OnNew(func(gossip.Entry) { k.fresh.Now() })
 	if !d.Ask {
 		return k
--- a/internal/state/acceptor/acceptor.go
+++ b/internal/state/acceptor/acceptor.go
@@ -35,7 +35,7 @@
 	disk     atomic.Pointer[string]
 	sick     atomic.Bool
 	standing atomic.Pointer[Standing]
-	setDesk  *run.Desk
+	setActor *run.Actor
 	slots    [state.Slots]*table
 	door     chan struct{} // held by who hands a batch to pebble
 }
@@ -63,9 +63,9 @@
 		_ = db.Close()
 		return nil, errors.Wrapf(ErrFolder, "%s: %v", folder, err)
 	}
-	a.setDesk = run.NewDesk(g, 64, 0, nil)
+	a.setActor = run.NewActor(g, 64, 0, nil)
 	for i := range a.slots {
-		a.slots[i].desk = run.NewDesk(g, 256, 0, nil)
+		a.slots[i].actor = run.NewActor(g, 256, 0, nil)
 	}
 	return a, nil
 }
--- a/internal/state/acceptor/records.go
+++ b/internal/state/acceptor/records.go
@@ -112,7 +112,7 @@
 // says that the disk did not keep it.
 func (a *Acceptor) Fill(ctx context.Context, slot int, replies []state.Reply) error {
 	t := a.slots[slot]
-	return inDesk(ctx, t.desk, func() error {
+	return inActor(ctx, t.actor, func() error {
 		recs, pr := Merge(replies)
 		err := a.commit(func(b *pebble.Batch) error {
 			if err := replaceRecords(b, slot, recs); err != nil {
--- a/internal/state/acceptor/slot.go
+++ b/internal/state/acceptor/slot.go
@@ -20,14 +20,14 @@
 	FullBy  state.Core `cbor:"5,keyasint,omitempty"` // who wrote the whole table under Full
 }
 
-// table is one slot; it belongs to its desk but for the atomic fields.
+// table is one slot; it belongs to its actor but for the atomic fields.
 type table struct {
-	desk  *run.Desk
+	actor *run.Actor
 	pr    promise
 	until atomic.Int64               // lease granted until, on our clock
 	anew  bool                       // since start nobody has been granted: wait a whole lease
 	freed bid                        // let go of last
-	last  atomic.Pointer[state.Core] // pr.Holder, for readers outside the desk
+	last  atomic.Pointer[state.Core] // pr.Holder, for readers outside the actor
 }
 
 // bid is one try of one core to lease a slot.
@@ -82,14 +82,14 @@
 	return state.Reply{Set: st.Set.Version}, true
 }
 
-// onSlot runs f in the desk of a slot if this core may vote under the asker's set.
+// onSlot runs f in the actor of a slot if this core may vote under the asker's set.
 func (a *Acceptor) onSlot(ctx context.Context, q state.Ask, f func(t *table, r *state.Reply)) (state.Reply, error) {
 	if q.Slot < 0 || q.Slot >= state.Slots {
 		return state.Reply{}, wire.Refuse("bad", fmt.Sprintf("slot %d", q.Slot))
 	}
 	t := a.slots[q.Slot]
 	// Why: a stalled disk must not hold up who asked; what it syncs later counts all the same.
-	return run.AskFor(ctx, t.desk, func() state.Reply {
+	return run.AskFor(ctx, t.actor, func() state.Reply {
 		r, ok := a.vote(q.Set)
 		if ok {
 			f(t, &r)
--- a/internal/state/acceptor/standing.go
+++ b/internal/state/acceptor/standing.go
@@ -39,7 +39,7 @@
 		st  Standing
 		err error
 	}
-	out, err := run.AskFor(ctx, a.setDesk, func() answer {
+	out, err := run.AskFor(ctx, a.setActor, func() answer {
 		now, change := f(*a.standing.Load())
 		if change {
 			if err := a.commit(func(b *pebble.Batch) error { return b.Set(keyStanding, wire.Pack(now), nil) }); err != nil {
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	err = inDesk(ctx, a.setDesk, func() error {
+	err = inActor(ctx, a.setActor, func() error {
 		st := Standing{Phase: Empty}
 		a.standing.Store(&st)
 		return a.commit(func(b *pebble.Batch) error {
@@ -82,7 +82,7 @@
 		return err
 	}
 	for _, t := range a.slots {
-		err := inDesk(ctx, t.desk, func() error {
+		err := inActor(ctx, t.actor, func() error {
 			t.forget()
 			return nil
 		})
@@ -94,9 +94,9 @@
 	return nil
 }
 
-// inDesk runs f in a desk and gives its error. An ended ctx is given at once; f may
+// inActor runs f in an actor and gives its error. An ended ctx is given at once; f may
 // run all the same then.
-func inDesk(ctx context.Context, d *run.Desk, f func() error) error {
+func inActor(ctx context.Context, d *run.Actor, f func() error) error {
 	failure, err := run.AskFor(ctx, d, f)
 	if err != nil {
 		return err
--- a/internal/state/coremembers/change.go
+++ b/internal/state/coremembers/change.go
@@ -95,7 +95,7 @@
 
 // Behind hands our set to a voter that knows an older one; it does not wait for that.
 func (k *Keeper) Behind(c state.Core) {
-	_ = k.desk.Tell(func() {
+	_ = k.actor.Tell(func() {
 		ctx, cancel := context.WithTimeout(k.d.Group.Context(), limit)
 		defer cancel()
 		st := k.d.Acceptor.Standing()
--- a/internal/state/coremembers/coremembers.go
+++ b/internal/state/coremembers/coremembers.go
@@ -57,7 +57,7 @@
 // Keeper keeps the core membership.
 type Keeper struct {
 	d     Deps
-	desk  *run.Desk
+	actor *run.Actor
 	ticks int
 
 	stopped atomic.Bool
@@ -87,7 +87,7 @@
 		st := d.Acceptor.Standing()
 		return Adoption{Set: st.Set, Old: st.Old, Phase: st.Phase}, nil
 	})
-	k.desk = run.NewDesk(d.Group, 32, interval, k.onTick)
+	k.actor = run.NewActor(d.Group, 32, interval, k.onTick)
 	return k
 }
 
--- a/internal/state/owner/late_test.go
+++ b/internal/state/owner/late_test.go
@@ -99,7 +99,7 @@
 func (v *voters) owing(t *testing.T) (n int) {
 	t.Helper()
 	s := v.owner.slots[state.SlotOf(testKey)]
-	if err := s.desk.Ask(context.Background(), func() { n = len(s.owes) }); err != nil {
+	if err := s.actor.Ask(context.Background(), func() { n = len(s.owes) }); err != nil {
 		t.Fatal(err)
 	}
 	return n
--- a/internal/state/owner/owner.go
+++ b/internal/state/owner/owner.go
@@ -56,7 +56,7 @@
 	OwnQuarantine time.Duration
 	// Handback is how long a slot is kept that another core is preferred for.
 	Handback time.Duration
-	// OnTake is called in the slot's desk when a slot has been taken.
+	// OnTake is called in the slot's actor when a slot has been taken.
 	OnTake func(slot int, records []state.Record)
 }
 
@@ -76,7 +76,7 @@
 	o := &Owner{d: d, heard: map[string]time.Duration{}, began: d.Clock.Since()}
 	for i := range o.slots {
 		s := &slot{o: o, n: i, owes: map[string]map[state.Stamp]bool{}, ticks: i}
-		s.desk = run.NewDesk(d.Group, 256, interval, s.onTick)
+		s.actor = run.NewActor(d.Group, 256, interval, s.onTick)
 		o.slots[i] = s
 	}
 	d.Group.Every(interval, o.renew)
@@ -87,7 +87,7 @@
 func (o *Owner) Stop(ctx context.Context) {
 	o.stop.Store(true)
 	for _, s := range o.slots {
-		_ = s.desk.Ask(ctx, func() { s.giveUp("stopping", true) })
+		_ = s.actor.Ask(ctx, func() { s.giveUp("stopping", true) })
 	}
 }
 
--- a/internal/state/owner/owner_test.go
+++ b/internal/state/owner/owner_test.go
@@ -108,7 +108,7 @@
 		time.Sleep(10 * time.Second)
 		lost := time.Now()
 		s := l.owner.slots[state.SlotOf(testKey)]
-		if err := s.desk.Ask(context.Background(), func() { s.giveUp("test", true) }); err != nil {
+		if err := s.actor.Ask(context.Background(), func() { s.giveUp("test", true) }); err != nil {
 			t.Fatal(err)
 		}
 		until(t, 10*time.Second, holds)
--- a/internal/state/owner/slot.go
+++ b/internal/state/owner/slot.go
@@ -12,11 +12,11 @@
 )
 
 // slot is one slot of the control state as this core sees it. Its plain fields
-// belong to its desk; readers outside the desk use the atomic ones.
+// belong to its actor; readers outside the actor use the atomic ones.
 type slot struct {
 	o         *Owner
 	n         int
-	desk      *run.Desk
+	actor     *run.Actor
 	epoch     atomic.Uint64
 	until     atomic.Int64            // lease good until, on our clock; 0 when not held
 	orderFrom atomic.Int64            // from when on orders may be sent, on our clock
--- a/internal/state/owner/write.go
+++ b/internal/state/owner/write.go
@@ -14,7 +14,7 @@
 	s := o.slots[state.SlotOf(key)]
 	var rec state.Record
 	var found, held bool
-	err := s.desk.Ask(ctx, func() {
+	err := s.actor.Ask(ctx, func() {
 		rec, found = s.table[key]
 		// Why: the lease is looked at after the read, so a late tick cannot give out a value of the past.
 		held = s.held()
@@ -35,7 +35,7 @@
 	s := o.slots[state.SlotOf(key)]
 	var rec state.Record
 	var failure error
-	err := s.desk.Ask(ctx, func() {
+	err := s.actor.Ask(ctx, func() {
 		// Why: a caller that has gone was told "nothing kept"; its change must not happen later.
 		if ctx.Err() != nil {
 			failure = errors.Wrap(state.ErrNoQuorum, "caller gave up waiting")
@@ -128,8 +128,8 @@
 	s.o.d.Group.Go(func(context.Context) {
 		for range late.left {
 			if a := <-late.answers; a.err == nil && a.r.OK {
-				// Why: if the desk has no room for this, the hint stays, and a look at the voter's digest settles it.
-				_ = s.desk.Tell(func() { s.confirmed(set.Cores[a.i].Name, written) })
+				// Why: if the actor has no room for this, the hint stays, and a look at the voter's digest settles it.
+				_ = s.actor.Tell(func() { s.confirmed(set.Cores[a.i].Name, written) })
 			}
 		}
 	})
