--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -97,14 +97,14 @@
 	reports        *report.Table
 	views          *plan.ViewCache
 	watch          *inventory.Watch
-	conn           backend.Client
+	replicas       backend.Client
 	caller         *wire.Caller
 	mux            *wire.Mux
 	post           *wire.Post
 	servers        []*wire.Server
 	conf           atomic.Pointer[conf.Effective]
 	serial         atomic.Uint64
-	controllers    map[string]*controlled // owned by the desk of tend
+	controllers    map[string]*controlled // owned by the actor of tend
 	controllersNow atomic.Pointer[map[string]*order.Controller]
 	absent         map[string]time.Duration
 	// tendSoon looks at once at which replicas are to be controlled here.
@@ -138,8 +138,8 @@
 	c.began = env.Clock.Since()
 	c.s.Bounds, c.s.Cadence = s.Bounds.OrDefault(), s.Cadence.OrDefault()
 	s = c.s
-	if c.conn = s.Replicas; c.conn == nil {
-		c.conn = backend.NewConn(env.Net)
+	if c.replicas = s.Replicas; c.replicas == nil {
+		c.replicas = backend.NewNative(env.Net)
 	}
 	if s.Lister == nil {
 		s.Lister = inventory.NewLister(env.Net, s.Platform, c.log)
@@ -180,7 +180,7 @@
 	c.spread = gossip.NewSpreader(c.group, c.gossip, c.log, c.post, c.caller, c.mux, func() string { return s.Addr }, c.members.Peers, c.gossipTree, c.touch)
 	c.acc.Serve(c.mux)
 	ownQuarantine := s.Bounds.Lease
-	if c.conn.Traits().KnowsByName {
+	if c.replicas.Traits().KnowsByName {
 		ownQuarantine = 0
 	}
 	c.own = owner.New(owner.Deps{Self: c.self, Group: c.group, Clock: env.Clock, Log: c.log, Caller: c.caller, Acceptor: c.acc,
@@ -191,7 +191,7 @@
 		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf, Gone: c.goneFor, Heard: c.heardFor}, c.mux)
 	c.watch.Start(c.group, s.Cadence.List, func() bool { return true })
 	c.serve()
-	tending := run.NewDesk(c.group, 4, tendEvery, func() { c.tend(c.group.Context()) })
+	tending := run.NewActor(c.group, 4, tendEvery, func() { c.tend(c.group.Context()) })
 	c.tendSoon = run.NewNudge(tending, func() { c.tend(c.group.Context()) })
 	c.group.Every(200*time.Millisecond, func(context.Context) {
 		phase := string(c.acc.Standing().Phase)
@@ -258,7 +258,7 @@
 	c.group.Stop()
 	c.base.Stop()
 	c.caller.Close()
-	c.conn.Close()
+	c.replicas.Close()
 	c.watch.Close()
 	return c.acc.Close()
 }
