--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -12,13 +12,12 @@
 	"github.com/gammazero/deque"
 
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/bounds"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/demand"
 	"drumstall.example/internal/place/order"
-	"drumstall.example/internal/place/pace"
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/state"
 	"drumstall.example/internal/state/owner"
@@ -45,11 +44,11 @@
 	Cadence bounds.Cadence
 	Store   bounds.Store
 	Owner   *owner.Owner
-	News    *news.Table
+	Gossip  *gossip.Table
 	Reports *report.Table
 	Conf    func() conf.Effective
-	// Views are all replicas' newest news, by name; nobody changes them.
-	Views func() []order.News
+	// Views are all replicas' newest status, by name; nobody changes them.
+	Views func() []order.Status
 	// Ask reaches the controller of a replica, on whichever core it is.
 	Ask func(ctx context.Context, controller string, q order.Consider) (order.Considered, error)
 	// AskAll asks the controller of several replicas at once, dry; order.Unheard stands for an answer that did not
@@ -61,26 +60,23 @@
 
 // Planner plans for the items whose slots this core holds.
 type Planner struct {
-	d       Deps
-	desk    *run.Desk
-	items   map[conf.Item]*item
-	minutes *demand.Minutes
-	unit    time.Duration
-	soon    *run.Nudge
-	work    workRates
-	loaded  map[int]uint64 // slot: epoch whose history has been read
-	next    atomic.Pointer[map[string]float64]
-	shared  map[string]float64
-	use     float64       // of the store's pace, as its keeper last told
-	usedAt  time.Duration // when it did
-	log     deque.Deque[Decision]
-	unmet   map[string]string
-	busy    atomic.Bool
-	claimAt map[conf.Item]time.Duration
-	pacer   struct {
-		epoch  uint64
-		keeper *pace.Keeper
-	}
+	d        Deps
+	desk     *run.Desk
+	items    map[conf.Item]*item
+	minutes  *demand.Minutes
+	unit     time.Duration
+	soon     *run.Nudge
+	work     workRates
+	loaded   map[int]uint64 // slot: epoch whose history has been read
+	next     atomic.Pointer[map[string]float64]
+	shared   map[string]float64
+	use      float64       // of the store's pace, as its keeper last told
+	usedAt   time.Duration // when it did
+	log      deque.Deque[Decision]
+	unmet    map[string]string
+	busy     atomic.Bool
+	claimAt  map[conf.Item]time.Duration
+	pacer    pacer
 	paceDesk *run.Desk
 	expSer   uint64
 }
@@ -91,10 +87,11 @@
 		claimAt: map[conf.Item]time.Duration{}}
 	p.next.Store(&map[string]float64{})
 	p.paceDesk = run.NewDesk(d.Group, 64, 0, nil)
-	p.desk = run.NewDesk(d.Group, 1024, d.Cadence.Plan, p.onBeat)
-	p.soon = run.NewNudge(p.desk, p.onBeat)
+	p.desk = run.NewDesk(d.Group, 1024, d.Cadence.Plan, p.onTick)
+	p.soon = run.NewNudge(p.desk, p.onTick)
 	d.Group.Every(d.Cadence.Share, p.share)
 	d.Group.Every(d.Cadence.Keep, p.keep)
+	d.Group.Every(grantsEvery, p.refreshGrants)
 	return p
 }
 
@@ -105,7 +102,7 @@
 	return p.d.Owner.Holds(key) && p.loaded[state.SlotOf(key)] == epoch
 }
 
-func (p *Planner) onBeat() {
+func (p *Planner) onTick() {
 	// Why: asking controllers takes time; the desk must go on taking reports, so one round runs beside it.
 	if p.busy.Swap(true) {
 		return
