--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -15,7 +15,7 @@
 	"drumstall.example/gen/platform"
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/gossip"
-	"drumstall.example/internal/kernel/face"
+	"drumstall.example/internal/kernel/httpapi"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/tick"
 	"drumstall.example/internal/kernel/wire"
@@ -51,14 +51,14 @@
 	Close()
 }
 
-// native asks over the design's own face.
+// native asks over the design's own API.
 type native struct {
 	addr string
 	http *http.Client
 	log  *slog.Logger
 }
 
-// NewLister asks the platform at an address over the design's own face.
+// NewLister asks the platform at an address over the design's own API.
 func NewLister(n wire.Net, addr string, log *slog.Logger) Lister {
 	return &native{addr: addr, log: log, http: &http.Client{
 		Transport:     &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second},
@@ -71,7 +71,7 @@
 
 // List asks once.
 func (l *native) List(ctx context.Context) ([]Listed, error) {
-	c := client.NewClient("http", l.addr, face.Bounded{HTTP: l.http, Max: 16 << 20}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	c := client.NewClient("http", l.addr, httpapi.Bounded{HTTP: l.http, Max: 16 << 20}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 	res, err := c.List()(ctx, nil)
 	if err != nil {
 		return nil, err
@@ -167,11 +167,11 @@
 func MarkKey(id string) string { return "mark/" + id }
 
 // Mark says in the gossip that a replica is leaving. A mark taken back has an
-// even serial, one that stands an odd one, so two who learn of it say the same.
+// even version, one that stands an odd one, so two who learn of it say the same.
 func Mark(t *gossip.Table, id string) {
 	s := t.StampOf(MarkKey(id))
-	if s.Serial%2 == 0 {
-		t.Put(gossip.Entry{Key: MarkKey(id), Stamp: state.Stamp{Serial: s.Serial + 1}, Value: []byte{1}})
+	if s.Version%2 == 0 {
+		t.Put(gossip.Entry{Key: MarkKey(id), Stamp: state.Stamp{Version: s.Version + 1}, Value: []byte{1}})
 	}
 }
 
@@ -179,10 +179,10 @@
 // platform has listed the replica as staying for a while.
 func Unmark(t *gossip.Table, id string) {
 	s := t.StampOf(MarkKey(id))
-	if s.Serial%2 == 1 {
-		t.Put(gossip.Entry{Key: MarkKey(id), Stamp: state.Stamp{Serial: s.Serial + 1}, Gone: true})
+	if s.Version%2 == 1 {
+		t.Put(gossip.Entry{Key: MarkKey(id), Stamp: state.Stamp{Version: s.Version + 1}, Gone: true})
 	}
 }
 
 // Marked says whether a replica is known to be leaving.
-func Marked(t *gossip.Table, id string) bool { return t.StampOf(MarkKey(id)).Serial%2 == 1 }
+func Marked(t *gossip.Table, id string) bool { return t.StampOf(MarkKey(id)).Version%2 == 1 }
