A small heap may grow by 2 MB before it is collected

Change: internal/kernel/heap looks at what is live after each collection and sets the percentage between 50 and 100, so that a heap may grow by 2 MB.

--- /dev/null
+++ b/internal/kernel/heap/heap.go
@@ -0,0 +1,67 @@
+// Package heap says how far the heap of a process may grow between two collections.
+// The programs call it once, at their start; it does not limit memory.
+package heap
+
+import (
+	"runtime"
+	"runtime/debug"
+	"runtime/metrics"
+)
+
+const liveHeap = "/gc/heap/live:bytes"
+
+// Pace is how far the heap may grow above what was live at the last collection.
+type Pace struct {
+	Percent int    // of what was live, for a large heap
+	Most    int    // the percentage that is never exceeded
+	Least   uint64 // bytes that a small heap may grow by, if Most allows it
+}
+
+// percent is the collector's percentage while so many bytes are live.
+func (p Pace) percent(live uint64) int {
+	if live == 0 {
+		return p.Most
+	}
+	// Why: no more than Most, since the collector multiplies a least size of its own by the percentage.
+	return max(p.Percent, int(min(p.Least*100/live, uint64(p.Most))))
+}
+
+// Keep holds the process to a pace from now on.
+func Keep(p Pace) {
+	k := &keeper{pace: p, sample: [1]metrics.Sample{{Name: liveHeap}}}
+	k.adjust()
+	k.follow()
+}
+
+// keeper sets the percentage anew after collections that left another part live.
+type keeper struct {
+	pace   Pace
+	set    int // the percentage in force
+	sample [1]metrics.Sample
+}
+
+// collected is an object that nothing refers to, so that each collection finalizes it.
+type collected struct{ keeper *keeper }
+
+// follow has the percentage looked at after the next collection.
+func (k *keeper) follow() {
+	runtime.SetFinalizer(&collected{k}, func(c *collected) {
+		c.keeper.adjust()
+		c.keeper.follow()
+	})
+}
+
+// changesBy is the part by which the percentage must differ to be set anew. Why: setting
+// it stops the program for a moment.
+const changesBy = 10 // of 100
+
+// adjust sets the percentage by what is live now.
+func (k *keeper) adjust() {
+	metrics.Read(k.sample[:])
+	want := k.pace.percent(k.sample[0].Value.Uint64())
+	if off := max(want-k.set, k.set-want); off*100 < changesBy*k.set {
+		return
+	}
+	k.set = want
+	debug.SetGCPercent(want)
+}
