What is on its way is found among the replicas that something is on its way to

Ruled out: more words to a table (there are 4 already).

Change: the entries with something on its way are kept apart.

--- a/internal/route/renew.go
+++ b/internal/route/renew.go
@@ -126,6 +126,11 @@
 	}
 	d.next.Version++
 	d.coming = d.coming || before.brings() || after.brings()
+	if after.brings() {
+		k.bringing[e.Key] = after
+	} else {
+		delete(k.bringing, e.Key)
+	}
 	if before != nil && (after == nil || after.replica.Listed.ID != before.replica.Listed.ID) {
 		delete(k.told, e.Key)
 		k.gone[before.replica.Listed.ID] = struct{}{}
@@ -158,7 +163,7 @@
 // coming is what is on its way to any replica.
 func (k *Keeper) coming(d *draft) map[string]time.Duration {
 	out := map[string]time.Duration{}
-	for _, t := range k.told {
+	for _, t := range k.bringing {
 		if t.replica.Dark || d.replicas.entries[t.replica.Listed.ID].Listed.Leaving {
 			continue
 		}
--- a/internal/route/renew_bench_test.go
+++ b/internal/route/renew_bench_test.go
@@ -39,6 +39,15 @@
 				w.k.renew()
 			}
 		})
+		b.Run(fmt.Sprintf("a load at one of %d", replicas), func(b *testing.B) {
+			w := benchWorld(replicas)
+			states := []string{backend.Loading, backend.Loaded}
+			for i := 0; b.Loop(); i++ {
+				n := order.Status{Listed: inventory.Listed{ID: "r1", Model: true, Zone: "z1"}, Slots: 8, Items: map[string]string{"model-1": states[i%2]}}
+				w.gossip.Put(gossip.Entry{Key: order.Key("r1"), Stamp: w.stamp(), Value: wire.Pack(n)})
+				w.k.renew()
+			}
+		})
 		b.Run(fmt.Sprintf("an interval at %d", replicas), func(b *testing.B) {
 			w := benchWorld(replicas)
 			for b.Loop() {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -67,23 +67,24 @@
 
 // Keeper keeps the table.
 type Keeper struct {
-	d       Deps
-	gossip  *gossip.Table
-	clock   tick.Clock
-	group   *run.Group
-	desk    *run.Desk
-	snap    atomic.Pointer[Snapshot]
-	lives   map[string]*Live
-	heard   map[string]report
-	told    map[string]*told // of each replica's entry, by its key
-	cursor  uint64           // how far the news has been followed
-	expects expects
-	renewed atomic.Int64           // when the table was brought up to date last, on our clock
-	gone    map[string]struct{}    // replicas that have left the table, of which something is kept
-	full    map[bool]time.Duration // when a replica was last seen full: of models, of services
-	fresh   *run.Nudge
-	onNew   atomic.Pointer[func()]
-	warmth  *memory
+	d        Deps
+	gossip   *gossip.Table
+	clock    tick.Clock
+	group    *run.Group
+	desk     *run.Desk
+	snap     atomic.Pointer[Snapshot]
+	lives    map[string]*Live
+	heard    map[string]report
+	told     map[string]*told // of each replica's entry, by its key
+	bringing map[string]*told // those of told to which something is on its way
+	cursor   uint64           // how far the news has been followed
+	expects  expects
+	renewed  atomic.Int64           // when the table was brought up to date last, on our clock
+	gone     map[string]struct{}    // replicas that have left the table, of which something is kept
+	full     map[bool]time.Duration // when a replica was last seen full: of models, of services
+	fresh    *run.Nudge
+	onNew    atomic.Pointer[func()]
+	warmth   *memory
 
 	predictor Predictor
 
@@ -114,7 +115,8 @@
 	if d.Deaf == 0 {
 		d.Deaf = deaf
 	}
-	k := &Keeper{d: d, gossip: d.Gossip, clock: d.Clock, group: d.Group, lives: map[string]*Live{}, heard: map[string]report{}, told: map[string]*told{},
+	k := &Keeper{d: d, gossip: d.Gossip, clock: d.Clock, group: d.Group, lives: map[string]*Live{}, heard: map[string]report{},
+		told: map[string]*told{}, bringing: map[string]*told{},
 		gone:   map[string]struct{}{},
 		full:   map[bool]time.Duration{true: -1 << 61, false: -1 << 61},
 		warmth: newMemory(), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
