A controller asks for the demand of its items, not for copies of all that wait

Ruled out: handing out the kept sums without a copy (they change meanwhile).

Change: the table of reports answers for one item.

The sums test holds the answer to the copies.

--- a/internal/place/order/victims.go
+++ b/internal/place/order/victims.go
@@ -17,7 +17,6 @@
 // not pinned by a claim; and sums up those that may but for being used.
 func (c *Controller) idle(cfg conf.Effective, wanted conf.Item, adapters bool) (order []penalty.Victim, list []judge.Idle, used int) {
 	now := c.d.Clock.Since()
-	waiting, pressed := c.d.Reports.Waiting(now), c.d.Reports.Pressed(now)
 	others := c.d.Others()
 	facts := map[string]judge.Idle{}
 	for item, l := range c.book {
@@ -27,10 +26,11 @@
 		if c.pinned(cfg, item, others) {
 			continue
 		}
-		busy, kids := l.inflight > 0 || c.d.Reports.Inflight(c.listed.ID, item.String(), now) > 0 || waiting[item] > 0, 0
+		waiting, pressed := c.d.Reports.Demand(item, now)
+		busy, kids := l.inflight > 0 || c.d.Reports.Inflight(c.listed.ID, item.String(), now) > 0 || waiting > 0, 0
 		// Why: a copy of what many press for, and what has only just come, are about to be used; to let go of them takes
 		// the store's time twice.
-		busy = busy || pressed[item] >= pressedFew || l.awaited(now)
+		busy = busy || pressed >= pressedFew || l.awaited(now)
 		pen, stays := c.penaltyOf(cfg, item, others, now), false
 		if !adapters {
 			for other, o := range c.book {
@@ -40,7 +40,8 @@
 				kids++
 				pen += c.penaltyOf(cfg, other, others, now)
 				// Why: a model is in use as long as any adapter on it is, and moves only when it can go too.
-				busy = busy || waiting[other] > 0 || o.State != backend.Loaded || o.inflight > 0
+				waiting, _ := c.d.Reports.Demand(other, now)
+				busy = busy || waiting > 0 || o.State != backend.Loaded || o.inflight > 0
 				stays = stays || c.pinned(cfg, other, others)
 			}
 		}
--- a/internal/place/report/report.go
+++ b/internal/place/report/report.go
@@ -168,3 +168,13 @@
 	t.present.expire(now)
 	return copied(t.sums.waiting)
 }
+
+// Demand is how many requests for an item wait, and how many had to go where many
+// are. Why: a controller asks about the few items of its replica, many times a second;
+// copies of all that wait in a large fleet took half of its time.
+func (t *Table) Demand(item conf.Item, now time.Duration) (waiting, pressed int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.present.expire(now)
+	return t.sums.waiting[item], t.sums.pressed[item]
+}
--- a/internal/place/report/sums_test.go
+++ b/internal/place/report/sums_test.go
@@ -53,6 +53,12 @@
 			if got, want := table.Pressed(now), summed(all, now, Fresh, func(r Report) map[string]int { return r.Pressed }); !maps.Equal(got, want) {
 				t.Fatalf("seed %d, report %d: pressed %v, want %v", seed, serial, got, want)
 			}
+			for m := range 6 {
+				item := conf.Item{Model: fmt.Sprint("m", m)}
+				if w, p := table.Demand(item, now); w != table.Waiting(now)[item] || p != table.Pressed(now)[item] {
+					t.Fatalf("seed %d, report %d: %v: %d waiting, %d pressed", seed, serial, item, w, p)
+				}
+			}
 			for r := range 3 {
 				replica := fmt.Sprint("r", r)
 				on := func(r Report) map[string]int { return r.Inflight[replica] }
@@ -114,3 +120,32 @@
 		}
 	})
 }
+
+// What a controller asks about the items of its replica while many items wait.
+func BenchmarkDemand(b *testing.B) {
+	table := NewTable()
+	r := Report{Agent: "edge", Boot: "b", Serial: 1, Waiting: map[string]int{}}
+	for i := range 300 {
+		r.Waiting[fmt.Sprint("m", i)] = 1
+	}
+	table.Put(r, 0)
+	items := make([]conf.Item, 11)
+	for i := range items {
+		items[i] = conf.Item{Model: fmt.Sprint("m", i)}
+	}
+	b.Run("copies", func(b *testing.B) {
+		for b.Loop() {
+			waiting, pressed := table.Waiting(0), table.Pressed(0)
+			for _, item := range items {
+				_, _ = waiting[item], pressed[item]
+			}
+		}
+	})
+	b.Run("looked up", func(b *testing.B) {
+		for b.Loop() {
+			for _, item := range items {
+				table.Demand(item, 0)
+			}
+		}
+	})
+}
