--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -1,5 +1,5 @@
 // Package backend is the one place that knows what a replica looks like from
-// outside: its reports and its orders over the goa face.
+// outside: its reports and its orders over the goa API.
 package backend
 
 import (
@@ -13,11 +13,11 @@
 	"drumstall.example/gen/http/replica/client"
 	"drumstall.example/gen/replica"
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/kernel/face"
+	"drumstall.example/internal/kernel/httpapi"
 	"drumstall.example/internal/kernel/wire"
 )
 
-// Problems of this slice.
+// Errors of this package.
 var (
 	ErrDark    = errors.New("backend: replica not reached")
 	ErrWrong   = errors.New("backend: replica's report makes no sense")
@@ -127,7 +127,7 @@
 	AdaptersUnpaced bool
 }
 
-// Conn is the client of the design's own face.
+// Conn is the client of the design's own API.
 type Conn struct {
 	http *http.Client
 }
@@ -148,7 +148,7 @@
 func (c *Conn) Close() { c.http.CloseIdleConnections() }
 
 func (c *Conn) at(addr string) *client.Client {
-	return client.NewClient("http", addr, face.Bounded{HTTP: c.http, Max: 4 << 20}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	return client.NewClient("http", addr, httpapi.Bounded{HTTP: c.http, Max: 4 << 20}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 }
 
 // Report asks a replica how it is; the target's id is whom we expect to answer.
@@ -157,7 +157,7 @@
 	if err != nil {
 		return Report{}, errors.Wrap(ErrDark, err.Error())
 	}
-	return check(res.(*replica.ReplicaVitals), r.ID)
+	return check(res.(*replica.ReplicaReport), r.ID)
 }
 
 func num(p *int) int {
@@ -168,7 +168,7 @@
 }
 
 // check turns a report into ours; one that makes no sense is not acted on.
-func check(r *replica.ReplicaVitals, id string) (Report, error) {
+func check(r *replica.ReplicaReport, id string) (Report, error) {
 	v := Report{ID: r.ID, Incarnation: r.Incarnation, Model: r.Kind == "model", CapacityMib: num(r.CapacityMib),
 		AdapterPlaces: num(r.AdapterPlaces), Slots: r.Slots, Inflight: r.Inflight, Leaving: r.Leaving,
 		ServeFor: time.Duration(num(r.ServeMs)) * time.Millisecond, Items: map[conf.Item]Line{}}
@@ -214,9 +214,9 @@
 	if err == nil {
 		return nil
 	}
-	var drop *replica.Drop
-	if errors.As(err, &drop) {
-		return errors.Wrapf(ErrRefused, "%s: %s", drop.Name, drop.Detail)
+	var refused *replica.Refusal
+	if errors.As(err, &refused) {
+		return errors.Wrapf(ErrRefused, "%s: %s", refused.Name, refused.Detail)
 	}
 	return errors.Wrap(ErrUnsure, err.Error())
 }
--- a/internal/kernel/wire/wire_test.go
+++ b/internal/kernel/wire/wire_test.go
@@ -22,7 +22,7 @@
 	Handle(m, "/x", func(_ context.Context, v q) (q, error) {
 		acted++
 		if v.N == 7 {
-			return q{}, Drop("seven", "not that one")
+			return q{}, Refuse("seven", "not that one")
 		}
 		return v, nil
 	})
@@ -93,7 +93,7 @@
 	})
 }
 
-// A planned stop on a real listener: it is closed first, and ends without a problem.
+// A planned stop on a real listener: it is closed first, and ends without an error.
 func TestQuiesceThenDrain(t *testing.T) {
 	for range 200 {
 		ln, err := Host().Listen("127.0.0.1:0")
--- a/internal/state/acceptor/slot.go
+++ b/internal/state/acceptor/slot.go
@@ -13,11 +13,11 @@
 
 // promise is what is on the disk of a slot besides its records.
 type promise struct {
-	Epoch  uint64     `cbor:"1,keyasint"`
-	Holder state.Core `cbor:"2,keyasint"`
-	Full   uint64     `cbor:"3,keyasint"`           // newest epoch whose whole table is here
-	Serial uint64     `cbor:"4,keyasint"`           // newest version seen in the slot
-	FullBy state.Core `cbor:"5,keyasint,omitempty"` // who wrote the whole table under Full
+	Epoch   uint64     `cbor:"1,keyasint"`
+	Holder  state.Core `cbor:"2,keyasint"`
+	Full    uint64     `cbor:"3,keyasint"`           // newest epoch whose whole table is here
+	Version uint64     `cbor:"4,keyasint"`           // newest version seen in the slot
+	FullBy  state.Core `cbor:"5,keyasint,omitempty"` // who wrote the whole table under Full
 }
 
 // table is one slot; it belongs to its desk but for the atomic fields.
@@ -66,26 +66,26 @@
 	t.anew, t.freed = true, bid{}
 }
 
-// vote checks what every vote needs: to be a voter, under the same core set.
+// vote checks what every vote needs: to be a voter, under the same core membership.
 func (a *Acceptor) vote(set uint64) (state.Reply, bool) {
 	st := a.standing.Load()
 	switch {
 	case a.sick.Load():
-		return state.Reply{Why: state.WhySick, Set: st.Set.Serial}, false
+		return state.Reply{Why: state.WhySick, Set: st.Set.Version}, false
 	case st.Phase != Voter:
-		return state.Reply{Why: state.WhyVoter, Set: st.Set.Serial}, false
-	case set < st.Set.Serial:
-		return state.Reply{Why: state.WhySet, Set: st.Set.Serial}, false
-	case set > st.Set.Serial:
-		return state.Reply{Why: state.WhyBehind, Set: st.Set.Serial}, false
+		return state.Reply{Why: state.WhyVoter, Set: st.Set.Version}, false
+	case set < st.Set.Version:
+		return state.Reply{Why: state.WhySet, Set: st.Set.Version}, false
+	case set > st.Set.Version:
+		return state.Reply{Why: state.WhyBehind, Set: st.Set.Version}, false
 	}
-	return state.Reply{Set: st.Set.Serial}, true
+	return state.Reply{Set: st.Set.Version}, true
 }
 
 // onSlot runs f in the desk of a slot if this core may vote under the asker's set.
 func (a *Acceptor) onSlot(ctx context.Context, q state.Ask, f func(t *table, r *state.Reply)) (state.Reply, error) {
 	if q.Slot < 0 || q.Slot >= state.Slots {
-		return state.Reply{}, wire.Drop("bad", fmt.Sprintf("slot %d", q.Slot))
+		return state.Reply{}, wire.Refuse("bad", fmt.Sprintf("slot %d", q.Slot))
 	}
 	t := a.slots[q.Slot]
 	// Why: a stalled disk must not hold up who asked; what it syncs later counts all the same.
--- a/internal/state/coreset/founding.go
+++ b/internal/state/coremembers/founding.go
@@ -1,4 +1,4 @@
-package coreset
+package coremembers
 
 import (
 	"context"
@@ -48,7 +48,7 @@
 			_, err = call[Formation, None](ctx, k, c, "/state/form", f)
 		}
 		if err != nil {
-			k.d.Log.Info("formation waits", "for", c.Name, "firm", f.Firm, "problem", err)
+			k.d.Log.Info("formation waits", "for", c.Name, "firm", f.Firm, "error", err)
 			agreed = false
 			if !f.Firm {
 				break
@@ -81,8 +81,8 @@
 
 // offer is the set to be formed from these cores: the one that all have agreed
 // to, or else one under a higher version than any of them has.
-func (k *Keeper) offer(ctx context.Context, cores []state.Core) (state.CoreSet, bool) {
-	set := state.CoreSet{Cores: cores}
+func (k *Keeper) offer(ctx context.Context, cores []state.Core) (state.CoreMembers, bool) {
+	set := state.CoreMembers{Cores: cores}
 	agreed := false
 	for _, c := range cores {
 		st := k.d.Acceptor.Standing()
@@ -97,19 +97,19 @@
 		if theirs.Phase != acceptor.Empty && theirs.Phase != acceptor.Pending {
 			return set, false
 		}
-		if n := theirs.Set.Serial; n > set.Serial {
-			set.Serial, agreed = n, alike(theirs.Set, state.CoreSet{Serial: n, Cores: cores})
+		if n := theirs.Set.Version; n > set.Version {
+			set.Version, agreed = n, alike(theirs.Set, state.CoreMembers{Version: n, Cores: cores})
 		}
 	}
 	if !agreed {
-		set.Serial++
+		set.Version++
 	}
 	return set, true
 }
 
 // alike says whether two sets are the same.
-func alike(a, b state.CoreSet) bool {
-	if a.Serial != b.Serial || len(a.Cores) != len(b.Cores) {
+func alike(a, b state.CoreMembers) bool {
+	if a.Version != b.Version || len(a.Cores) != len(b.Cores) {
 		return false
 	}
 	for _, c := range a.Cores {
@@ -124,7 +124,7 @@
 // to and never became firm: the same machines, of which a minority came back with other disks.
 // Why: a majority of the old set stands here or there as agreed and not voting, so nobody can have been
 // acknowledged anything under it; and under the lower version nobody ever will be.
-func refounds(old, next state.CoreSet) bool {
+func refounds(old, next state.CoreMembers) bool {
 	lost := 0
 	for _, c := range old.Cores {
 		if next.Has(c) {
@@ -139,7 +139,7 @@
 		}
 		lost++
 	}
-	return next.Serial > old.Serial && len(next.Cores) == len(old.Cores) && lost < old.Quorum()
+	return next.Version > old.Version && len(next.Cores) == len(old.Cores) && lost < old.Quorum()
 }
 
 // form takes what a founder offers or makes firm; a refusal has the code "formation".
@@ -148,7 +148,7 @@
 	_, err := k.d.Acceptor.SetStanding(ctx, func(st acceptor.Standing) (acceptor.Standing, bool) {
 		same := alike(st.Set, f.Set)
 		switch {
-		case !f.Set.Has(k.d.Self()) || f.Set.Serial < 1:
+		case !f.Set.Has(k.d.Self()) || f.Set.Version < 1:
 			why = "not a member"
 		case st.Phase == acceptor.Empty && !f.Firm:
 			return acceptor.Standing{Phase: acceptor.Pending, Set: f.Set}, true
@@ -163,7 +163,7 @@
 		return st, false
 	})
 	if err == nil && why != "" {
-		err = wire.Drop("formation", why)
+		err = wire.Refuse("formation", why)
 	}
 	return None{}, err
 }
--- a/internal/state/owner/repair.go
+++ b/internal/state/owner/repair.go
@@ -17,7 +17,7 @@
 
 // repair hands voters what they missed: those with a hint, and those whose
 // digest differs.
-func (s *slot) repair(set state.CoreSet) {
+func (s *slot) repair(set state.CoreMembers) {
 	o := s.o
 	all := make([]state.Record, 0, len(s.table))
 	for _, r := range s.table {
@@ -32,7 +32,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		q := state.Ask{Set: set.Serial, From: self, Slot: s.n, Epoch: s.epoch.Load()}
+		q := state.Ask{Set: set.Version, From: self, Slot: s.n, Epoch: s.epoch.Load()}
 		return s.repairVoter(ctx, c, q, all, sum)
 	})
 	for range set.Cores {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -1,5 +1,5 @@
 // Package state holds the words that the parts of the control state share:
-// keys in slots, records, the core set and the messages between cores.
+// keys in slots, records, the core membership and the messages between cores.
 package state
 
 import (
@@ -20,7 +20,7 @@
 // HoldMargin is what the holder gives up early, for clocks that run apart.
 const HoldMargin = 300 * time.Millisecond
 
-// Problems of the control state, as its users see them.
+// Errors of the control state, as its users see them.
 var (
 	ErrNotOwner = errors.New("state: slot is not held here")
 	ErrNoQuorum = errors.New("state: no quorum; nothing was kept")
@@ -31,16 +31,16 @@
 
 // Stamp orders the values of a key; the newest wins.
 type Stamp struct {
-	Epoch  uint64 `cbor:"1,keyasint"`
-	Serial uint64 `cbor:"2,keyasint"`
+	Epoch   uint64 `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
 }
 
 // Newer says whether s is after o.
 func (s Stamp) Newer(o Stamp) bool {
-	return s.Epoch > o.Epoch || s.Epoch == o.Epoch && s.Serial > o.Serial
+	return s.Epoch > o.Epoch || s.Epoch == o.Epoch && s.Version > o.Version
 }
 
-func (s Stamp) String() string { return fmt.Sprintf("%d.%d", s.Epoch, s.Serial) }
+func (s Stamp) String() string { return fmt.Sprintf("%d.%d", s.Epoch, s.Version) }
 
 // Record is one value of one key.
 type Record struct {
@@ -72,17 +72,17 @@
 // Is says whether two are the same voter, wherever it may be reached.
 func (c Core) Is(o Core) bool { return c.Name == o.Name && c.Disk == o.Disk }
 
-// CoreSet is the voters that count, under a rising serial.
-type CoreSet struct {
-	Serial uint64 `cbor:"1,keyasint" json:"serial"`
-	Cores  []Core `cbor:"2,keyasint" json:"cores"`
+// CoreMembers is the voters that count, under a rising version.
+type CoreMembers struct {
+	Version uint64 `cbor:"1,keyasint" json:"serial"`
+	Cores   []Core `cbor:"2,keyasint" json:"cores"`
 }
 
 // Quorum is how many make a majority.
-func (s CoreSet) Quorum() int { return len(s.Cores)/2 + 1 }
+func (s CoreMembers) Quorum() int { return len(s.Cores)/2 + 1 }
 
 // Has says whether c is a voter.
-func (s CoreSet) Has(c Core) bool {
+func (s CoreMembers) Has(c Core) bool {
 	for _, o := range s.Cores {
 		if o.Is(c) {
 			return true
@@ -109,7 +109,7 @@
 	Epoch   uint64   `cbor:"3,keyasint,omitempty"`
 	Set     uint64   `cbor:"4,keyasint,omitempty"`
 	Full    uint64   `cbor:"5,keyasint,omitempty"`
-	Serial  uint64   `cbor:"6,keyasint,omitempty"`
+	Version uint64   `cbor:"6,keyasint,omitempty"`
 	Records []Record `cbor:"7,keyasint,omitempty"`
 	Holder  Core     `cbor:"8,keyasint,omitempty"`
 	Sum     []byte   `cbor:"9,keyasint,omitempty"`
