--- a/internal/place/report/sums_test.go
+++ b/internal/place/report/sums_test.go
@@ -56,7 +56,7 @@
 			for m := range 6 {
 				item := conf.Item{Model: fmt.Sprint("m", m)}
 				if w, p := table.Demand(item, now); w != table.Waiting(now)[item] || p != table.Pressed(now)[item] {
-					t.Fatalf("seed %d, report %d: %v: %d waiting, %d pressed", seed, serial, item, w, p)
+					t.Fatalf("seed %d, report %d: %v: %d waiting, %d pressed", seed, version, item, w, p)
 				}
 			}
 			for r := range 3 {
@@ -124,7 +124,7 @@
 // What a controller asks about the items of its replica while many items wait.
 func BenchmarkDemand(b *testing.B) {
 	table := NewTable()
-	r := Report{Agent: "edge", Boot: "b", Serial: 1, Waiting: map[string]int{}}
+	r := Report{Agent: "edge", Boot: "b", Version: 1, Waiting: map[string]int{}}
 	for i := range 300 {
 		r.Waiting[fmt.Sprint("m", i)] = 1
 	}
