--- a/internal/conf/effect.go
+++ b/internal/conf/effect.go
@@ -64,7 +64,10 @@
 			Group: f["group"].(string), Models: f["models"].([]string), Adapters: f["adapters"].([]string), MinCopies: f["minCopies"].(int),
 		}
 	case "classes":
-		e.Classes[name] = Class{Urgent: f["urgent"].(bool), Rank: f["rank"].(int), Weight: f["weight"].(int), Holding: f["holding"].(int)}
+		e.Classes[name] = Class{Urgent: f["urgent"].(bool), Rank: f["rank"].(int), Weight: f["weight"].(int), Holding: f["holding"].(int),
+			Tenant: f["tenant"].(string)}
+	case "tenants":
+		e.Tenants[name] = Tenant{Share: f["share"].(int)}
 	case "services":
 		e.Services[name] = readService(name, f)
 	case "routes":
@@ -130,7 +133,7 @@
 
 func readService(name string, f map[string]any) Service {
 	s := Service{Selector: OfService(name), MaxConnections: f["maxConnections"].(int), Slots: f["slots"].(int), CapacityMib: f["capacityMib"].(int),
-		AdapterPlaces: f["adapterPlaces"].(int), CacheTokens: f["cacheTokens"].(int), LoadsPerSecond: f["loadsPerSecond"].(float64)}
+		AdapterPlaces: f["adapterPlaces"].(int), CacheTokens: f["cacheTokens"].(int), CacheByShare: f["cacheByShare"].(bool), LoadsPerSecond: f["loadsPerSecond"].(float64)}
 	if own := f["selector"].(string); own != "" {
 		s.Selector, _ = labels.Parse(own)
 	}
@@ -174,6 +177,7 @@
 			}
 		}
 	}
+	faults = append(faults, e.tenantReferences()...)
 	for _, name := range sorted(e.Routes) {
 		if _, found := e.Classes[e.Routes[name].Class]; !found {
 			faults = append(faults, fmt.Sprintf("routes/%s.class: no class %q", name, e.Routes[name].Class))
--- a/internal/conf/model.go
+++ b/internal/conf/model.go
@@ -28,9 +28,10 @@
 // Class is a kind of caller.
 type Class struct {
 	Urgent  bool
-	Rank    int // among classes of the same urgency a lower one goes first, whatever the weights
-	Weight  int // share among the classes that are not urgent
-	Holding int // requests that may wait at one proxy
+	Rank    int    // among classes of the same urgency a lower one goes first, whatever the weights
+	Weight  int    // share among the classes that are not urgent
+	Holding int    // requests that may wait at one proxy
+	Tenant  string // its owner; "" is DefaultTenant
 }
 
 // Route leads requests to back ends.
@@ -76,6 +77,7 @@
 	Claims  map[string]Claim
 	Drains  map[string]labels.Selector
 	Classes map[string]Class
+	Tenants map[string]Tenant // none: nothing is shared between tenants
 	Routes  map[string]Route
 	// Services are named sets of replicas that routes are split over.
 	Services map[string]Service
@@ -95,7 +97,7 @@
 // bare is a configuration without any object.
 func bare() Effective {
 	e := Effective{Models: map[string]Model{}, Groups: map[string]labels.Selector{}, Claims: map[string]Claim{}, Drains: map[string]labels.Selector{},
-		Classes: map[string]Class{}, Routes: map[string]Route{}, Services: map[string]Service{}, Weights: map[string]float64{}}
+		Classes: map[string]Class{}, Tenants: map[string]Tenant{}, Routes: map[string]Route{}, Services: map[string]Service{}, Weights: map[string]float64{}}
 	for j, w := range Judges {
 		e.Weights[j] = w
 	}
--- a/internal/conf/objects.go
+++ b/internal/conf/objects.go
@@ -19,7 +19,7 @@
 
 // ObjectKinds maps the kinds of Kubernetes-style objects to ours.
 var ObjectKinds = map[string]string{"Model": "models", "PlacementGroup": "groups", "ModelClaim": "claims", "Drain": "drains",
-	"RequestClass": "classes", "Route": "routes", "Service": "services", "JudgeWeight": "weights", "Limits": "limits"}
+	"Tenant": "tenants", "RequestClass": "classes", "Route": "routes", "Service": "services", "JudgeWeight": "weights", "Limits": "limits"}
 
 // object is the form of one; the spec has the same settings as ours.
 type object struct {
--- a/internal/conf/service.go
+++ b/internal/conf/service.go
@@ -19,6 +19,7 @@
 	AdapterPlaces  int             // adapters one replica may hold; 0 leaves it to the report
 	CacheTokens    int             // prompt and output tokens one replica keeps
 	LoadsPerSecond float64         // starts that the weight store of its models bears; 0 is limits.paceLoads
+	CacheByShare   bool            // its replicas divide their cache between tenants themselves
 }
 
 // Share is the part of a route's requests that goes to one service.
--- a/internal/conf/service_test.go
+++ b/internal/conf/service_test.go
@@ -172,7 +172,7 @@
 			t.Errorf("%s: selector %s", contentType, s.Selector)
 		}
 		s.Selector = nil
-		if want := (Service{nil, 9, 4, 800, 3, 5000, 0.5}); s != want {
+		if want := (Service{MaxConnections: 9, Slots: 4, CapacityMib: 800, AdapterPlaces: 3, CacheTokens: 5000, LoadsPerSecond: 0.5}); s != want {
 			t.Errorf("%s: got %+v", contentType, s)
 		}
 		if got := e.LoadsPerSecond(); got != 0.5 {
--- a/internal/conf/table.go
+++ b/internal/conf/table.go
@@ -93,10 +93,12 @@
 	{"claims", "adapters", Texts, []string{}, nil, "", "adapters, as MODEL/ADAPTER"},
 	{"claims", "minCopies", Int, 0, between(0, 1000), "0 to 1000", "copies of each that are always kept loaded"},
 	{"drains", "selector", Text, nil, selector, "a label selector", "replicas to be left alone: no new requests, no loads; the label zone is there of itself"},
+	{"tenants", "share", Int, 1, between(1, 1000), "1 to 1000", "weight among the tenants that want cache or places"},
 	{"classes", "urgent", Bool, false, nil, "", "goes before every other class and has places of its own"},
 	{"classes", "rank", Int, 0, between(0, 9), "0 to 9", "of two classes the lower rank goes first, whatever their weights"},
 	{"classes", "weight", Int, 1, between(1, 1000), "1 to 1000", "share among the classes that are not urgent"},
 	{"classes", "holding", Int, 256, between(1, 100_000), "1 to 100000", "requests that may wait at one proxy"},
+	{"classes", "tenant", Text, "", nil, "", "tenant whose share its requests use; empty is the tenant default, with share 1 unless it is given"},
 	{"routes", "kind", Text, nil, oneOf("model", "service"), "model or service", "what the route leads to"},
 	{"routes", "selector", Text, "", selector, "a label selector", "back ends of a service route"},
 	{"routes", "class", Text, nil, named, "the name of a class", "class of the requests"},
@@ -117,6 +119,7 @@
 	{"services", "capacityMib", Int, 0, between(0, 1<<30), "0 to 1073741824", "memory of one replica for models; 0 leaves it to its report"},
 	{"services", "adapterPlaces", Int, 0, between(0, 1<<16), "0 to 65536", "adapters one replica may hold; 0 leaves it to its report"},
 	{"services", "cacheTokens", Int, 0, between(0, 1<<30), "0 to 1073741824", "tokens one replica keeps; 0 is unknown"},
+	{"services", "cacheByShare", Bool, false, nil, "", "its replicas divide their cache between tenants themselves"},
 	{"services", "loadsPerSecond", Number, 0.0, between(0, 100_000), "0 to 100000", "load starts a second that the weight store bears; 0 is limits.paceLoads"},
 	{"weights", "weight", Number, nil, between(0, 1000), "0 to 1000", "weight of the judge of that name"},
 	{"limits", "paceLoads", Int, 2, between(1, 1000), "1 to 1000", "loads the weight store bears in any 5 s"},
@@ -134,7 +137,7 @@
 
 // Judges names the weights that exist and their starting values.
 var Judges = map[string]float64{
-	"warmth": 8, "wait": 0, "load": 3, "zone": 1, "serve": 2, "drain": 1, "demand": 4, "recency": 1, "copies": 1, "adapters": 1, "room": 2,
+	"warmth": 8, "wait": 0, "load": 3, "zone": 1, "serve": 2, "drain": 1, "share": 16, "demand": 4, "recency": 1, "copies": 1, "adapters": 1, "room": 2,
 }
 
 // limitsName is the one object of kind limits.
--- /dev/null
+++ b/internal/conf/tenant_test.go
@@ -0,0 +1,46 @@
+package conf
+
+import (
+	"maps"
+	"testing"
+)
+
+func effective(t *testing.T, doc string) Effective {
+	t.Helper()
+	k, err := ReadWhole("application/json", []byte(doc))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := Effect(k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func TestSharesOfTenants(t *testing.T) {
+	for _, c := range []struct {
+		name, doc string
+		want      map[string]int
+	}{
+		{"nobody is a tenant", `{"classes":{"a":{}}}`, map[string]int{}},
+		{"a class without a tenant is the default one's", `{"tenants":{"x":{"share":3}},"classes":{"a":{"tenant":"x"},"b":{}}}`, map[string]int{"x": 3, DefaultTenant: 1}},
+		{"the default tenant may be given a share", `{"tenants":{"x":{},"default":{"share":7}},"classes":{"b":{}}}`, map[string]int{"x": 1, DefaultTenant: 7}},
+		{"where all classes have a tenant there is no default one", `{"tenants":{"x":{},"y":{}},"classes":{"a":{"tenant":"x"}}}`, map[string]int{"x": 1, "y": 1}},
+	} {
+		if got := effective(t, c.doc).Shares(); !maps.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestUrgencyWithinATenant(t *testing.T) {
+	for _, c := range []struct {
+		class Class
+		want  int
+	}{{Class{Urgent: true, Rank: 9}, 0}, {Class{}, 1}, {Class{Rank: 4}, 5}, {Class{Rank: 9}, Ranks - 1}, {Class{Rank: 4000}, Ranks - 1}} {
+		if got := c.class.Urgency(); got != c.want {
+			t.Errorf("%+v: %d, want %d", c.class, got, c.want)
+		}
+	}
+}
