A bounded cache that tenants share by weight

Weighted max-min: the tenant that uses most for its share gives way, in it the least urgent step above its floor, in that the least recently used. Held against a plain search on 200 random courses and a fuzz target.

--- /dev/null
+++ b/internal/kernel/sharedcache/cache.go
@@ -0,0 +1,258 @@
+// Package sharedcache is a bounded cache that tenants share by weight.
+//
+// Each entry belongs to a tenant and to a step of urgency within it. Any tenant
+// may use what the others leave idle. When the cache is full, the tenant that uses
+// most for its share gives way (weighted max-min fairness over the tenants that
+// have something there): in it first the least urgent step, in that what was used
+// longest ago. So a tenant at or under its share loses nothing while another is
+// above its own.
+//
+// The router's memory of warm prefixes and the stand-in replica's cache are made of
+// it. A cache is not safe for concurrent use; its owner guards it. It starts
+// nothing and reads no clock.
+package sharedcache
+
+import "container/heap"
+
+const (
+	// Ranks is how many steps of urgency there are within a tenant; 0 is the most urgent.
+	Ranks = 12
+	// floorPart of what a tenant keeps stays with a less urgent step that wants it.
+	// Why: urgent entries that nobody uses any more would otherwise leave the others nothing for ever. With
+	// fewer steps than parts one step is always above its floor.
+	floorPart = 16
+)
+
+// Owner is whose an entry is.
+type Owner struct {
+	Tenant string
+	Rank   int // step of urgency; out of bounds is the nearest
+}
+
+func (o Owner) rank() uint8 { return uint8(min(max(o.Rank, 0), Ranks-1)) }
+
+// Cache keeps values up to a total cost.
+type Cache[K comparable, V any] struct {
+	capacity int64
+	used     int64
+	index    map[K]int32
+	nodes    slab[K, V]
+	tenants  map[string]*tenant
+	fullest  tenantHeap // the one that uses most for its share is on top
+	shares   map[string]int
+	present  int64 // sum of the shares of those that keep something
+	onEvict  func(K, Owner)
+}
+
+// tenant is what one tenant keeps.
+type tenant struct {
+	name    string
+	share   int64
+	used    int64
+	entries int
+	evicted uint64
+	place   int // in the heap
+	ranks   [Ranks]list
+}
+
+// list is the entries of one step of urgency, the latest used first.
+type list struct {
+	first, last int32
+	used        int64
+}
+
+// New is an empty cache of a capacity. onEvict is told of each entry that has to
+// give way; nil is nobody.
+func New[K comparable, V any](capacity int, onEvict func(K, Owner)) *Cache[K, V] {
+	return &Cache[K, V]{capacity: int64(max(capacity, 0)), index: map[K]int32{}, tenants: map[string]*tenant{}, shares: map[string]int{}, onEvict: onEvict}
+}
+
+// SetShares gives tenants their weights; any other has weight 1. Nothing is
+// evicted for it: what is shared otherwise now shows when room is wanted.
+func (c *Cache[K, V]) SetShares(shares map[string]int) {
+	c.shares = shares
+	for _, t := range c.tenants {
+		c.reshare(t)
+	}
+	heap.Init(&c.fullest)
+}
+
+// SetShare gives one tenant its weight.
+func (c *Cache[K, V]) SetShare(name string, share int) {
+	if c.shares[name] == share {
+		return
+	}
+	c.shares[name] = share
+	if t := c.tenants[name]; t != nil {
+		c.reshare(t)
+		heap.Fix(&c.fullest, t.place)
+	}
+}
+
+// reshare gives a tenant the share that is set now.
+func (c *Cache[K, V]) reshare(t *tenant) {
+	share := c.shareOf(t.name)
+	if t.entries > 0 {
+		c.present += share - t.share
+	}
+	t.share = share
+}
+
+func (c *Cache[K, V]) shareOf(name string) int64 { return int64(max(c.shares[name], 1)) }
+
+// Peek is the value of a key; that counts as no use.
+func (c *Cache[K, V]) Peek(key K) (V, bool) {
+	at, found := c.index[key]
+	if !found {
+		var none V
+		return none, false
+	}
+	return c.nodes.at(at).value, true
+}
+
+// Use is the value of a key that a tenant has a use for now.
+func (c *Cache[K, V]) Use(key K, by Owner) (V, bool) {
+	at, found := c.index[key]
+	if !found {
+		var none V
+		return none, false
+	}
+	c.touch(at, by)
+	return c.nodes.at(at).value, true
+}
+
+// Put keeps a value of a cost. What is there already gets the new value and counts
+// as used. It says whether the value is kept: it may be the one to give way itself.
+func (c *Cache[K, V]) Put(key K, by Owner, cost int, value V) bool {
+	cost = max(cost, 1)
+	if int64(cost) > c.capacity {
+		c.Remove(key)
+		return false
+	}
+	at, found := c.index[key]
+	if found {
+		c.recharge(at, int64(cost))
+		c.touch(at, by)
+		c.nodes.at(at).value = value
+	} else {
+		at = c.nodes.take()
+		n := c.nodes.at(at)
+		n.key, n.value, n.cost, n.rank, n.owner = key, value, int32(cost), by.rank(), c.tenantOf(by.Tenant)
+		c.index[key] = at
+		c.link(at)
+	}
+	for c.used > c.capacity {
+		c.evict()
+	}
+	_, kept := c.index[key]
+	return kept
+}
+
+// Remove lets go of a key.
+func (c *Cache[K, V]) Remove(key K) {
+	if at, found := c.index[key]; found {
+		c.drop(at)
+	}
+}
+
+// Len is how many entries there are.
+func (c *Cache[K, V]) Len() int { return len(c.index) }
+
+// Used is what all entries cost.
+func (c *Cache[K, V]) Used() int { return int(c.used) }
+
+// touch makes an entry the latest used of its list. Within a tenant it is counted
+// with the most urgent step that uses it. One that two tenants use stays where it is counted while that
+// tenant is within its share, where nothing is taken from; else it goes to the user that keeps less.
+func (c *Cache[K, V]) touch(at int32, by Owner) {
+	n := c.nodes.at(at)
+	to, rank := n.owner, n.rank
+	if n.owner.name == by.Tenant {
+		rank = min(rank, by.rank())
+	} else if other := c.tenants[by.Tenant]; c.isAbove(n.owner) && keepsLess(other, n.owner) {
+		to, rank = c.tenantOf(by.Tenant), by.rank()
+	}
+	c.unlink(at)
+	n.owner, n.rank = to, rank
+	c.link(at)
+}
+
+// isAbove says whether a tenant keeps more than its share of the capacity.
+func (c *Cache[K, V]) isAbove(t *tenant) bool { return t.used*c.present > c.capacity*t.share }
+
+// keepsLess says whether a tenant, or nobody yet, keeps less for its share than another.
+func keepsLess(t, than *tenant) bool { return t == nil || t.used*than.share < than.used*t.share }
+
+// tenantOf is the tenant of a name, made where there is none.
+func (c *Cache[K, V]) tenantOf(name string) *tenant {
+	t := c.tenants[name]
+	if t == nil {
+		t = &tenant{name: name, share: c.shareOf(name)}
+		for i := range t.ranks {
+			t.ranks[i].first, t.ranks[i].last = none, none
+		}
+		c.tenants[name] = t
+		heap.Push(&c.fullest, t)
+	}
+	return t
+}
+
+// recharge changes the cost of an entry.
+func (c *Cache[K, V]) recharge(at int32, cost int64) {
+	n := c.nodes.at(at)
+	by := cost - int64(n.cost)
+	if by == 0 {
+		return
+	}
+	n.cost = int32(cost)
+	c.charge(n.owner, n.rank, by)
+}
+
+// charge adds to what a tenant's step keeps.
+func (c *Cache[K, V]) charge(t *tenant, rank uint8, by int64) {
+	c.used += by
+	t.used += by
+	t.ranks[rank].used += by
+	heap.Fix(&c.fullest, t.place)
+}
+
+// evict lets one entry go.
+func (c *Cache[K, V]) evict() {
+	t := c.fullest[0]
+	at := t.ranks[t.victimRank()].last
+	n := c.nodes.at(at)
+	key, owner := n.key, Owner{Tenant: t.name, Rank: int(n.rank)}
+	t.evicted++
+	c.drop(at)
+	if c.onEvict != nil {
+		c.onEvict(key, owner)
+	}
+}
+
+// victimRank is the least urgent step that keeps more than its floor.
+func (t *tenant) victimRank() int {
+	for rank := Ranks - 1; rank > 0; rank-- {
+		if t.ranks[rank].used*floorPart > t.used {
+			return rank
+		}
+	}
+	return 0
+}
+
+// drop takes an entry out; a tenant that keeps nothing more is forgotten.
+func (c *Cache[K, V]) drop(at int32) {
+	n := c.nodes.at(at)
+	t := n.owner
+	delete(c.index, n.key)
+	c.unlink(at)
+	c.nodes.give(at)
+	c.forget(t)
+}
+
+func (c *Cache[K, V]) forget(t *tenant) {
+	if t.entries > 0 || c.shares[t.name] > 0 {
+		return
+	}
+	heap.Remove(&c.fullest, t.place)
+	delete(c.tenants, t.name)
+}
--- /dev/null
+++ b/internal/kernel/sharedcache/cache_test.go
@@ -0,0 +1,320 @@
+package sharedcache
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// oracleEntry and oracle say by plain search what the cache must do.
+type oracleEntry struct {
+	key    int
+	tenant string
+	rank   int
+	cost   int
+	usedAt int
+}
+
+type oracle struct {
+	capacity int
+	shares   map[string]int
+	entries  map[int]*oracleEntry
+	now      int
+}
+
+func (o *oracle) share(tenant string) int { return max(o.shares[tenant], 1) }
+
+func (o *oracle) used(tenant string) (used int) {
+	for _, e := range o.entries {
+		if e.tenant == tenant {
+			used += e.cost
+		}
+	}
+	return used
+}
+
+func (o *oracle) total() (used int) {
+	for _, e := range o.entries {
+		used += e.cost
+	}
+	return used
+}
+
+func (o *oracle) use(key int, by Owner) bool {
+	o.now++
+	e := o.entries[key]
+	if e == nil {
+		return false
+	}
+	e.usedAt = o.now
+	if e.tenant == by.Tenant {
+		e.rank = min(e.rank, by.Rank)
+	} else if o.isAbove(e.tenant) && o.used(by.Tenant)*o.share(e.tenant) < o.used(e.tenant)*o.share(by.Tenant) {
+		e.tenant, e.rank = by.Tenant, by.Rank
+	}
+	return true
+}
+
+func (o *oracle) isAbove(tenant string) bool {
+	shares, seen := 0, map[string]bool{}
+	for _, e := range o.entries {
+		if !seen[e.tenant] {
+			seen[e.tenant] = true
+			shares += o.share(e.tenant)
+		}
+	}
+	return o.used(tenant)*shares > o.capacity*o.share(tenant)
+}
+
+func (o *oracle) put(t *testing.T, key int, by Owner, cost int) {
+	if cost > o.capacity {
+		delete(o.entries, key)
+		return
+	}
+	if e := o.entries[key]; e != nil {
+		e.cost = cost
+		o.use(key, by)
+	} else {
+		o.now++
+		o.entries[key] = &oracleEntry{key: key, tenant: by.Tenant, rank: by.Rank, cost: cost, usedAt: o.now}
+	}
+	for o.total() > o.capacity {
+		o.evict(t)
+	}
+}
+
+func (o *oracle) evict(t *testing.T) {
+	present := map[string]int{}
+	for _, e := range o.entries {
+		present[e.tenant] += e.cost
+	}
+	tenant, shares := "", 0
+	for name, used := range present {
+		shares += o.share(name)
+		x, y := 0, 0
+		if tenant != "" {
+			x, y = used*o.share(tenant), present[tenant]*o.share(name)
+		}
+		if tenant == "" || x > y || x == y && name < tenant {
+			tenant = name
+		}
+	}
+	// What the letter asks for, whatever the way it is reached: who gives way is above its share.
+	if present[tenant]*shares <= o.capacity*o.share(tenant) {
+		t.Fatalf("%s gives way with %d of %d, and its share is %d of %d", tenant, present[tenant], o.capacity, o.share(tenant), shares)
+	}
+	byRank := map[int]int{}
+	for _, e := range o.entries {
+		if e.tenant == tenant {
+			byRank[e.rank] += e.cost
+		}
+	}
+	rank := Ranks - 1
+	for rank > 0 && byRank[rank]*floorPart <= present[tenant] {
+		rank--
+	}
+	var victim *oracleEntry
+	for _, e := range o.entries {
+		if e.tenant == tenant && e.rank == rank && (victim == nil || e.usedAt < victim.usedAt) {
+			victim = e
+		}
+	}
+	delete(o.entries, victim.key)
+}
+
+// play lets a cache and the oracle do the same and compares them.
+func play(t *testing.T, seed uint64, steps int) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	capacity := 1 + rnd.IntN(60)
+	o := &oracle{capacity: capacity, shares: map[string]int{}, entries: map[int]*oracleEntry{}}
+	gone := map[int]bool{}
+	c := New[int, int](capacity, func(key int, _ Owner) { gone[key] = true })
+	tenants, keys := 1+rnd.IntN(5), 1+rnd.IntN(200)
+	for step := range steps {
+		by := Owner{Tenant: fmt.Sprint("t", rnd.IntN(tenants)), Rank: rnd.IntN(Ranks)}
+		key := rnd.IntN(keys)
+		switch what := rnd.IntN(100); {
+		case what < 2:
+			o.shares = map[string]int{}
+			for i := range rnd.IntN(tenants + 1) {
+				o.shares[fmt.Sprint("t", i)] = 1 + rnd.IntN(9)
+			}
+			given := map[string]int{}
+			for name, share := range o.shares {
+				given[name] = share
+			}
+			c.SetShares(given)
+		case what < 4:
+			o.shares[by.Tenant] = 1 + rnd.IntN(9)
+			c.SetShare(by.Tenant, o.shares[by.Tenant])
+		case what < 8:
+			delete(o.entries, key)
+			c.Remove(key)
+		case what < 30:
+			want := o.use(key, by)
+			if got, found := c.Use(key, by); found != want || found && got != key {
+				t.Fatalf("seed %d step %d: use of %d: %d %v, want %v", seed, step, key, got, found, want)
+			}
+		default:
+			cost := 1 + rnd.IntN(1+capacity/4)
+			if rnd.IntN(40) == 0 {
+				cost = capacity + 1
+			}
+			o.put(t, key, by, cost)
+			_, kept := o.entries[key]
+			if got := c.Put(key, by, cost, key); got != kept {
+				t.Fatalf("seed %d step %d: put of %d: kept %v, want %v", seed, step, key, got, kept)
+			}
+		}
+		compare(t, c, o, fmt.Sprintf("seed %d step %d", seed, step))
+	}
+}
+
+func compare(t *testing.T, c *Cache[int, int], o *oracle, when string) {
+	if c.Len() != len(o.entries) || c.Used() != o.total() || c.Used() > o.capacity {
+		t.Fatalf("%s: %d entries of %d, want %d of %d, at most %d", when, c.Len(), c.Used(), len(o.entries), o.total(), o.capacity)
+	}
+	for key := range o.entries {
+		if _, found := c.Peek(key); !found {
+			t.Fatalf("%s: %d is gone", when, key)
+		}
+	}
+	for _, u := range c.Usages() {
+		if u.Used != o.used(u.Tenant) || u.Share != o.share(u.Tenant) {
+			t.Fatalf("%s: %+v, want %d with share %d", when, u, o.used(u.Tenant), o.share(u.Tenant))
+		}
+		sum := 0
+		for _, used := range u.ByRank {
+			sum += used
+		}
+		if sum != u.Used || u.Entries == 0 && u.Used != 0 {
+			t.Fatalf("%s: %+v does not add up", when, u)
+		}
+	}
+}
+
+func TestTheCacheDoesWhatASearchWould(t *testing.T) {
+	for seed := range uint64(200) {
+		play(t, seed, 300)
+	}
+}
+
+func FuzzCache(f *testing.F) {
+	f.Add(uint64(1))
+	f.Fuzz(func(t *testing.T, seed uint64) { play(t, seed, 200) })
+}
+
+func kept(c *Cache[int, int], tenant string) int {
+	for _, u := range c.Usages() {
+		if u.Tenant == tenant {
+			return u.Used
+		}
+	}
+	return 0
+}
+
+// fill puts n fresh entries.
+func fill(c *Cache[int, int], from, n int, by Owner) {
+	for i := range n {
+		c.Put(from+i, by, 1, i)
+	}
+}
+
+func TestABulkRunTakesNothingFromATenantWithinItsShare(t *testing.T) {
+	c := New[int, int](1000, nil)
+	c.SetShares(map[string]int{"transport": 3, "archive": 1})
+	fill(c, 0, 700, Owner{Tenant: "transport"})
+	fill(c, 10_000, 100_000, Owner{Tenant: "archive"})
+	if ours, theirs := kept(c, "transport"), kept(c, "archive"); ours != 700 || theirs != 300 {
+		t.Errorf("kept %d and %d, want 700 and 300: what is within the share stays, what it leaves idle is lent", ours, theirs)
+	}
+	fill(c, 1000, 300, Owner{Tenant: "transport"})
+	if ours, theirs := kept(c, "transport"), kept(c, "archive"); ours != 750 || theirs != 250 {
+		t.Errorf("kept %d and %d, want 750 and 250", ours, theirs)
+	}
+}
+
+func TestATenantAloneHasAll(t *testing.T) {
+	c := New[int, int](100, nil)
+	c.SetShares(map[string]int{"transport": 99, "archive": 1})
+	fill(c, 0, 500, Owner{Tenant: "archive"})
+	if got := kept(c, "archive"); got != 100 {
+		t.Errorf("kept %d of 100 with nobody else there", got)
+	}
+}
+
+func TestUrgentOnesStayAheadWithinATenant(t *testing.T) {
+	c := New[int, int](160, nil)
+	night := Owner{Tenant: "transport", Rank: 6}
+	fill(c, 0, 100, Owner{Tenant: "transport", Rank: 0})
+	fill(c, 1000, 5000, night)
+	u := c.Usages()[0]
+	if u.ByRank[0] != 100 || u.ByRank[6] != 60 {
+		t.Errorf("kept %v, want 100 urgent and 60 of the night's", u.ByRank)
+	}
+	fill(c, 100, 500, Owner{Tenant: "transport", Rank: 0})
+	if u = c.Usages()[0]; u.ByRank[6] != 10 {
+		t.Errorf("the night's keep %d of 160, want a sixteenth: they are not to be left nothing", u.ByRank[6])
+	}
+}
+
+func TestWhatTwoUseIsNotMadeColdByOne(t *testing.T) {
+	c := New[int, int](100, nil)
+	fill(c, 0, 10, Owner{Tenant: "transport"})
+	for i := range 5000 {
+		c.Use(i%10, Owner{Tenant: "archive", Rank: 3})
+		c.Put(1000+i, Owner{Tenant: "archive", Rank: 3}, 1, i)
+	}
+	for key := range 10 {
+		if _, found := c.Peek(key); !found {
+			t.Errorf("%d is gone", key)
+		}
+	}
+	if got := kept(c, "transport"); got != 10 {
+		t.Errorf("%d of 10 are counted with the tenant that is within its share", got)
+	}
+}
+
+func TestNewSharesShowWhenRoomIsWanted(t *testing.T) {
+	c := New[int, int](100, nil)
+	c.SetShares(map[string]int{"a": 1, "b": 1})
+	fill(c, 0, 100, Owner{Tenant: "a"})
+	fill(c, 1000, 100, Owner{Tenant: "b"})
+	c.SetShares(map[string]int{"a": 4, "b": 1})
+	if a, b := kept(c, "a"), kept(c, "b"); a != 50 || b != 50 {
+		t.Errorf("a change of shares alone left %d and %d", a, b)
+	}
+	fill(c, 200, 100, Owner{Tenant: "a"})
+	if a, b := kept(c, "a"), kept(c, "b"); a != 80 || b != 20 {
+		t.Errorf("kept %d and %d, want 80 and 20", a, b)
+	}
+}
+
+func TestATenantThatVanishesIsForgotten(t *testing.T) {
+	c := New[int, int](50, nil)
+	fill(c, 0, 50, Owner{Tenant: "a"})
+	for i := range 50 {
+		c.Remove(i)
+	}
+	if len(c.Usages()) != 0 || c.Len() != 0 || c.Used() != 0 {
+		t.Errorf("%v", c.Usages())
+	}
+}
+
+func BenchmarkPutAmongTenants(b *testing.B) {
+	for _, tenants := range []int{1, 4, 64} {
+		b.Run(fmt.Sprint("tenants=", tenants), func(b *testing.B) {
+			c := New[uint64, [3]string](100_000, nil)
+			owners := make([]Owner, tenants)
+			for i := range owners {
+				owners[i] = Owner{Tenant: fmt.Sprint("t", i), Rank: i % Ranks}
+			}
+			b.ReportAllocs()
+			var key uint64
+			for b.Loop() {
+				key++
+				c.Put(key, owners[int(key)%tenants], 1, [3]string{"m-01"})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/kernel/sharedcache/usage.go
@@ -0,0 +1,30 @@
+package sharedcache
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Usage is what one tenant keeps.
+type Usage struct {
+	Tenant  string
+	Share   int
+	Entries int
+	Used    int
+	ByRank  [Ranks]int
+	Evicted uint64 // entries that had to give way, so far
+}
+
+// Usages are the tenants that keep something, or that have a share, by name.
+func (c *Cache[K, V]) Usages() []Usage {
+	out := make([]Usage, 0, len(c.tenants))
+	for _, t := range c.tenants {
+		u := Usage{Tenant: t.name, Share: int(t.share), Entries: t.entries, Used: int(t.used), Evicted: t.evicted}
+		for i := range t.ranks {
+			u.ByRank[i] = int(t.ranks[i].used)
+		}
+		out = append(out, u)
+	}
+	slices.SortFunc(out, func(a, b Usage) int { return cmp.Compare(a.Tenant, b.Tenant) })
+	return out
+}
