With tenants, each keeps its share of a proxy's memory of warm prefixes

A bulk run of 20,000 prompts made the memory forget all of 1000 prompts of another tenant; with shares it forgets none (TestABulkRunDoesNotMakeUsForgetWhereOthersAreWarm). Without tenants the two generations stay.

--- a/internal/route/place.go
+++ b/internal/route/place.go
@@ -25,7 +25,11 @@
 		}
 	}
 	if t.Route.Kind == "model" {
-		k.warmth.sent(t.Prompt, r.Listed.ID)
+		by := k.owner(t)
+		if by.Tenant != "" {
+			k.warmth.read(by.Tenant, t.Prompt, k.warmth.warm(t.Prompt)[r.Listed.ID])
+		}
+		k.warmth.sent(t.Prompt, r.Listed.ID, by)
 		if r.Told && r.pressed() {
 			k.press(t.Item.Model, k.clock.Since())
 		}
--- a/internal/route/predict_test.go
+++ b/internal/route/predict_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"drumstall.example/internal/kernel/sharedcache"
 )
 
 func TestPaceUntilItIsSeen(t *testing.T) {
@@ -95,7 +97,7 @@
 		was, is := randomParts(rnd, 1+rnd.IntN(8)), randomParts(rnd, 1+rnd.IntN(8))
 		is = append(append([]Part{}, was[:rnd.IntN(len(was)+1)]...), is...)
 		m := newMemory()
-		m.sent(PromptOf("m", was), "r")
+		m.sent(PromptOf("m", was), "r", sharedcache.Owner{})
 		p := PromptOf("m", is)
 		want := float64(shared(was, is)) / float64(p.Size())
 		if got := m.warm(p)["r"]; math.Abs(got-want) > 1e-9 {
@@ -109,7 +111,7 @@
 
 func TestPartsAreNotRunTogether(t *testing.T) {
 	m := newMemory()
-	m.sent(PromptOf("m", []Part{{"ab", 1}, {"c", 1}}), "r")
+	m.sent(PromptOf("m", []Part{{"ab", 1}, {"c", 1}}), "r", sharedcache.Owner{})
 	for _, parts := range [][]Part{{{"a", 1}, {"bc", 1}}, {{"abc", 2}}, {{"a", 1}, {"b", 1}, {"c", 1}}, {{"c", 1}, {"ab", 1}}} {
 		if got := m.warm(PromptOf("m", parts)); len(got) > 0 {
 			t.Errorf("%v is warm: %v", parts, got)
@@ -131,7 +133,7 @@
 func TestAPromptWithoutTokensHasAShareThatCanBeReckonedWith(t *testing.T) {
 	m := newMemory()
 	p := PromptOf("m", []Part{{"a", 0}})
-	m.sent(p, "r")
+	m.sent(p, "r", sharedcache.Owner{})
 	if got := m.warm(p)["r"]; math.IsNaN(got) || got < 0 || got > 1 {
 		t.Errorf("it is warm by %v", got)
 	}
--- a/internal/route/renew.go
+++ b/internal/route/renew.go
@@ -100,6 +100,7 @@
 		d.next.Conf, d.next.Stamp, d.next.Serial = effective, e.Stamp, kept.Serial
 		d.next.Version++
 		d.isNew = true
+		k.warmth.divide(effective.Shares())
 		return true
 	}
 	return false
--- a/internal/route/warmth.go
+++ b/internal/route/warmth.go
@@ -1,9 +1,6 @@
 package route
 
-import (
-	"hash/fnv"
-	"sync"
-)
+import "hash/fnv"
 
 const (
 	// remembered is how many prefixes one generation of the memory holds.
@@ -23,13 +20,14 @@
 	digests []uint64
 	sizes   []int
 	size    int
+	inBytes bool // sizes are of bytes, as its parts have no names
 }
 
 // ReadPrompt digests a body for an item.
 func ReadPrompt(item string, body []byte) Prompt {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(item))
-	p := Prompt{size: len(body)}
+	p := Prompt{size: len(body), inBytes: true}
 	for at, end := 0, step; at < len(body) && len(p.sizes) < maxParts; {
 		// Why: the last part ends where the body does; it is the request's own, and tells one that is sent again.
 		end = min(end, len(body))
@@ -61,6 +59,17 @@
 	return p
 }
 
+// bytesPerToken is what a token of a prompt is taken for whose tokens nobody has counted.
+const bytesPerToken = 4
+
+// Tokens is how many tokens a prompt has.
+func (p Prompt) Tokens() int {
+	if p.inBytes {
+		return (p.size + bytesPerToken - 1) / bytesPerToken
+	}
+	return p.size
+}
+
 // uncached is how many tokens of a prompt are to be read where part of it is warm.
 func (p Prompt) uncached(warm float64) int { return int(float64(p.size) * (1 - warm)) }
 
@@ -92,49 +101,3 @@
 	}
 	return out
 }
-
-// memory knows which prefixes this proxy has sent where.
-type memory struct {
-	mu  sync.Mutex
-	gen [2]map[uint64]spots
-}
-
-func newMemory() *memory { return &memory{gen: [2]map[uint64]spots{{}, {}}} }
-
-// warm is, for each replica where any of the prompt is warm, how much of it.
-func (m *memory) warm(p Prompt) map[string]float64 {
-	out := map[string]float64{}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for i, d := range p.digests {
-		s, found := m.gen[0][d]
-		if !found {
-			if s, found = m.gen[1][d]; !found {
-				break
-			}
-		}
-		for _, id := range s {
-			if id != "" && p.size > 0 {
-				out[id] = float64(p.sizes[i]) / float64(p.size)
-			}
-		}
-	}
-	return out
-}
-
-// sent remembers that a prompt is warm on a replica from now on.
-func (m *memory) sent(p Prompt, id string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, d := range p.digests {
-		// Why: two generations bound the memory and forget the oldest half at once.
-		if len(m.gen[0]) >= remembered {
-			m.gen[1], m.gen[0] = m.gen[0], map[uint64]spots{}
-		}
-		s, found := m.gen[0][d]
-		if !found {
-			s = m.gen[1][d]
-		}
-		m.gen[0][d] = s.with(id)
-	}
-}
