--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -113,6 +113,9 @@
 	Body        []byte
 	Number      int           // 1 for the first attempt
 	Rank        int           // 0 is the most urgent
+	Tenant      string        // whose it is; "" where there are no tenants
+	Share       int           // weight of the tenant
+	Urgency     int           // step of urgency within the tenant; 0 is the first
 	Left        time.Duration // that the caller will wait
 	LastEvent   string        // the event after which a stream goes on
 	Whole       bool          // the answer is read to its end before it is passed on
--- a/internal/attempt/native.go
+++ b/internal/attempt/native.go
@@ -35,6 +35,11 @@
 	if q.Ticket != "" {
 		req.Header.Set(backend.HeaderTicket, q.Ticket)
 	}
+	if q.Tenant != "" {
+		req.Header.Set(backend.HeaderTenant, q.Tenant)
+		req.Header.Set(backend.HeaderTenantShare, strconv.Itoa(q.Share))
+		req.Header.Set(backend.HeaderUrgency, strconv.Itoa(q.Urgency))
+	}
 	return req, nil
 }
 
--- /dev/null
+++ b/internal/attempt/native_test.go
@@ -0,0 +1,33 @@
+package attempt
+
+import (
+	"context"
+	"testing"
+
+	"drumstall.example/internal/backend"
+)
+
+// A replica is told whose a request is where there are tenants, and nothing more
+// than before where there are none.
+func TestNativeTellsTheTenant(t *testing.T) {
+	for _, c := range []struct {
+		q                      Request
+		tenant, share, urgency string
+	}{
+		{Request{Addr: "r:1"}, "", "", ""},
+		{Request{Addr: "r:1", Tenant: "transport", Share: 3, Urgency: 0}, "transport", "3", "0"},
+		{Request{Addr: "r:1", Tenant: "archive", Share: 1, Urgency: 6}, "archive", "1", "6"},
+	} {
+		req, err := Native{}.Encode(context.Background(), c.q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := req.Header
+		if h.Get(backend.HeaderTenant) != c.tenant || h.Get(backend.HeaderTenantShare) != c.share || h.Get(backend.HeaderUrgency) != c.urgency {
+			t.Errorf("%+v: %v", c.q, h)
+		}
+		if c.tenant == "" && len(h) != 2 {
+			t.Errorf("without tenants: %v", h)
+		}
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -47,7 +47,12 @@
 	HeaderOutcome = "Drumstall-Outcome" // a replica answers not-run when it has not begun
 	HeaderTicket  = "Drumstall-Ticket"
 	HeaderShot    = "Drumstall-Shot" // 1 for the first, more for each retry
-	NotRun        = "not-run"
+	// Where there are tenants: whose a request is, the tenant's weight, and its step of urgency there, 0 first. A replica
+	// that divides its prefix cache goes by them.
+	HeaderTenant      = "Drumstall-Tenant"
+	HeaderTenantShare = "Drumstall-Tenant-Share"
+	HeaderUrgency     = "Drumstall-Urgency"
+	NotRun            = "not-run"
 )
 
 // Line is one item a replica reports.
--- a/internal/proxy/passage.go
+++ b/internal/proxy/passage.go
@@ -164,9 +164,15 @@
 
 func (w *passage) request(r *route.Replica, firstBy time.Time) attempt.Request {
 	c, id := w.call, r.Listed.ID
+	cfg := w.p.Conf()
+	class := cfg.Classes[c.Target.Route.Class]
 	q := attempt.Request{ID: id, Addr: r.Listed.Addr, Item: c.Target.Item, Ticket: c.Ticket, ContentType: c.ContentType, Method: c.Method, Path: c.Path,
-		Host: c.Host, Header: c.Header, Body: c.Body, Number: w.arrived + 1, Rank: w.p.Conf().Classes[c.Target.Route.Class].Rank, Left: time.Until(c.Deadline),
+		Host: c.Host, Header: c.Header, Body: c.Body, Number: w.arrived + 1, Rank: class.Rank, Left: time.Until(c.Deadline),
 		LastEvent: c.LastEvent, FirstBy: firstBy, Sendable: func() bool { return w.p.routes.Sendable(id) }}
+	if cfg.HasTenants() {
+		q.Tenant, q.Urgency = cfg.TenantOf(c.Target.Route.Class), class.Urgency()
+		q.Share = cfg.ShareOf(q.Tenant)
+	}
 	// Why: what may run again is only worth passing on whole; a part of it would have to be broken off.
 	q.Whole = c.Target.Route.Service != "" && c.Target.Route.Repeatable && !c.Target.Route.Streaming
 	q.Again = c.Target.Route.Repeatable && w.number < c.Target.Route.Attempts
--- a/internal/stand/answer.go
+++ b/internal/stand/answer.go
@@ -108,7 +108,7 @@
 	r.mu.Lock()
 	warm, all := 0, 0
 	if r.s.Model {
-		warm, all = r.warm.take(it.String(), a.Prompt)
+		warm, all = r.warm.take(it.String(), a.Prompt, ownerOf(q.Header))
 	}
 	r.mu.Unlock()
 	r.rec.Put(check.Event{Kind: check.RunStart, Replica: r.s.ID, Ticket: ticket, Service: r.s.Service, Shot: shotN, Repeatable: a.Repeatable, Item: it.String(), Warm: warm, Used: all})
--- a/internal/stand/prefix.go
+++ b/internal/stand/prefix.go
@@ -8,6 +8,19 @@
 // block is how many bytes of a prompt a replica caches as one piece.
 const block = 128
 
+// prefixCache is what a replica keeps of prompts.
+type prefixCache interface {
+	// take says how many of a prompt's blocks are warm, of how many; afterwards those that are kept are.
+	take(item, prompt string, by owner) (warm, all int)
+}
+
+func newPrefixCache(s ReplicaSettings) prefixCache {
+	if s.ByShare {
+		return newSharedPrefixes(s.Prefixes)
+	}
+	return newPrefixes(s.Prefixes)
+}
+
 // prefixes is a replica's bounded cache of prompts: a block is warm only behind
 // the same blocks before it, and what was used longest ago goes first.
 type prefixes struct {
@@ -21,7 +34,7 @@
 }
 
 // take says how many of a prompt's blocks are warm, of how many; afterwards all are.
-func (p *prefixes) take(item, prompt string) (warm, all int) {
+func (p *prefixes) take(item, prompt string, _ owner) (warm, all int) {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(item))
 	whole := true
--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -33,6 +33,7 @@
 	PieceFor      time.Duration // time per piece of a warm model request, or for a service request
 	ColdFor       time.Duration // more before the first piece for each KiB of a prompt that is cold
 	Prefixes      int           // blocks of prompts it keeps warm
+	ByShare       bool          // it divides those between tenants; else what was used longest ago goes
 	LoadMibPerS   int
 	// Unkind replicas check no epoch and let go of what is in use when told to. Why: no rule may rest on a
 	// replica's own caution.
@@ -53,7 +54,7 @@
 	epoch       uint64
 	leaving     bool
 	leftTold    bool // it has told somebody that it is leaving
-	warm        *prefixes
+	warm        prefixCache
 	served      time.Duration
 	refuse, cut atomic.Int64
 	slow        atomic.Int64 // more time before the first piece
@@ -80,7 +81,7 @@
 	var id [6]byte
 	_, _ = rand.Read(id[:])
 	r := &Replica{s: s, rec: rec, group: run.NewGroup(context.Background()), incarnation: hex.EncodeToString(id[:]),
-		places: make(chan struct{}, max(s.Slots, 1)), items: map[conf.Item]*loaded{}, warm: newPrefixes(s.Prefixes), served: s.PieceFor * time.Duration(max(s.Pieces, 1))}
+		places: make(chan struct{}, max(s.Slots, 1)), items: map[conf.Item]*loaded{}, warm: newPrefixCache(s), served: s.PieceFor * time.Duration(max(s.Pieces, 1))}
 	ln, err := n.Listen(s.Addr)
 	if err != nil {
 		return nil, err
