The router keeps bulk of a tenant from pushing out what others keep warm

For replicas that evict by last use alone. A tenant that sends more new prompt tokens in 5 min than its share of the caches, beside others that are present, sends them to as many replicas as its share is; the others' new prompts keep away from those, by the judge share. Within a tenant the less urgent bulk has the later half. What is warm, and what has failed elsewhere, may go anywhere; a tenant alone uses all. Presence is told to all proxies by news once a minute. Off without tenants, without services.cacheTokens, and with services.cacheByShare.

--- a/internal/place/judge/judge.go
+++ b/internal/place/judge/judge.go
@@ -44,6 +44,8 @@
 	NeedMib  int
 	AdFree   int
 	Copies   int // copies of the item in the replica's zone
+	// Share is 1 where the request pushes out nothing that another tenant, or a more urgent class, keeps warm; 0 without tenants.
+	Share float64
 	// Wait is how long the first event is predicted to take there, with what it holds up there.
 	Wait time.Duration
 }
@@ -101,6 +103,7 @@
 	}},
 	{name: "serve", look: quick},
 	{name: "drain", look: stays},
+	{name: "share", look: func(r Replica) (float64, bool) { return clamp(r.Share), false }},
 }
 
 // forLoad rank the replicas that might load an item.
--- a/internal/place/judge/judge_test.go
+++ b/internal/place/judge/judge_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-var even = map[string]float64{"warmth": 1, "load": 1, "zone": 1, "serve": 1, "drain": 1, "demand": 1, "recency": 1, "copies": 1, "adapters": 1, "room": 1}
+var even = map[string]float64{"warmth": 1, "load": 1, "zone": 1, "serve": 1, "drain": 1, "demand": 1, "recency": 1, "copies": 1, "adapters": 1, "room": 1, "share": 1}
 
 func names(rs []Ranked) string {
 	var out []string
@@ -31,7 +31,7 @@
 	}
 	for judge, f := range map[string]func(*Replica){
 		"warmth": func(r *Replica) { r.Warm = 1 }, "load": func(r *Replica) { r.Inflight = 0 }, "zone": func(r *Replica) { r.SameZone = true },
-		"serve": func(r *Replica) { r.ServeFor = 0 },
+		"serve": func(r *Replica) { r.ServeFor = 0 }, "share": func(r *Replica) { r.Share = 1 },
 	} {
 		rs := []Replica{with("a", func(*Replica) {}), with("b", f)}
 		if got := Best(even, rs); got != 1 {
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -64,7 +64,7 @@
 	up := feed.Up{Boot: p.boot, AgentBoot: f.agentBoot, Cursor: f.cursor, Confirmed: p.confirmed.Load(), Conf: snap.Stamp}
 	fresh, mine, _ := p.news.After(f.mine)
 	for _, e := range fresh {
-		if f.all || strings.HasPrefix(e.Key, inventory.MarkKey("")) {
+		if f.all || strings.HasPrefix(e.Key, inventory.MarkKey("")) || strings.HasPrefix(e.Key, route.TenantPrefix) {
 			up.Entries = append(up.Entries, e)
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -144,7 +144,7 @@
 	p.agentNew.Store(-1 << 62)
 	p.partners.Store(&[]string{})
 	p.routes = route.NewKeeper(route.Deps{Group: p.group, News: p.news, Clock: env.Clock, Replicas: p.conn, Zone: func() string { return s.Zone },
-		HeardFor: p.touch.For, Edges: func() int { return int(p.edges.Load()) }, Ask: s.Cadence.ProxiesAsk, Deaf: s.Bounds.Drain - deafMargin})
+		HeardFor: p.touch.For, Edges: func() int { return int(p.edges.Load()) }, Ask: s.Cadence.ProxiesAsk, Log: p.log, Deaf: s.Bounds.Drain - deafMargin})
 	p.watch.Start(p.group, s.Cadence.List, func() bool { return p.agentFor() > agentLost })
 	misses := run.NewDesk(p.group, 4, 0, nil)
 	p.missed = run.NewNudge(misses, p.tellMiss)
--- /dev/null
+++ b/internal/route/bulk.go
@@ -0,0 +1,170 @@
+package route
+
+import (
+	"log/slog"
+	"maps"
+	"math"
+	"sync"
+	"time"
+
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/kernel/sharedcache"
+)
+
+const (
+	// memorable is how long a prefix that was used is to stay warm at replicas that evict by last use alone,
+	// and how long a tenant counts as present after its last request.
+	memorable = 5 * time.Minute
+	// bulkEnds is the part of what makes a tenant's prompts bulk work below which they are so no more.
+	bulkEnds = 0.5
+)
+
+// party is a tenant, or a step of urgency within it.
+type party = sharedcache.Owner
+
+// bulk knows which tenants, and which steps within them, send more new prompt
+// tokens in memorable than their share of the replicas' caches holds. Whatever else is kept warm would be
+// pushed out by those, however fair the replicas' own choice among equals is.
+type bulk struct {
+	mu     sync.Mutex
+	flows  map[party]flow
+	seen   map[party]time.Duration // when there was a request of it last, here or by word of other proxies
+	bulky  map[party]bool
+	shares map[string]int
+	log    *slog.Logger
+}
+
+// flow is the new prompt tokens of late, older ones counting less.
+type flow struct {
+	tokens float64
+	at     time.Duration
+}
+
+func (f flow) now(now time.Duration) float64 {
+	return f.tokens * math.Exp(-float64(now-f.at)/float64(memorable))
+}
+
+func newBulk(log *slog.Logger) *bulk {
+	if log == nil {
+		log = slog.New(slog.DiscardHandler)
+	}
+	return &bulk{flows: map[party]flow{}, seen: map[party]time.Duration{}, bulky: map[party]bool{}, log: log}
+}
+
+// divide takes new shares; parties whose tenant is gone are forgotten.
+func (b *bulk) divide(shares map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.shares = shares
+	gone := func(p party) bool { return shares[p.Tenant] == 0 }
+	maps.DeleteFunc(b.seen, func(p party, _ time.Duration) bool { return gone(p) })
+	maps.DeleteFunc(b.flows, func(p party, _ flow) bool { return gone(p) })
+	maps.DeleteFunc(b.bulky, func(p party, _ bool) bool { return gone(p) })
+}
+
+// review judges those anew that sent bulk. Why: one that has stopped sends nothing that it could be judged at.
+func (b *bulk) review(capacity float64, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	tenants := map[string]bool{}
+	for p := range b.bulky {
+		tenants[p.Tenant] = true
+	}
+	for tenant := range tenants {
+		b.judge(tenant, capacity, now)
+	}
+}
+
+// told notes that a party has requests, here or at another proxy. It says whether
+// that had not been known for a while.
+func (b *bulk) told(p party, now time.Duration, while time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.shares[p.Tenant] == 0 || p.Rank < 0 || p.Rank >= conf.Ranks {
+		return false
+	}
+	at, found := b.seen[p]
+	if found && now-at < while {
+		return false
+	}
+	b.seen[p] = now
+	return true
+}
+
+// sent counts the new tokens of a prompt; capacity is what all replicas' caches
+// hold of this proxy's prompts.
+func (b *bulk) sent(p party, tokens int, capacity float64, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f := flow{tokens: b.flows[p].now(now) + float64(tokens), at: now}
+	b.flows[p] = f
+	if capacity > 0 {
+		b.judge(p.Tenant, capacity, now)
+	}
+}
+
+// judge says anew which of a tenant's parties send bulk.
+func (b *bulk) judge(tenant string, capacity float64, now time.Duration) {
+	room := capacity * float64(b.shares[tenant]) / float64(max(b.presentShares(now), 1))
+	sum, ahead := 0.0, false
+	for rank := range conf.Ranks {
+		p := party{Tenant: tenant, Rank: rank}
+		if !b.isPresent(p, now) {
+			b.set(p, false, 0, room)
+			continue
+		}
+		sum += b.flows[p].now(now)
+		// Why: the most urgent step gives way to nobody within its tenant.
+		b.set(p, ahead && b.exceeds(p, sum, room), sum, room)
+		ahead = true
+	}
+	whole := wholeTenant(tenant)
+	b.set(whole, b.exceeds(whole, sum, room), sum, room)
+}
+
+// wholeTenant is a tenant with all its steps.
+func wholeTenant(tenant string) party { return party{Tenant: tenant, Rank: -1} }
+
+// exceeds says whether a flow is more than there is room for.
+func (b *bulk) exceeds(p party, tokens, room float64) bool {
+	if b.bulky[p] {
+		return tokens > room*bulkEnds
+	}
+	return tokens > room
+}
+
+func (b *bulk) set(p party, is bool, tokens, room float64) {
+	if b.bulky[p] == is {
+		return
+	}
+	if is {
+		b.bulky[p] = true
+	} else {
+		delete(b.bulky, p)
+	}
+	b.log.Info("bulk of a tenant", "tenant", p.Tenant, "urgency", p.Rank, "bulk", is, "newTokens", int(tokens), "roomTokens", int(room))
+}
+
+func (b *bulk) isPresent(p party, now time.Duration) bool {
+	at, found := b.seen[p]
+	return found && now-at < memorable
+}
+
+// present are the tenants with requests of late.
+func (b *bulk) present(now time.Duration) map[string]int {
+	out := map[string]int{}
+	for p := range b.seen {
+		if b.isPresent(p, now) {
+			out[p.Tenant] = b.shares[p.Tenant]
+		}
+	}
+	return out
+}
+
+func (b *bulk) presentShares(now time.Duration) int {
+	sum := 0
+	for _, share := range b.present(now) {
+		sum += share
+	}
+	return sum
+}
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -62,7 +62,8 @@
 		return nil, 0, 0
 	}
 	s, now := k.Now(), k.clock.Since()
-	c := k.candidates(t, s, now)
+	steer := k.steer(t, s, s.index.able(t, t.Item.String()), now)
+	c := k.candidates(t, s, now, steer)
 	if c.held == 0 {
 		return nil, 0, 0
 	}
@@ -83,7 +84,7 @@
 }
 
 // candidates finds who can serve a request now.
-func (k *Keeper) candidates(t Target, s *Snapshot, now time.Duration) candidates {
+func (k *Keeper) candidates(t Target, s *Snapshot, now time.Duration, steer steering) candidates {
 	var c candidates
 	item, zone := t.Item.String(), k.d.Zone()
 	for _, id := range s.index.able(t, item) {
@@ -92,6 +93,9 @@
 			continue
 		}
 		c.held++
+		if !steer.allows(id) {
+			continue
+		}
 		c.places += r.Slots
 		c.serve += r.ServeFor
 		mine := int(r.Live.Inflight.Load())
@@ -100,7 +104,7 @@
 			r.Live.look.Store(true)
 			continue
 		}
-		f := judge.Replica{Name: id, Inflight: r.elsewhere() + mine, Slots: r.Slots, ServeFor: r.ServeFor, SameZone: r.Listed.Zone == zone}
+		f := judge.Replica{Name: id, Inflight: r.elsewhere() + mine, Slots: r.Slots, ServeFor: r.ServeFor, SameZone: r.Listed.Zone == zone, Share: steer.verdict(id)}
 		// Why: silence is no proof. It only ranks a replica behind all that answer, until a report that was asked for
 		// later comes.
 		if !r.answers(now) || id == t.Avoid {
--- a/internal/route/memory_test.go
+++ b/internal/route/memory_test.go
@@ -16,8 +16,8 @@
 	return b
 }
 
-// bulk sends many long prompts, each of its own.
-func bulk(m *memory, prompts int, by sharedcache.Owner) {
+// bulkRun sends many long prompts, each of its own.
+func bulkRun(m *memory, prompts int, by sharedcache.Owner) {
 	for i := range prompts {
 		m.sent(ReadPrompt("m", body(uint64(1_000_000+i), 4096)), "r-9", by)
 	}
@@ -34,7 +34,7 @@
 		for i := range uint64(1000) {
 			m.sent(ReadPrompt("m", body(i, 4096)), "r-1", ours)
 		}
-		bulk(m, 20_000, theirs)
+		bulkRun(m, 20_000, theirs)
 		known := 0
 		for i := range uint64(1000) {
 			if m.warm(ReadPrompt("m", body(i, 4096)))["r-1"] == 1 {
@@ -60,7 +60,7 @@
 	if got := m.warm(p); got["r-1"] != 1 || got["r-2"] != 1 {
 		t.Errorf("warm %v", got)
 	}
-	bulk(m, 10_000, sharedcache.Owner{Tenant: "transport"})
+	bulkRun(m, 10_000, sharedcache.Owner{Tenant: "transport"})
 	if len(m.gen[0])+len(m.gen[1]) > 0 {
 		t.Error("what was remembered before is kept for ever")
 	}
@@ -75,7 +75,7 @@
 	m := newMemory()
 	m.divide(map[string]int{"a": 1, "b": 5})
 	for _, tenant := range []string{"a", "b", "a"} {
-		bulk(m, 20_000, sharedcache.Owner{Tenant: tenant})
+		bulkRun(m, 20_000, sharedcache.Owner{Tenant: tenant})
 	}
 	if n := m.shared.Len(); n != 2*remembered {
 		t.Errorf("%d prefixes, want %d", n, 2*remembered)
@@ -122,7 +122,7 @@
 				owners = owners[1:]
 			}
 			m.divide(shares)
-			bulk(m, 30_000, owners[0])
+			bulkRun(m, 30_000, owners[0])
 			runtime.GC()
 			runtime.ReadMemStats(&after)
 			entries := len(m.gen[0]) + len(m.gen[1])
--- a/internal/route/owner.go
+++ b/internal/route/owner.go
@@ -1,6 +1,14 @@
 package route
 
-import "drumstall.example/internal/kernel/sharedcache"
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"drumstall.example/internal/kernel/sharedcache"
+	"drumstall.example/internal/news"
+	"drumstall.example/internal/state"
+)
 
 // owner is whose a request is; without tenants it is nobody's.
 func (k *Keeper) owner(t Target) sharedcache.Owner {
@@ -11,3 +19,75 @@
 	class := t.Route.Class
 	return sharedcache.Owner{Tenant: cfg.TenantOf(class), Rank: cfg.Classes[class].Urgency()}
 }
+
+// countFor counts a prompt that is sent for a tenant.
+func (k *Keeper) countFor(by party, p Prompt, r *Replica) {
+	now := k.clock.Since()
+	warm := k.warmth.warm(p)[r.Listed.ID]
+	k.warmth.read(by.Tenant, p, warm)
+	k.tellPresence(by, now)
+	k.bulk.sent(by, int(float64(p.Tokens())*(1-warm)), float64(k.cacheRoom.Load()), now)
+}
+
+// TenantPrefix begins the keys that tell all proxies which tenants have requests.
+const TenantPrefix = "tenant/"
+
+// presenceEvery is how often the proxies together tell of a party that has requests.
+const presenceEvery = memorable / 5
+
+func presenceKey(p party) string { return TenantPrefix + p.Tenant + "/" + strconv.Itoa(p.Rank) }
+
+// tellPresence tells the other proxies that a party has requests, unless one has just done so.
+func (k *Keeper) tellPresence(p party, now time.Duration) {
+	if k.cacheRoom.Load() == 0 || !k.bulk.told(p, now, presenceEvery) {
+		return
+	}
+	key := presenceKey(p)
+	// Why: the number counts up from the last one seen and says nothing of any clock.
+	k.news.Put(news.Entry{Key: key, Stamp: state.Stamp{Serial: k.news.StampOf(key).Serial + 1}, Value: []byte{1}})
+}
+
+// takePresence notes that a party has requests, by the word of any proxy. A word
+// that is already there when this proxy begins counts as new.
+func (k *Keeper) takePresence(d *draft, e news.Entry) {
+	tenant, rank, found := strings.Cut(strings.TrimPrefix(e.Key, TenantPrefix), "/")
+	n, err := strconv.Atoi(rank)
+	if e.Gone || !found || err != nil {
+		return
+	}
+	k.bulk.told(party{Tenant: tenant, Rank: n}, d.now, 0)
+}
+
+// TenantFigures is what one tenant has at this proxy.
+type TenantFigures struct {
+	Share   int
+	Kept    int // prefixes remembered as warm
+	Evicted uint64
+	Reads
+	IsBulk bool // it sends more new prompts than its share of the replicas' caches holds
+}
+
+// Tenants are the figures of all tenants; none without tenants.
+func (k *Keeper) Tenants() map[string]TenantFigures {
+	usages, reads := k.warmth.figures()
+	if reads == nil {
+		return nil
+	}
+	out := map[string]TenantFigures{}
+	for tenant, share := range k.Now().Conf.Shares() {
+		out[tenant] = TenantFigures{Share: share, Reads: reads[tenant], IsBulk: k.bulk.isBulk(tenant)}
+	}
+	for _, u := range usages {
+		if f, found := out[u.Tenant]; found {
+			f.Kept, f.Evicted = u.Entries, u.Evicted
+			out[u.Tenant] = f
+		}
+	}
+	return out
+}
+
+func (b *bulk) isBulk(tenant string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bulky[wholeTenant(tenant)]
+}
--- a/internal/route/place.go
+++ b/internal/route/place.go
@@ -27,7 +27,7 @@
 	if t.Route.Kind == "model" {
 		by := k.owner(t)
 		if by.Tenant != "" {
-			k.warmth.read(by.Tenant, t.Prompt, k.warmth.warm(t.Prompt)[r.Listed.ID])
+			k.countFor(by, t.Prompt, r)
 		}
 		k.warmth.sent(t.Prompt, r.Listed.ID, by)
 		if r.Told && r.pressed() {
--- a/internal/route/press_test.go
+++ b/internal/route/press_test.go
@@ -10,7 +10,7 @@
 
 // keeperOf is a keeper that learns of its replicas by their controllers' word.
 func keeperOf() *Keeper {
-	k := &Keeper{clock: &still{}, warmth: newMemory(), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
+	k := &Keeper{clock: &still{}, warmth: newMemory(), bulk: newBulk(nil), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
 	k.snap.Store(&Snapshot{Conf: conf.Empty()})
 	return k
 }
--- a/internal/route/renew.go
+++ b/internal/route/renew.go
@@ -67,6 +67,8 @@
 			k.takeReplica(d, e)
 		case strings.HasPrefix(e.Key, expectPrefix):
 			k.takeExpect(d, e)
+		case strings.HasPrefix(e.Key, TenantPrefix):
+			k.takePresence(d, e)
 		}
 	}
 	k.expects.expire(d)
@@ -101,6 +103,7 @@
 		d.next.Version++
 		d.isNew = true
 		k.warmth.divide(effective.Shares())
+		k.bulk.divide(effective.Shares())
 		return true
 	}
 	return false
@@ -174,10 +177,20 @@
 
 // refresh notes what changes with the time alone, for the rows as they are.
 func (k *Keeper) refresh(d *draft) {
+	cacheTokens := 0
 	for _, r := range d.replicas.entries {
 		if r.Told {
 			r.Live.elsewhere.Store(int64(r.Live.others(d.now)))
 		}
+		if !r.Listed.Leaving {
+			cacheTokens += r.cacheTokens
+		}
+	}
+	// Why: each proxy sees its own part of what the caches take in.
+	room := cacheTokens / max(1, k.d.Edges())
+	k.cacheRoom.Store(int64(room))
+	if cacheTokens > 0 {
+		k.bulk.review(float64(room), d.now)
 	}
 	k.renewed.Store(int64(d.now))
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,8 @@
 	Told     bool // what is known of it comes from its controller and its answers, not from reports to us
 	Dark     bool // its controller says that it does not answer
 	Live     *Live
+	// cacheTokens is what it keeps of prompts where tenants share that and it evicts by last use alone; else 0.
+	cacheTokens int
 }
 
 // Snapshot is the table; it is never changed.
@@ -84,6 +87,9 @@
 	fresh   *run.Nudge
 	onNew   atomic.Pointer[func()]
 	warmth  *memory
+	bulk    *bulk
+	// cacheRoom is what all replicas' caches hold of this proxy's prompts, in tokens, where they evict by last use alone.
+	cacheRoom atomic.Int64
 
 	predictor Predictor
 
@@ -105,6 +111,8 @@
 	Edges func() int
 	// Ask says that this proxy asks replicas for their reports itself.
 	Ask bool
+	// Log is told what is decided seldom; nil is nobody.
+	Log *slog.Logger
 	// Deaf is how long nobody may be heard before nothing is sent any more; 0 is the default.
 	Deaf time.Duration
 }
@@ -117,7 +125,7 @@
 	k := &Keeper{d: d, news: d.News, clock: d.Clock, group: d.Group, lives: map[string]*Live{}, heard: map[string]report{}, told: map[string]*told{},
 		gone:   map[string]struct{}{},
 		full:   map[bool]time.Duration{true: -1 << 61, false: -1 << 61},
-		warmth: newMemory(), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
+		warmth: newMemory(), bulk: newBulk(d.Log), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
 	k.snap.Store(&Snapshot{Conf: conf.Empty()})
 	k.desk = run.NewDesk(d.Group, 256, beat, k.renew)
 	// Why: a configuration and a withdrawn item are in force at once, not at the next beat; news that comes
--- /dev/null
+++ b/internal/route/steer.go
@@ -0,0 +1,161 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"drumstall.example/internal/kernel/share"
+)
+
+const (
+	// warmEnough is the part of a prompt that is warm at a replica from which on it pushes out little there.
+	warmEnough = 0.5
+	// nightPart of a tenant's replicas is where its less urgent bulk goes.
+	nightPart = 2
+)
+
+// steering says where a request may push out what others keep warm. The zero
+// value leaves every replica open.
+type steering struct {
+	isOn  bool
+	only  map[string]bool // replicas that its new prompts may go to; nil is any
+	avoid map[string]bool // replicas that others' bulk goes to
+}
+
+func (s steering) allows(id string) bool { return s.only == nil || s.only[id] }
+
+// verdict is what the judge "share" goes by.
+func (s steering) verdict(id string) float64 {
+	if !s.isOn || s.avoid[id] {
+		return 0
+	}
+	return 1
+}
+
+// steer says where a request may go among the replicas that hold what it needs. It
+// is off without tenants, where no replica's cache is known or all divide theirs, and while nobody sends bulk.
+func (k *Keeper) steer(t Target, s *Snapshot, able []string, now time.Duration) steering {
+	if !s.Conf.HasTenants() || t.Route.Kind != "model" || len(able) < 2 {
+		return steering{}
+	}
+	by := k.owner(t)
+	b := k.bulk
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.bulky) == 0 {
+		return steering{}
+	}
+	steered := make([]string, 0, len(able))
+	for _, id := range able {
+		if r := s.Replicas[id]; r.cacheTokens > 0 && !r.Listed.Leaving {
+			steered = append(steered, id)
+		}
+	}
+	if len(steered) < 2 {
+		return steering{}
+	}
+	out := b.among(by, steered, now)
+	// Why: a request that has failed on a replica must not find the next one closed to it.
+	if t.Avoid != "" {
+		out.only = nil
+	}
+	if out.only == nil {
+		return out
+	}
+	for _, id := range able {
+		if r := s.Replicas[id]; r.cacheTokens == 0 {
+			out.only[id] = true
+		}
+	}
+	for id, warm := range k.warmth.warm(t.Prompt) {
+		if warm >= warmEnough {
+			out.only[id] = true
+		}
+	}
+	return out
+}
+
+// among divides replicas between the tenants that are present and, within the
+// tenant, between what is urgent and its own bulk.
+func (b *bulk) among(by party, ids []string, now time.Duration) steering {
+	out := steering{isOn: true, avoid: map[string]bool{}}
+	present := b.present(now)
+	if len(present) > 1 {
+		sum := 0
+		for _, share := range present {
+			sum += share
+		}
+		for tenant, share := range present {
+			if !b.bulky[wholeTenant(tenant)] {
+				continue
+			}
+			home := homes(tenant, ids)[:part1(len(ids)*share/sum, len(ids))]
+			if tenant == by.Tenant {
+				out.only = setOf(home)
+				continue
+			}
+			for _, id := range home {
+				out.avoid[id] = true
+			}
+		}
+	}
+	mine := b.open(by.Tenant, ids, out)
+	if len(mine) < 2 {
+		return out
+	}
+	night := mine[part1(len(mine)-len(mine)/nightPart, len(mine)):]
+	switch {
+	case b.bulky[by]:
+		out.only = setOf(night)
+	case b.isAnyBulky(by):
+		for _, id := range night {
+			out.avoid[id] = true
+		}
+	}
+	return out
+}
+
+// open are the replicas that a tenant's new prompts go to, in the tenant's own order.
+func (b *bulk) open(tenant string, ids []string, s steering) []string {
+	var out []string
+	for _, id := range homes(tenant, ids) {
+		if s.allows(id) && (s.only != nil || !s.avoid[id]) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// isAnyBulky says whether a less urgent step of the same tenant sends bulk.
+func (b *bulk) isAnyBulky(by party) bool {
+	for p := range b.bulky {
+		if p.Tenant == by.Tenant && p.Rank > by.Rank {
+			return true
+		}
+	}
+	return false
+}
+
+// homes are replicas in the order in which a tenant's bulk takes them, alike at every proxy.
+func homes(tenant string, ids []string) []string {
+	key := []byte(tenant)
+	draws := make(map[string]uint64, len(ids))
+	for _, id := range ids {
+		draws[id] = share.Draw(key, id)
+	}
+	out := slices.Clone(ids)
+	slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(draws[b], draws[a]), cmp.Compare(a, b)) })
+	return out
+}
+
+// part1 is a part of n things that leaves at least one on either side.
+func part1(part, n int) int { return max(1, min(part, n-1)) }
+
+func setOf(ids []string) map[string]bool {
+	out := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		out[id] = true
+	}
+	return out
+}
--- /dev/null
+++ b/internal/route/steer_test.go
@@ -0,0 +1,234 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"drumstall.example/internal/backend"
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/inventory"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/news"
+	"drumstall.example/internal/place/order"
+	"drumstall.example/internal/state"
+)
+
+// sharedWorld is a keeper with four replicas of one model, renewed by hand.
+type sharedWorld struct {
+	*Keeper
+	clock  *handClock
+	news   *news.Table
+	serial uint64
+}
+
+const (
+	withTenants = `{"tenants":{"ours":{},"other":{}},
+		"classes":{"plates":{"tenant":"ours","urgent":true},"night":{"tenant":"ours","rank":5},"bulk":{"tenant":"other","urgent":true}},
+		"services":{"gpu":{"selector":"pool=main","cacheTokens":10000%s}},
+		"models":{"m":{"sizeMib":1,"service":"gpu"}}}`
+	withoutTenants = `{"classes":{"plates":{"urgent":true},"night":{"rank":5},"bulk":{"urgent":true}},
+		"services":{"gpu":{"selector":"pool=main","cacheTokens":10000}},
+		"models":{"m":{"sizeMib":1,"service":"gpu"}}}`
+)
+
+func newShared(t *testing.T, doc string) *sharedWorld {
+	t.Helper()
+	s := &sharedWorld{clock: &handClock{now: time.Hour}, news: news.NewTable()}
+	stopped := run.NewGroup(context.Background())
+	stopped.Stop()
+	s.Keeper = NewKeeper(Deps{Group: stopped, News: s.news, Clock: s.clock, Zone: func() string { return "z1" },
+		HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 1 }})
+	for i := range 4 {
+		id := fmt.Sprint("r", i)
+		n := order.News{Listed: inventory.Listed{ID: id, Zone: "z1", Model: true, Slots: 1000, Labels: map[string]string{"pool": "main"}}, Slots: 1000,
+			Items: map[string]string{"m": backend.Loaded}}
+		s.news.Put(news.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: wire.Pack(n)})
+	}
+	s.configure(t, doc)
+	return s
+}
+
+func (s *sharedWorld) configure(t *testing.T, doc string) {
+	t.Helper()
+	k, err := conf.ReadWhole("application/json", []byte(doc))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.serial++
+	k.Serial = s.serial
+	s.news.Put(news.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: s.serial}, Value: k.Pack()})
+	s.renew()
+}
+
+func (s *sharedWorld) target(class string, prompt int) Target {
+	return Target{Route: conf.Route{Kind: "model", Class: class}, Item: conf.Item{Model: "m"}, Prompt: PromptOf("m", []Part{{fmt.Sprint(class, prompt), 1000}})}
+}
+
+// send sends a prompt where it should go, and says where that was.
+func (s *sharedWorld) send(class string, prompt int) string {
+	t := s.target(class, prompt)
+	r, _, _ := s.Choose(t)
+	if r == nil {
+		return ""
+	}
+	s.Took(t, r).Done()
+	return r.Listed.ID
+}
+
+// spread is how many prompts of a class went to each replica.
+func (s *sharedWorld) spread(class string, from, n int) map[string]int {
+	out := map[string]int{}
+	for i := range n {
+		out[s.send(class, from+i)]++
+	}
+	return out
+}
+
+func TestBulkOfAnotherTenantIsSteeredToItsShareOfReplicas(t *testing.T) {
+	for _, c := range []struct {
+		name, doc string
+		replicas  int // that the bulk goes to
+	}{
+		{"replicas that evict by last use", fmt.Sprintf(withTenants, ""), 2},
+		{"replicas that divide their cache", fmt.Sprintf(withTenants, `,"cacheByShare":true`), 4},
+		{"no tenants", withoutTenants, 4},
+	} {
+		s := newShared(t, c.doc)
+		s.spread("plates", 0, 8)
+		s.spread("bulk", 0, 200)
+		theirs := s.spread("bulk", 1000, 200)
+		if len(theirs) != c.replicas {
+			t.Errorf("%s: the bulk goes to %v, want %d replicas", c.name, theirs, c.replicas)
+		}
+		if c.replicas == 4 {
+			continue
+		}
+		for id := range s.spread("plates", 100, 5) {
+			if theirs[id] > 0 {
+				t.Errorf("%s: new prompts of ours go to %s, where the bulk goes", c.name, id)
+			}
+		}
+	}
+}
+
+func TestIdleCachesAreLent(t *testing.T) {
+	s := newShared(t, fmt.Sprintf(withTenants, ""))
+	if got := s.spread("bulk", 0, 400); len(got) != 4 {
+		t.Errorf("a tenant alone uses %v", got)
+	}
+	s.spread("plates", 0, 1)
+	if got := s.spread("bulk", 1000, 200); len(got) != 2 {
+		t.Errorf("beside another it uses %v", got)
+	}
+	// The other vanishes.
+	s.renew()
+	s.clock.now += memorable
+	s.renew()
+	if got := s.spread("bulk", 2000, 400); len(got) != 4 {
+		t.Errorf("alone again it uses %v", got)
+	}
+}
+
+func TestPresenceIsToldToOtherProxies(t *testing.T) {
+	a, b := newShared(t, fmt.Sprintf(withTenants, "")), newShared(t, fmt.Sprintf(withTenants, ""))
+	a.send("plates", 0)
+	fresh, _, _ := a.news.After(0)
+	told := 0
+	for _, e := range fresh {
+		if e.Key == presenceKey(party{Tenant: "ours"}) {
+			b.news.Put(e)
+			told++
+		}
+	}
+	b.renew()
+	b.spread("bulk", 0, 100)
+	if got := b.spread("bulk", 1000, 200); told != 1 || len(got) != 2 {
+		t.Errorf("told %d times; the bulk at the other proxy goes to %v", told, got)
+	}
+}
+
+func TestSteeringLeavesWaysOpen(t *testing.T) {
+	s := newShared(t, fmt.Sprintf(withTenants, ""))
+	s.spread("bulk", 0, 8) // warm all over, before anybody else is there
+	s.spread("plates", 0, 4)
+	s.spread("bulk", 1000, 200)
+	now, able := s.clock.now, []string{"r0", "r1", "r2", "r3"}
+	warm := 0
+	for i := range 8 {
+		for id := range s.warmth.warm(s.target("bulk", i).Prompt) {
+			if !s.steer(s.target("bulk", i), s.Now(), able, now).allows(id) {
+				t.Errorf("a prompt may not go to %s, where it is warm", id)
+			}
+			warm++
+		}
+	}
+	if warm != 8 {
+		t.Errorf("%d of 8 prompts are warm", warm)
+	}
+	again := s.target("bulk", 5000)
+	again.Avoid = "r0"
+	for _, id := range able {
+		if !s.steer(again, s.Now(), able, now).allows(id) {
+			t.Errorf("a request that has failed elsewhere may not go to %s", id)
+		}
+	}
+	if got := s.steer(s.target("bulk", 5000), s.Now(), able[:1], now); got.isOn {
+		t.Errorf("with one replica there is nothing to choose: %+v", got)
+	}
+}
+
+func TestOwnBulkKeepsAwayFromUrgentWork(t *testing.T) {
+	s := newShared(t, fmt.Sprintf(withTenants, ""))
+	s.spread("plates", 0, 4)
+	s.spread("night", 0, 100)
+	night, urgent := s.spread("night", 1000, 100), s.spread("plates", 100, 5)
+	if len(night) != 2 {
+		t.Errorf("the night's work goes to %v, want half of the replicas", night)
+	}
+	for id := range urgent {
+		if night[id] > 0 {
+			t.Errorf("urgent work goes to %s, where the night's goes", id)
+		}
+	}
+	f := s.Tenants()["ours"]
+	if f.Share != 1 || f.Tokens != 209_000 || f.Warm != 0 || f.Kept != 209 {
+		t.Errorf("figures %+v", f)
+	}
+}
+
+func TestSharesMayChangeInARun(t *testing.T) {
+	s := newShared(t, fmt.Sprintf(withTenants, ""))
+	s.spread("plates", 0, 4)
+	s.spread("bulk", 0, 200)
+	for _, c := range []struct{ share, replicas int }{{1, 2}, {3, 3}, {1, 2}} {
+		s.configure(t, fmt.Sprintf(withTenants, "")[:len(`{"tenants":{"ours":{},"other":{`)]+fmt.Sprintf(`"share":%d`, c.share)+fmt.Sprintf(withTenants, "")[len(`{"tenants":{"ours":{},"other":{`):])
+		s.spread("plates", 0, 1)
+		if got := s.spread("bulk", 10_000*int(s.serial), 300); len(got) != c.replicas {
+			t.Errorf("share %d: the bulk goes to %v, want %d replicas", c.share, got, c.replicas)
+		}
+	}
+}
+
+// What the look at tenants adds to a choice while one of them sends bulk.
+func BenchmarkChooseAmongTenants(b *testing.B) {
+	for _, tenants := range []bool{false, true} {
+		b.Run(fmt.Sprint("bulk=", tenants), func(b *testing.B) {
+			t := &testing.T{}
+			doc := withoutTenants
+			if tenants {
+				doc = fmt.Sprintf(withTenants, "")
+			}
+			s := newShared(t, doc)
+			s.spread("plates", 0, 8)
+			s.spread("bulk", 0, 200)
+			target := s.target("bulk", 7777)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Choose(target)
+			}
+		})
+	}
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -58,6 +58,11 @@
 	if !k.d.Ask {
 		r.byWord(t)
 	}
+	if effective.HasTenants() && n.Listed.Model {
+		if s, found := effective.ServiceOf(n.Listed.Labels); found && !s.CacheByShare {
+			r.cacheTokens = s.CacheTokens
+		}
+	}
 	return r
 }
 
