--- a/internal/kernel/sharedcache/cache.go
+++ b/internal/kernel/sharedcache/cache.go
@@ -3,9 +3,14 @@
 // Each entry belongs to a tenant and to a step of urgency within it. Any tenant
 // may use what the others leave idle. When the cache is full, the tenant that uses
 // most for its share gives way (weighted max-min fairness over the tenants that
-// have something there): in it first the least urgent step, in that what was used
-// longest ago. So a tenant at or under its share loses nothing while another is
-// above its own.
+// have something there). So a tenant at or under its share loses nothing while
+// another is above its own.
+//
+// Within a tenant, what was used once and what was used again are kept apart. Once
+// more than a quarter was used but once, that gives way, of the step that has most of it for its
+// urgency; else the least urgent step, in it what was used longest ago. Why: every prompt ends
+// in something of its own. Were urgent entries kept whatever their use, those ends would push out what the less
+// urgent classes use all the time.
 //
 // The router's memory of warm prefixes and the stand-in replica's cache are made of
 // it. A cache is not safe for concurrent use; its owner guards it. It starts
@@ -17,10 +22,19 @@
 const (
 	// Ranks is how many steps of urgency there are within a tenant; 0 is the most urgent.
 	Ranks = 12
-	// floorPart of what a tenant keeps stays with a less urgent step that wants it.
+	// floorPart of what a tenant uses again stays with a less urgent step that wants it.
 	// Why: urgent entries that nobody uses any more would otherwise leave the others nothing for ever. With
 	// fewer steps than parts one step is always above its floor.
 	floorPart = 16
+	// oncePart of what a tenant keeps may have been used only once.
+	oncePart = 4
+)
+
+// The segments of what a tenant keeps.
+const (
+	once uint8 = iota
+	again
+	segments
 )
 
 // Owner is whose an entry is.
@@ -52,7 +66,13 @@
 	entries int
 	evicted uint64
 	place   int // in the heap
-	ranks   [Ranks]list
+	parts   [segments]segment
+}
+
+// segment is what was used once, or again.
+type segment struct {
+	used  int64
+	ranks [Ranks]list
 }
 
 // list is the entries of one step of urgency, the latest used first.
@@ -137,7 +157,7 @@
 	} else {
 		at = c.nodes.take()
 		n := c.nodes.at(at)
-		n.key, n.value, n.cost, n.rank, n.owner = key, value, int32(cost), by.rank(), c.tenantOf(by.Tenant)
+		n.key, n.value, n.cost, n.rank, n.part, n.owner = key, value, int32(cost), by.rank(), once, c.tenantOf(by.Tenant)
 		c.index[key] = at
 		c.link(at)
 	}
@@ -173,7 +193,7 @@
 		to, rank = c.tenantOf(by.Tenant), by.rank()
 	}
 	c.unlink(at)
-	n.owner, n.rank = to, rank
+	n.owner, n.rank, n.part = to, rank, again
 	c.link(at)
 }
 
@@ -188,8 +208,10 @@
 	t := c.tenants[name]
 	if t == nil {
 		t = &tenant{name: name, share: c.shareOf(name)}
-		for i := range t.ranks {
-			t.ranks[i].first, t.ranks[i].last = none, none
+		for part := range t.parts {
+			for rank := range t.parts[part].ranks {
+				t.parts[part].ranks[rank] = list{first: none, last: none}
+			}
 		}
 		c.tenants[name] = t
 		heap.Push(&c.fullest, t)
@@ -205,21 +227,23 @@
 		return
 	}
 	n.cost = int32(cost)
-	c.charge(n.owner, n.rank, by)
+	c.charge(n, by)
 }
 
-// charge adds to what a tenant's step keeps.
-func (c *Cache[K, V]) charge(t *tenant, rank uint8, by int64) {
+// charge adds to what an entry's owner keeps.
+func (c *Cache[K, V]) charge(n *node[K, V], by int64) {
+	t := n.owner
 	c.used += by
 	t.used += by
-	t.ranks[rank].used += by
+	t.parts[n.part].used += by
+	t.parts[n.part].ranks[n.rank].used += by
 	heap.Fix(&c.fullest, t.place)
 }
 
 // evict lets one entry go.
 func (c *Cache[K, V]) evict() {
 	t := c.fullest[0]
-	at := t.ranks[t.victimRank()].last
+	at := t.victims().last
 	n := c.nodes.at(at)
 	key, owner := n.key, Owner{Tenant: t.name, Rank: int(n.rank)}
 	t.evicted++
@@ -229,10 +253,32 @@
 	}
 }
 
-// victimRank is the least urgent step that keeps more than its floor.
-func (t *tenant) victimRank() int {
+// victims is the list of a tenant that gives way.
+func (t *tenant) victims() *list {
+	if p := &t.parts[once]; p.used*oncePart > t.used {
+		return &p.ranks[p.mostForItsUrgency()]
+	}
+	p := &t.parts[again]
+	return &p.ranks[p.leastUrgent()]
+}
+
+// mostForItsUrgency is the step that has most, a more urgent one being worth more.
+func (p *segment) mostForItsUrgency() int {
+	most := Ranks - 1
+	for rank := Ranks - 2; rank >= 0; rank-- {
+		if p.ranks[rank].used*worth(most) > p.ranks[most].used*worth(rank) {
+			most = rank
+		}
+	}
+	return most
+}
+
+func worth(rank int) int64 { return int64(Ranks - rank) }
+
+// leastUrgent is the least urgent step that has more than its floor.
+func (p *segment) leastUrgent() int {
 	for rank := Ranks - 1; rank > 0; rank-- {
-		if t.ranks[rank].used*floorPart > t.used {
+		if p.ranks[rank].used*floorPart > p.used {
 			return rank
 		}
 	}
--- a/internal/kernel/sharedcache/list.go
+++ b/internal/kernel/sharedcache/list.go
@@ -16,6 +16,7 @@
 	prev, next int32
 	cost       int32
 	rank       uint8
+	part       uint8
 }
 
 // slab holds the entries; those that are free are chained by next.
@@ -50,7 +51,7 @@
 // link puts an entry in front of the list of its owner.
 func (c *Cache[K, V]) link(at int32) {
 	n := c.nodes.at(at)
-	l := &n.owner.ranks[n.rank]
+	l := &n.owner.parts[n.part].ranks[n.rank]
 	n.prev, n.next = none, l.first
 	if l.first != none {
 		c.nodes.at(l.first).prev = at
@@ -61,13 +62,13 @@
 	if n.owner.entries++; n.owner.entries == 1 {
 		c.present += n.owner.share
 	}
-	c.charge(n.owner, n.rank, int64(n.cost))
+	c.charge(n, int64(n.cost))
 }
 
 // unlink takes an entry out of the list of its owner.
 func (c *Cache[K, V]) unlink(at int32) {
 	n := c.nodes.at(at)
-	l := &n.owner.ranks[n.rank]
+	l := &n.owner.parts[n.part].ranks[n.rank]
 	if n.prev != none {
 		c.nodes.at(n.prev).next = n.next
 	} else {
@@ -81,7 +82,7 @@
 	if n.owner.entries--; n.owner.entries == 0 {
 		c.present -= n.owner.share
 	}
-	c.charge(n.owner, n.rank, -int64(n.cost))
+	c.charge(n, -int64(n.cost))
 }
 
 // tenantHeap has the tenant on top that uses most for its share.
--- a/internal/kernel/sharedcache/usage.go
+++ b/internal/kernel/sharedcache/usage.go
@@ -20,8 +20,10 @@
 	out := make([]Usage, 0, len(c.tenants))
 	for _, t := range c.tenants {
 		u := Usage{Tenant: t.name, Share: int(t.share), Entries: t.entries, Used: int(t.used), Evicted: t.evicted}
-		for i := range t.ranks {
-			u.ByRank[i] = int(t.ranks[i].used)
+		for part := range t.parts {
+			for rank := range t.parts[part].ranks {
+				u.ByRank[rank] += int(t.parts[part].ranks[rank].used)
+			}
 		}
 		out = append(out, u)
 	}
--- a/internal/route/bulk.go
+++ b/internal/route/bulk.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	// memorable is how long a prefix that was used is to stay warm at replicas that evict by last use alone,
-	// and how long a tenant counts as present after its last request.
-	memorable = 5 * time.Minute
+	// turnover is how long a prefix that was used is to stay warm at replicas that evict by last use alone: caches
+	// that take in more than they hold in that time are full.
+	turnover = time.Minute
+	// presentFor is how long a tenant counts as present after its last request.
+	presentFor = 5 * time.Minute
 	// bulkEnds is the part of what makes a tenant's prompts bulk work below which they are so no more.
 	bulkEnds = 0.5
 )
@@ -23,7 +25,7 @@
 type party = sharedcache.Owner
 
 // bulk knows which tenants, and which steps within them, send more new prompt
-// tokens in memorable than their share of the replicas' caches holds. Whatever else is kept warm would be
+// tokens in a minute than their share of the replicas' caches holds. Whatever else is kept warm would be
 // pushed out by those, however fair the replicas' own choice among equals is.
 type bulk struct {
 	mu     sync.Mutex
@@ -41,7 +43,7 @@
 }
 
 func (f flow) now(now time.Duration) float64 {
-	return f.tokens * math.Exp(-float64(now-f.at)/float64(memorable))
+	return f.tokens * math.Exp(-float64(now-f.at)/float64(turnover))
 }
 
 func newBulk(log *slog.Logger) *bulk {
@@ -105,7 +107,7 @@
 
 // judge says anew which of a tenant's parties send bulk.
 func (b *bulk) judge(tenant string, capacity float64, now time.Duration) {
-	room := capacity * float64(b.shares[tenant]) / float64(max(b.presentShares(now), 1))
+	room := b.room(tenant, capacity, now)
 	sum, ahead := 0.0, false
 	for rank := range conf.Ranks {
 		p := party{Tenant: tenant, Rank: rank}
@@ -122,6 +124,18 @@
 	b.set(whole, b.exceeds(whole, sum, room), sum, room)
 }
 
+// room is how many new tokens a tenant may send: its share, or more where the others
+// leave it idle.
+func (b *bulk) room(tenant string, capacity float64, now time.Duration) float64 {
+	others := 0.0
+	for p, f := range b.flows {
+		if p.Tenant != tenant {
+			others += f.now(now)
+		}
+	}
+	return max(capacity-others, capacity*float64(b.shares[tenant])/float64(max(b.presentShares(now), 1)))
+}
+
 // wholeTenant is a tenant with all its steps.
 func wholeTenant(tenant string) party { return party{Tenant: tenant, Rank: -1} }
 
@@ -147,7 +161,7 @@
 
 func (b *bulk) isPresent(p party, now time.Duration) bool {
 	at, found := b.seen[p]
-	return found && now-at < memorable
+	return found && now-at < presentFor
 }
 
 // present are the tenants with requests of late.
--- a/internal/route/owner.go
+++ b/internal/route/owner.go
@@ -33,7 +33,7 @@
 const TenantPrefix = "tenant/"
 
 // presenceEvery is how often the proxies together tell of a party that has requests.
-const presenceEvery = memorable / 5
+const presenceEvery = presentFor / 5
 
 func presenceKey(p party) string { return TenantPrefix + p.Tenant + "/" + strconv.Itoa(p.Rank) }
 
