--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -66,6 +66,7 @@
 		Serving bool   `json:"serving"`
 	}
 	edges, laggards := map[string]edge{}, []string{}
+	tenants := tenantSums{}
 	serial, agents := c.serial.Load(), c.agents()
 	for name, r := range c.reports.All() {
 		e := edge{Conf: r.Conf, Lags: r.Conf < serial, HeardMs: (now - r.At).Milliseconds(), Serving: r.Serving}
@@ -73,6 +74,9 @@
 			laggards = append(laggards, name)
 		}
 		edges[name] = e
+		if now-r.At < tenantsFresh {
+			tenants.add(r.Tenants)
+		}
 	}
 	sort.Strings(laggards)
 	var members []map[string]any
@@ -98,7 +102,7 @@
 	}
 	return map[string]any{
 		"core": c.s.Name, "phase": string(st.Phase), "coreSet": st.Set, "slots": held, "members": members,
-		"conf": serial, "laggards": laggards, "edges": edges, "replicas": views,
+		"conf": serial, "laggards": laggards, "edges": edges, "tenants": tenants, "replicas": views,
 		"claimsUnmet": gather(ctx, c, "/place/unmet", c.planner.Unmet), "afloatS": gather(ctx, c, "/place/afloat", c.planner.Afloat), "inflight": inflight, "platformHeardMs": c.watch.HeardFor().Milliseconds(),
 		"counts": map[string]int64{"garbledCalls": c.mux.Garbled(), "garbledAnswers": c.caller.Garbled(), "garbledGrams": c.post.Garbled(),
 			"news": int64(known), "newsDropped": dropped, "handedOver": c.own.Owed(),
--- /dev/null
+++ b/internal/core/tenants_test.go
@@ -0,0 +1,20 @@
+package core
+
+import (
+	"testing"
+
+	"drumstall.example/internal/place/report"
+)
+
+func TestFiguresOfTenantsAreSummedOverEdges(t *testing.T) {
+	s := tenantSums{}
+	s.add(map[string]report.Tenant{"a": {Share: 3, Kept: 10, Evicted: 1, Tokens: 100, Warm: 50, Bulk: true}, "b": {Share: 1}})
+	s.add(map[string]report.Tenant{"a": {Share: 3, Kept: 5, Evicted: 2, Tokens: 300, Warm: 250}})
+	s.add(nil)
+	if want := (tenantSum{Share: 3, Prefixes: 15, Evicted: 3, Tokens: 400, WarmTokens: 300, WarmPart: 0.75, BulkAtEdges: 1}); *s["a"] != want {
+		t.Errorf("got %+v, want %+v", *s["a"], want)
+	}
+	if want := (tenantSum{Share: 1}); *s["b"] != want || len(s) != 2 {
+		t.Errorf("got %+v of %d", *s["b"], len(s))
+	}
+}
--- a/internal/place/report/difference.go
+++ b/internal/place/report/difference.go
@@ -11,6 +11,9 @@
 	out.Demand = changed(r.Demand, base.Demand)
 	out.WorkMs = changed(r.WorkMs, base.WorkMs)
 	out.Acked = changed(r.Acked, base.Acked)
+	if r.TenantsSerial == base.TenantsSerial {
+		out.Tenants = nil
+	}
 	for replica := range base.Acked {
 		if _, still := r.Acked[replica]; !still {
 			out.Unacked = append(out.Unacked, replica)
@@ -33,6 +36,9 @@
 	out.Demand = merged(base.Demand, r.Demand)
 	out.WorkMs = merged(base.WorkMs, r.WorkMs)
 	out.Acked = merged(base.Acked, r.Acked)
+	if r.TenantsSerial == base.TenantsSerial {
+		out.Tenants = base.Tenants
+	}
 	if len(r.Unacked) > 0 {
 		out.Acked = maps.Clone(out.Acked)
 		for _, replica := range r.Unacked {
--- a/internal/place/report/difference_test.go
+++ b/internal/place/report/difference_test.go
@@ -33,6 +33,13 @@
 		delete(r.Acked, fmt.Sprint("r", e.rnd.IntN(5)))
 	}
 	r.Waiting = map[string]int{"m1": e.rnd.IntN(3)}
+	if e.rnd.IntN(3) == 0 {
+		r.TenantsSerial++
+		r.Tenants = map[string]Tenant{}
+		for i := range e.rnd.IntN(3) {
+			r.Tenants[fmt.Sprint("t", i)] = Tenant{Share: 1 + i, Tokens: r.Serial}
+		}
+	}
 	e.now = r
 	return r
 }
--- a/internal/place/report/report.go
+++ b/internal/place/report/report.go
@@ -30,6 +30,19 @@
 	WorkMs   map[string]uint64         `cbor:"12,keyasint,omitempty"` // model: replicas' time to read its prompts, so far
 	Base     uint64                    `cbor:"13,keyasint,omitempty"` // serial of the report that this one is the difference from; 0 is a whole one
 	Unacked  []string                  `cbor:"14,keyasint,omitempty"` // replicas that are no longer in Acked, in a difference
+	Tenants  map[string]Tenant         `cbor:"15,keyasint,omitempty"`
+	// TenantsSerial is another one whenever Tenants is; a difference leaves out what its base has.
+	TenantsSerial uint64 `cbor:"16,keyasint,omitempty"`
+}
+
+// Tenant is what one tenant has at one proxy.
+type Tenant struct {
+	Share   int    `cbor:"1,keyasint"`
+	Kept    int    `cbor:"2,keyasint"` // prefixes remembered as warm
+	Evicted uint64 `cbor:"3,keyasint"` // prefixes that gave way, so far
+	Tokens  uint64 `cbor:"4,keyasint"` // of prompts that were sent, so far
+	Warm    uint64 `cbor:"5,keyasint"` // of those, expected warm where they were sent
+	Bulk    bool   `cbor:"6,keyasint"` // it sends more new prompts than its share of the replicas' caches
 }
 
 // Taken is a core's answer to a report.
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -164,7 +164,9 @@
 // report is this proxy's word to the controllers.
 func (p *Proxy) report() report.Report {
 	snap := p.routes.Now()
-	return report.Report{Boot: p.boot, Serial: p.reports.Add(1), Conf: snap.Serial, Demand: p.demands(), Inflight: p.routes.Inflight(),
+	tenants, serial := p.tenants()
+	return report.Report{Tenants: tenants, TenantsSerial: serial,
+		Boot: p.boot, Serial: p.reports.Add(1), Conf: snap.Serial, Demand: p.demands(), Inflight: p.routes.Inflight(),
 		Waiting: p.gate.Waiting(), Pressed: p.routes.Pressed(), WorkMs: p.routes.Work(), Acked: snap.Acked, Zone: p.s.Zone, Serving: p.confirmed.Load()}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -117,6 +117,7 @@
 	mu        sync.Mutex
 	demand    map[string]uint64
 	feed      feedState
+	figures   tenantFigures
 }
 
 // Start begins to serve.
