Admission takes turns between tenants by share before it goes by urgency

Of the places kept for urgent requests the others' part stays free of a tenant that calls all its requests urgent. Without tenants there is one turn for all, as before.

--- a/internal/conf/model.go
+++ b/internal/conf/model.go
@@ -86,6 +86,7 @@
 
 	prefixes map[string]map[string]string // host: path prefix: route
 	hosts    map[string]bool              // services that hold models
+	shares   map[string]int               // of all tenants
 }
 
 // Empty is what is in force before the first configuration.
--- a/internal/conf/service.go
+++ b/internal/conf/service.go
@@ -99,6 +99,7 @@
 	var faults Faults
 	e.prefixes = map[string]map[string]string{}
 	e.hosts = map[string]bool{}
+	e.shares = e.sumShares()
 	for _, name := range sorted(e.Models) {
 		m := e.Models[name]
 		if m.Service == "" {
--- a/internal/conf/tenant.go
+++ b/internal/conf/tenant.go
@@ -42,9 +42,11 @@
 	return 1
 }
 
-// Shares are the weights of all tenants that have a class, whether configured or
-// the default one.
-func (e Effective) Shares() map[string]int {
+// Shares are the weights of all tenants, the default one among them if a class is
+// its own; none without tenants. Nobody may change them.
+func (e Effective) Shares() map[string]int { return e.shares }
+
+func (e Effective) sumShares() map[string]int {
 	out := map[string]int{}
 	if !e.HasTenants() {
 		return out
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"drumstall.example/internal/conf"
 	"drumstall.example/internal/holding"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/route"
@@ -113,6 +112,7 @@
 		drop(t, holding.Answer{Why: "its class has gone", RetryS: 1})
 		return
 	}
+	g.hall.SetShares(g.routes.Now().Conf.Shares())
 	c := g.hall.Class(t.Class, cl)
 	g.sweep.In(sweep)
 	if !g.hall.Put(c, t) {
@@ -154,7 +154,9 @@
 			if !c.Conf.Urgent {
 				full = g.shots.Load()-g.urgent.Load() >= limit-limit/reserve || full
 			}
-			if full {
+			// Why: a tenant that calls all its requests urgent must leave the others' part of those places free.
+			kept := int64(float64(limit/reserve) * g.hall.OthersPart(c.Of))
+			if full || kept > 0 && c.Of.Out.Load() >= limit-kept {
 				continue
 			}
 			c.Lanes(func(l *holding.Lane) (bool, bool) {
@@ -175,7 +177,7 @@
 				if t.Deadline.Sub(g.now()) < r.Live.FirstFor() {
 					drop(t, holding.Answer{Why: "its answer would begin after the deadline", Late: true, RetryS: 1})
 				} else if t.Claim() {
-					g.give(t, r, c.Conf)
+					g.give(t, r, c)
 				}
 				return true, false
 			})
@@ -186,9 +188,11 @@
 	}
 }
 
-func (g *Gate) give(t *holding.Ticket, r *route.Replica, c conf.Class) {
+func (g *Gate) give(t *holding.Ticket, r *route.Replica, c *holding.Class) {
+	urgent, tenant := c.Conf.Urgent, c.Of
 	g.shots.Add(1)
-	if c.Urgent {
+	tenant.Out.Add(1)
+	if urgent {
 		g.urgent.Add(1)
 	}
 	place := g.routes.Took(t.Target, r)
@@ -199,7 +203,8 @@
 		}
 		place.Done()
 		g.shots.Add(-1)
-		if c.Urgent {
+		tenant.Out.Add(-1)
+		if urgent {
 			g.urgent.Add(-1)
 		}
 		g.again.Now()
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -67,6 +67,7 @@
 type Class struct {
 	Name  string
 	Conf  conf.Class
+	Of    *Tenant
 	lanes map[string]*Lane
 	turn  []string
 	size  int
@@ -76,10 +77,12 @@
 // Hall is all holdings of a proxy; one desk owns it.
 type Hall struct {
 	classes map[string]*Class
+	tenants map[string]*Tenant
+	shares  map[string]int
 }
 
 // NewHall is empty.
-func NewHall() *Hall { return &Hall{classes: map[string]*Class{}} }
+func NewHall() *Hall { return &Hall{classes: map[string]*Class{}, tenants: map[string]*Tenant{}} }
 
 // Class gives a class its holding, with the bounds now in force.
 func (h *Hall) Class(name string, c conf.Class) *Class {
@@ -88,7 +91,7 @@
 		cl = &Class{Name: name, lanes: map[string]*Lane{}, spent: h.least()}
 		h.classes[name] = cl
 	}
-	cl.Conf = c
+	cl.Conf, cl.Of = c, h.tenant(c)
 	return cl
 }
 
@@ -114,6 +117,7 @@
 	if c.size == 0 {
 		c.spent = max(c.spent, h.least())
 	}
+	h.welcome(c.Of)
 	key := t.Target.Lane()
 	l := c.lanes[key]
 	if l == nil {
@@ -155,6 +159,7 @@
 			delete(h.classes, name)
 		}
 	}
+	h.sweepTenants()
 }
 
 // Known says whether there are classes that a sweep may let go of.
@@ -170,8 +175,8 @@
 	return false
 }
 
-// Order is the classes with tickets in the order in which they are served:
-// urgent ones first, then by rank, then whoever has had the least for its weight.
+// Order is the classes with tickets in the order in which they are served: of the
+// tenant first that has had the least for its share, and within a tenant urgent ones first, then by rank, then whoever has had the least for its weight.
 func (h *Hall) Order() []*Class {
 	var out []*Class
 	for _, c := range h.classes {
@@ -180,6 +185,9 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *Class) int {
+		if a.Of != b.Of {
+			return cmp.Or(cmp.Compare(a.Of.spent, b.Of.spent), cmp.Compare(a.Of.Name, b.Of.Name))
+		}
 		if a.Conf.Urgent != b.Conf.Urgent {
 			if a.Conf.Urgent {
 				return -1
@@ -214,6 +222,7 @@
 func (c *Class) Pop(l *Lane) *Ticket {
 	c.size--
 	c.spent += 1 / float64(max(c.Conf.Weight, 1))
+	c.Of.spent += 1 / float64(max(c.Of.share, 1))
 	return l.Tickets.PopFront()
 }
 
--- /dev/null
+++ b/internal/holding/tenant_test.go
@@ -0,0 +1,128 @@
+package holding
+
+import (
+	"testing"
+
+	"drumstall.example/internal/conf"
+)
+
+// classOf is a class of a tenant.
+func classOf(tenant string, urgent bool, weight int) conf.Class {
+	return conf.Class{Tenant: tenant, Urgent: urgent, Weight: weight, Holding: 1000}
+}
+
+// Places go to tenants by share first, whatever their classes say of themselves,
+// and within a tenant by urgency as ever.
+func TestTenantsTakeTurnsByShare(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		shares   map[string]int
+		ours     conf.Class
+		theirs   conf.Class
+		wantOurs int // of 40 served while both wait
+	}{
+		{"even shares", map[string]int{"ours": 1, "other": 1}, classOf("ours", false, 1), classOf("other", false, 1), 20},
+		{"three to one", map[string]int{"ours": 3, "other": 1}, classOf("ours", false, 1), classOf("other", false, 1), 30},
+		{"all of the other is urgent", map[string]int{"ours": 1, "other": 1}, classOf("ours", false, 1), classOf("other", true, 1), 20},
+		{"all of ours is urgent", map[string]int{"ours": 1, "other": 1}, classOf("ours", true, 1), classOf("other", false, 1), 20},
+		{"the other has a great weight", map[string]int{"ours": 1, "other": 1}, classOf("ours", false, 1), classOf("other", false, 1000), 20},
+		{"a class of nobody's is the default tenant's", map[string]int{conf.DefaultTenant: 1, "other": 3}, classOf("", false, 1), classOf("other", true, 1), 10},
+		{"without tenants urgent ones go first", nil, classOf("", false, 1), classOf("", true, 1), 0},
+	} {
+		h := NewHall()
+		h.SetShares(c.shares)
+		put(t, h, "ours", c.ours, "m", 40)
+		put(t, h, "theirs", c.theirs, "m", 40)
+		if got := count(serve(h, 40), "ours"); got < c.wantOurs-1 || got > c.wantOurs+1 {
+			t.Errorf("%s: %d of 40 are ours, want %d", c.name, got, c.wantOurs)
+		}
+	}
+}
+
+func TestWithinATenantUrgentOnesGoFirst(t *testing.T) {
+	h := NewHall()
+	h.SetShares(map[string]int{"ours": 1, "other": 1})
+	put(t, h, "night", conf.Class{Tenant: "ours", Rank: 5, Weight: 9, Holding: 1000}, "m", 40)
+	put(t, h, "counter", conf.Class{Tenant: "ours", Weight: 1, Holding: 1000}, "m", 5)
+	put(t, h, "plates", classOf("ours", true, 1), "m", 5)
+	put(t, h, "bulk", classOf("other", true, 1), "m", 40)
+	got := serve(h, 20)
+	if count(got, "plates") != 5 || count(got, "counter") < 4 || count(got, "night") > 1 || count(got, "bulk") != 10 {
+		t.Errorf("served %v", got)
+	}
+	// And the night's work is not starved when that is done.
+	if got = serve(h, 20); count(got, "night") < 9 {
+		t.Errorf("served %v", got)
+	}
+}
+
+func TestATenantThatComesLateIsServedAtOnceAndClaimsNothing(t *testing.T) {
+	h := NewHall()
+	h.SetShares(map[string]int{"ours": 1, "other": 1})
+	put(t, h, "bulk", classOf("other", true, 1000), "m", 500)
+	serve(h, 300)
+	put(t, h, "counter", classOf("ours", false, 1), "m", 50)
+	got := serve(h, 20)
+	if count(got[:2], "counter") != 1 || count(got, "counter") != 10 {
+		t.Errorf("served %v", got)
+	}
+	// It leaves and comes back: what it did not use is gone.
+	for h.Class("counter", classOf("ours", false, 1)).Size() > 0 {
+		serve(h, 1)
+	}
+	serve(h, 100)
+	put(t, h, "counter", classOf("ours", false, 1), "m", 50)
+	if got = serve(h, 20); count(got, "counter") != 10 {
+		t.Errorf("after a pause: %v", got)
+	}
+}
+
+func TestWhatWaitsForNothingFreeHoldsUpNobody(t *testing.T) {
+	h := NewHall()
+	h.SetShares(map[string]int{"ours": 1, "other": 1})
+	put(t, h, "ours", classOf("ours", false, 1), "cold", 40)
+	put(t, h, "theirs", classOf("other", false, 1), "m", 40)
+	served := 0
+	for range 40 {
+		for _, c := range h.Order() {
+			done := false
+			c.Lanes(func(l *Lane) (bool, bool) {
+				if l.Key == "cold" {
+					return false, false
+				}
+				c.Pop(l)
+				done = true
+				return true, false
+			})
+			if done {
+				served++
+				break
+			}
+		}
+	}
+	if served != 40 {
+		t.Errorf("%d of 40 places went to who could use them", served)
+	}
+}
+
+func TestTenantsAreForgotten(t *testing.T) {
+	h := NewHall()
+	h.SetShares(map[string]int{"ours": 1, "other": 3})
+	put(t, h, "ours", classOf("ours", false, 1), "m", 1)
+	put(t, h, "theirs", classOf("other", false, 1), "m", 1)
+	of := h.Class("ours", classOf("ours", false, 1)).Of
+	if got := h.OthersPart(of); got != 0.75 {
+		t.Errorf("the others' part is %v", got)
+	}
+	of.Out.Add(1)
+	serve(h, 2)
+	h.Sweep()
+	if len(h.tenants) != 1 || h.tenants["ours"] != of {
+		t.Errorf("kept %v, want the one with a request out", h.tenants)
+	}
+	of.Out.Add(-1)
+	h.Sweep()
+	if len(h.tenants) != 0 {
+		t.Errorf("kept %v", h.tenants)
+	}
+}
