--- a/internal/gate/tenant_test.go
+++ b/internal/admission/tenant_test.go
@@ -1,4 +1,4 @@
-package gate
+package admission
 
 import (
 	"context"
@@ -8,12 +8,12 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/holding"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/order"
+	"drumstall.example/internal/queue"
 	"drumstall.example/internal/route"
 	"drumstall.example/internal/state"
 )
@@ -30,33 +30,33 @@
 		{"with tenants", `{"share":1}`, limit - limit/reserve/2, true},
 		{"without", "", limit, false},
 	} {
-		opened(t, func(g *Gate, n *news.Table) {
+		opened(t, func(g *Controller, n *gossip.Table) {
 			objects := map[string][]byte{"limits/default": []byte(`{"shots":16}`), "classes/plates": []byte(`{"urgent":true}`), "classes/bulk": []byte(`{"urgent":true}`)}
 			if c.doc != "" {
 				objects["tenants/ours"], objects["tenants/other"] = []byte(c.doc), []byte(c.doc)
 				objects["classes/plates"], objects["classes/bulk"] = []byte(`{"urgent":true,"tenant":"ours"}`), []byte(`{"urgent":true,"tenant":"other"}`)
 			}
-			n.Put(news.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 2}, Value: conf.Kept{Serial: 2, Objects: objects}.Pack()})
-			n.Put(news.Entry{Key: order.Key("r"), Stamp: state.Stamp{Epoch: 1, Serial: 1},
-				Value: wire.Pack(order.News{Listed: inventory.Listed{ID: "r", Model: true}, Slots: 1000, Items: map[string]string{"m": backend.Loaded}})})
+			n.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 2}, Value: conf.Kept{Serial: 2, Objects: objects}.Pack()})
+			n.Put(gossip.Entry{Key: order.Key("r"), Stamp: state.Stamp{Epoch: 1, Serial: 1},
+				Value: wire.Pack(order.Status{Listed: inventory.Listed{ID: "r", Model: true}, Slots: 1000, Items: map[string]string{"m": backend.Loaded}})})
 			synctest.Wait()
 			group := run.NewGroup(context.Background())
 			defer group.Stop()
-			enter := func(class string, done func(holding.Answer)) {
+			enter := func(class string, done func(queue.Answer)) {
 				group.Go(func(ctx context.Context) {
 					target := route.Target{Route: conf.Route{Kind: "model", Class: class}, Item: conf.Item{Model: "m"}}
 					done(g.Enter(ctx, target, class, time.Now().Add(5*time.Second)))
 				})
 			}
 			for range 2 * limit {
-				enter("bulk", func(holding.Answer) {})
+				enter("bulk", func(queue.Answer) {})
 			}
 			synctest.Wait()
-			if got := int(g.Shots()); got != c.theirs {
+			if got := int(g.Attempts()); got != c.theirs {
 				t.Errorf("%s: %d of the other's are out, want %d", c.name, got, c.theirs)
 			}
-			var got holding.Answer
-			enter("plates", func(a holding.Answer) { got = a })
+			var got queue.Answer
+			enter("plates", func(a queue.Answer) { got = a })
 			synctest.Wait()
 			if (got.Replica != nil) != c.plates {
 				t.Errorf("%s: the plate check got %+v", c.name, got)
--- a/internal/place/order/carry.go
+++ b/internal/place/order/carry.go
@@ -78,7 +78,7 @@
 			t.next(idle, now)
 		}
 	case idle:
-		if c.vitalsAt <= t.since {
+		if c.reportAt <= t.since {
 			return
 		}
 		if now-t.since > idleLimit {
@@ -194,16 +194,16 @@
 		c.fail("its room was given up")
 		return
 	}
-	if now-c.vitalsAt > justNow {
+	if now-c.reportAt > justNow {
 		return
 	}
 	// Why: what is being carried out may have been ordered by an owner before us, for room that looks free.
-	if c.vitals.Busy && c.traits.OneOrder {
+	if c.report.Busy && c.traits.OneOrder {
 		return
 	}
 	mib, places := c.there()
 	// Why: tasks that come later have their victims still there; what counts now is what is there now.
-	if mib+l.SizeMib > c.vitals.CapacityMib || verb == backend.LoadAdapter && places+1 > c.vitals.AdapterPlaces {
+	if mib+l.SizeMib > c.report.CapacityMib || verb == backend.LoadAdapter && places+1 > c.report.AdapterPlaces {
 		if now-t.since > goneLimit {
 			c.fail("it does not fit any more")
 		}
@@ -240,12 +240,12 @@
 // report has told of since.
 func (c *Controller) afloat() {
 	now := c.d.Clock.Since()
-	if now-c.toldAt < floatBeat {
+	if now-c.toldAt < floatInterval {
 		return
 	}
-	// Why: a report follows an order at the next beat; until then the grant itself counts.
+	// Why: a report follows an order at the next look; until then the grant itself counts.
 	for item, l := range c.book {
-		if l.State == backend.Loading && l.ordered >= c.vitalsAt && now-l.ordered > floatBeat {
+		if l.State == backend.Loading && l.ordered >= c.reportAt && now-l.ordered > floatInterval {
 			c.toldAt = now
 			ctx, cancel := context.WithTimeout(c.d.Group.Context(), askLimit)
 			c.d.Afloat(ctx, c.who(item))
@@ -254,7 +254,7 @@
 	}
 }
 
-// acked says whether every live proxy has this replica's news in force.
+// acked says whether every live proxy has this replica's status in force.
 func (c *Controller) acked(s state.Stamp) bool {
 	for agent := range c.d.Agents() {
 		if got := c.d.Reports.Of(agent).Acked[c.listed.ID]; s.Newer(got) {
--- a/internal/holding/tenant.go
+++ b/internal/queue/tenant.go
@@ -1,4 +1,4 @@
-package holding
+package queue
 
 import (
 	"sync/atomic"
@@ -16,34 +16,34 @@
 }
 
 // SetShares gives tenants their shares; none is to do without tenants.
-func (h *Hall) SetShares(shares map[string]int) {
-	h.shares = shares
-	for _, t := range h.tenants {
+func (q *Queue) SetShares(shares map[string]int) {
+	q.shares = shares
+	for _, t := range q.tenants {
 		t.share = shares[t.Name]
 	}
 }
 
 // tenant is that of a class.
-func (h *Hall) tenant(c conf.Class) *Tenant {
+func (q *Queue) tenant(c conf.Class) *Tenant {
 	name := ""
-	if len(h.shares) > 0 {
+	if len(q.shares) > 0 {
 		if name = c.Tenant; name == "" {
 			name = conf.DefaultTenant
 		}
 	}
-	t := h.tenants[name]
+	t := q.tenants[name]
 	if t == nil {
-		t = &Tenant{Name: name, share: h.shares[name]}
-		h.tenants[name] = t
+		t = &Tenant{Name: name, share: q.shares[name]}
+		q.tenants[name] = t
 	}
 	return t
 }
 
 // welcome lets a tenant that was away start with the others, so that it cannot
 // claim the past.
-func (h *Hall) welcome(t *Tenant) {
+func (q *Queue) welcome(t *Tenant) {
 	low, others := 0.0, false
-	for _, c := range h.classes {
+	for _, c := range q.classes {
 		switch {
 		case c.size == 0:
 		case c.Of == t:
@@ -56,23 +56,23 @@
 }
 
 // sweepTenants forgets tenants without any request, waiting or out.
-func (h *Hall) sweepTenants() {
+func (q *Queue) sweepTenants() {
 	used := map[*Tenant]bool{}
-	for _, c := range h.classes {
+	for _, c := range q.classes {
 		used[c.Of] = true
 	}
-	for name, t := range h.tenants {
+	for name, t := range q.tenants {
 		if !used[t] && t.Out.Load() == 0 {
-			delete(h.tenants, name)
+			delete(q.tenants, name)
 		}
 	}
 }
 
 // OthersPart is the part of what is kept for urgent requests that is other
 // tenants' than this one's.
-func (h *Hall) OthersPart(t *Tenant) float64 {
+func (q *Queue) OthersPart(t *Tenant) float64 {
 	sum := 0
-	for _, share := range h.shares {
+	for _, share := range q.shares {
 		sum += share
 	}
 	if sum == 0 {
--- a/internal/route/owner.go
+++ b/internal/route/owner.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/kernel/sharedcache"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/state"
 )
 
@@ -43,12 +43,12 @@
 	}
 	key := presenceKey(p)
 	// Why: the number counts up from the last one seen and says nothing of any clock.
-	k.news.Put(news.Entry{Key: key, Stamp: state.Stamp{Serial: k.news.StampOf(key).Serial + 1}, Value: []byte{1}})
+	k.gossip.Put(gossip.Entry{Key: key, Stamp: state.Stamp{Serial: k.gossip.StampOf(key).Serial + 1}, Value: []byte{1}})
 }
 
 // takePresence notes that a party has requests, by the word of any proxy. A word
 // that is already there when this proxy begins counts as new.
-func (k *Keeper) takePresence(d *draft, e news.Entry) {
+func (k *Keeper) takePresence(d *draft, e gossip.Entry) {
 	tenant, rank, found := strings.Cut(strings.TrimPrefix(e.Key, TenantPrefix), "/")
 	n, err := strconv.Atoi(rank)
 	if e.Gone || !found || err != nil {
--- a/internal/route/steer_test.go
+++ b/internal/route/steer_test.go
@@ -8,10 +8,10 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
-	"drumstall.example/internal/news"
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/state"
 )
@@ -20,7 +20,7 @@
 type sharedWorld struct {
 	*Keeper
 	clock  *handClock
-	news   *news.Table
+	news   *gossip.Table
 	serial uint64
 }
 
@@ -36,16 +36,16 @@
 
 func newShared(t *testing.T, doc string) *sharedWorld {
 	t.Helper()
-	s := &sharedWorld{clock: &handClock{now: time.Hour}, news: news.NewTable()}
+	s := &sharedWorld{clock: &handClock{now: time.Hour}, news: gossip.NewTable()}
 	stopped := run.NewGroup(context.Background())
 	stopped.Stop()
-	s.Keeper = NewKeeper(Deps{Group: stopped, News: s.news, Clock: s.clock, Zone: func() string { return "z1" },
+	s.Keeper = NewKeeper(Deps{Group: stopped, Gossip: s.news, Clock: s.clock, Zone: func() string { return "z1" },
 		HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 1 }})
 	for i := range 4 {
 		id := fmt.Sprint("r", i)
-		n := order.News{Listed: inventory.Listed{ID: id, Zone: "z1", Model: true, Slots: 1000, Labels: map[string]string{"pool": "main"}}, Slots: 1000,
+		n := order.Status{Listed: inventory.Listed{ID: id, Zone: "z1", Model: true, Slots: 1000, Labels: map[string]string{"pool": "main"}}, Slots: 1000,
 			Items: map[string]string{"m": backend.Loaded}}
-		s.news.Put(news.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: wire.Pack(n)})
+		s.news.Put(gossip.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: wire.Pack(n)})
 	}
 	s.configure(t, doc)
 	return s
@@ -59,7 +59,7 @@
 	}
 	s.serial++
 	k.Serial = s.serial
-	s.news.Put(news.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: s.serial}, Value: k.Pack()})
+	s.news.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: s.serial}, Value: k.Pack()})
 	s.renew()
 }
 
