--- a/internal/route/bulk_test.go
+++ b/internal/route/bulk_test.go
@@ -108,6 +108,19 @@
 		for i := range ids {
 			ids[i] = fmt.Sprint("r", i)
 		}
+		needed := 0
+		for _, share := range shares {
+			needed += max(1, len(ids)*share/sum)
+		}
+		has := map[string]string{}
+		for tenant, home := range homes(shares, ids) {
+			for _, id := range home {
+				if other := has[id]; other != "" && needed <= len(ids) && len(shares) > 1 {
+					t.Fatalf("seed %d: %s is of %s and of %s", seed, id, tenant, other)
+				}
+				has[id] = tenant
+			}
+		}
 		for tenant, share := range shares {
 			for rank := range conf.Ranks {
 				by := party{Tenant: tenant, Rank: rank}
@@ -139,10 +152,10 @@
 	if len(n.only) != 3 || u.only != nil || fmt.Sprint(u.avoid) != fmt.Sprint(n.only) {
 		t.Errorf("urgent %+v, night %+v", u, n)
 	}
-	if first := homes("ours", ids)[0]; n.only[first] || u.verdict(first) != 1 {
+	if first := inOrderOf("ours", ids)[0]; n.only[first] || u.verdict(first) != 1 {
 		t.Errorf("the night's work has %s, the tenant's first", first)
 	}
-	if !slices.Equal(homes("ours", ids), homes("ours", []string{"r6", "r5", "r4", "r3", "r2", "r1"})) {
+	if !slices.Equal(inOrderOf("ours", ids), inOrderOf("ours", []string{"r6", "r5", "r4", "r3", "r2", "r1"})) {
 		t.Error("the order of a tenant's replicas depends on who asks")
 	}
 }
--- a/internal/route/steer.go
+++ b/internal/route/steer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -117,16 +118,11 @@
 	out := steering{isOn: true, avoid: map[string]bool{}}
 	present := b.present(now)
 	if len(present) > 1 {
-		sum := 0
-		for _, share := range present {
-			sum += share
-		}
-		for tenant, share := range present {
-			if !b.bulky[wholeTenant(tenant)] {
+		for tenant, home := range homes(present, ids) {
+			switch {
+			case !b.bulky[wholeTenant(tenant)]:
 				continue
-			}
-			home := homes(tenant, ids)[:part1(len(ids)*share/sum, len(ids))]
-			if tenant == by.Tenant {
+			case tenant == by.Tenant:
 				out.only = setOf(home)
 				continue
 			}
@@ -154,7 +150,7 @@
 // open are the replicas that a tenant's new prompts go to, in the tenant's own order.
 func (b *bulk) open(tenant string, ids []string, s steering) []string {
 	var out []string
-	for _, id := range homes(tenant, ids) {
+	for _, id := range inOrderOf(tenant, ids) {
 		if s.allows(id) && (s.only != nil || !s.avoid[id]) {
 			out = append(out, id)
 		}
@@ -172,8 +168,29 @@
 	return false
 }
 
-// homes are replicas in the order in which a tenant's bulk takes them, alike at every proxy.
-func homes(tenant string, ids []string) []string {
+// homes gives each tenant as many replicas as its share is, at least one, and no
+// replica to two tenants while there are enough. Why: that is settled by who is present, not by who sends bulk,
+// since all proxies see that alike.
+func homes(present map[string]int, ids []string) map[string][]string {
+	sum := 0
+	for _, share := range present {
+		sum += share
+	}
+	out, left := map[string][]string{}, ids
+	for _, tenant := range slices.Sorted(maps.Keys(present)) {
+		n := part1(len(ids)*present[tenant]/sum, len(ids))
+		if len(left) < n {
+			out[tenant] = inOrderOf(tenant, ids)[:n]
+			continue
+		}
+		mine := inOrderOf(tenant, left)
+		out[tenant], left = mine[:n], mine[n:]
+	}
+	return out
+}
+
+// inOrderOf are replicas in the order in which a tenant's bulk takes them, alike at every proxy.
+func inOrderOf(tenant string, ids []string) []string {
 	key := []byte(tenant)
 	draws := make(map[string]uint64, len(ids))
 	for _, id := range ids {
