--- a/internal/route/bulk.go
+++ b/internal/route/bulk.go
@@ -19,6 +19,8 @@
 	presentFor = 5 * time.Minute
 	// bulkEnds is the part of what makes a tenant's prompts bulk work below which they are so no more.
 	bulkEnds = 0.5
+	// yieldPart of a tenant's new tokens is what the least urgent steps send that yield within it.
+	yieldPart = 1.0 / 3
 )
 
 // party is a tenant, or a step of urgency within it.
@@ -110,21 +112,26 @@
 
 // judge says anew which of a tenant's parties send bulk.
 func (b *bulk) judge(tenant string, capacity float64, now time.Duration) {
-	room := b.room(tenant, capacity, now)
-	sum, ahead := 0.0, false
-	for rank := range conf.Ranks {
-		p := party{Tenant: tenant, Rank: rank}
-		if !b.isPresent(p, now) {
-			b.set(p, false, 0, room)
-			continue
+	room, total := b.room(tenant, capacity, now), 0.0
+	var flows [conf.Ranks]float64
+	first := conf.Ranks // the most urgent step that is present
+	for rank := conf.Ranks - 1; rank >= 0; rank-- {
+		if p := (party{Tenant: tenant, Rank: rank}); b.isPresent(p, now) {
+			flows[rank], first = b.flows[p].now(now), rank
+			total += flows[rank]
 		}
-		sum += b.flows[p].now(now)
-		// Why: the most urgent step gives way to nobody within its tenant.
-		b.set(p, ahead && b.exceeds(p, sum, room), sum, room)
-		ahead = true
 	}
 	whole := wholeTenant(tenant)
-	b.set(whole, b.exceeds(whole, sum, room), sum, room)
+	is := b.exceeds(whole, total, room)
+	b.set(whole, is, total, room)
+	// Why: the least urgent steps yield, and only as many as send a good part of what is new; a counter that sends no
+	// more than the officers would else be sent to where the night's work goes.
+	least := 0.0
+	for rank := conf.Ranks - 1; rank >= 0; rank-- {
+		yields := is && rank > first && flows[rank] > 0 && least < yieldPart*total
+		least += flows[rank]
+		b.set(party{Tenant: tenant, Rank: rank}, yields, flows[rank], room)
+	}
 }
 
 // room is how many new tokens a tenant may send: its share, or more where the others
