--- a/internal/conf/tenant_test.go
+++ b/internal/conf/tenant_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"os"
 	"testing"
 )
 
@@ -44,3 +45,19 @@
 		}
 	}
 }
+
+// The example is one that is taken.
+func TestTheExampleWithTenants(t *testing.T) {
+	b, err := os.ReadFile("../../examples/tenants/config.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, err := ReadWhole("application/yaml", b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := Effect(k)
+	if err != nil || !maps.Equal(e.Shares(), map[string]int{"counter-and-road": 3, "archive": 1}) || e.TenantOf("scans") != "archive" {
+		t.Errorf("%v, %v", e.Shares(), err)
+	}
+}
--- a/internal/route/steer_test.go
+++ b/internal/route/steer_test.go
@@ -35,13 +35,18 @@
 )
 
 func newShared(t *testing.T, doc string) *sharedWorld {
+	t.Helper()
+	return newSharedOf(t, doc, 4)
+}
+
+func newSharedOf(t *testing.T, doc string, replicas int) *sharedWorld {
 	t.Helper()
 	s := &sharedWorld{clock: &handClock{now: time.Hour}, news: gossip.NewTable()}
 	stopped := run.NewGroup(context.Background())
 	stopped.Stop()
 	s.Keeper = NewKeeper(Deps{Group: stopped, Gossip: s.news, Clock: s.clock, Zone: func() string { return "z1" },
 		HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 1 }})
-	for i := range 4 {
+	for i := range replicas {
 		id := fmt.Sprint("r", i)
 		n := order.Status{Listed: inventory.Listed{ID: id, Zone: "z1", Model: true, Slots: 1000, Labels: map[string]string{"pool": "main"}}, Slots: 1000,
 			Items: map[string]string{"m": backend.Loaded}}
@@ -214,21 +219,21 @@
 
 // What the look at tenants adds to a choice while one of them sends bulk.
 func BenchmarkChooseAmongTenants(b *testing.B) {
-	for _, tenants := range []bool{false, true} {
-		b.Run(fmt.Sprint("bulk=", tenants), func(b *testing.B) {
-			t := &testing.T{}
-			doc := withoutTenants
-			if tenants {
-				doc = fmt.Sprintf(withTenants, "")
-			}
-			s := newShared(t, doc)
-			s.spread("plates", 0, 8)
-			s.spread("bulk", 0, 200)
-			target := s.target("bulk", 7777)
-			b.ReportAllocs()
-			for b.Loop() {
-				s.Choose(target)
-			}
-		})
+	for _, replicas := range []int{4, 150} {
+		for _, c := range []struct {
+			name, doc string
+			bulk      int // prompts for each replica
+		}{{"no tenants", withoutTenants, 50}, {"tenants", fmt.Sprintf(withTenants, ""), 0}, {"a bulk run", fmt.Sprintf(withTenants, ""), 50}} {
+			b.Run(fmt.Sprintf("%s, %d replicas", c.name, replicas), func(b *testing.B) {
+				s := newSharedOf(&testing.T{}, c.doc, replicas)
+				s.spread("plates", 0, 8)
+				s.spread("bulk", 0, c.bulk*replicas)
+				target := s.target("bulk", 1_000_000)
+				b.ReportAllocs()
+				for b.Loop() {
+					s.Choose(target)
+				}
+			})
+		}
 	}
 }
