--- a/internal/sim/fleet/tenants_test.go
+++ b/internal/sim/fleet/tenants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -86,8 +87,12 @@
 
 // play sends the streams for a while and says between which instants that was.
 func (f *Fleet) play(d time.Duration, streams ...asks) (from, to time.Duration) {
+	return f.playAt(f.Spots(), d, streams...)
+}
+
+// playAt is play at some of the edges only.
+func (f *Fleet) playAt(spots []stand.Edge, d time.Duration, streams ...asks) (from, to time.Duration) {
 	from = time.Since(f.zero)
-	spots := f.Spots()
 	due := make([]float64, len(streams))
 	const step = 10 * time.Millisecond
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(step) {
@@ -297,3 +302,45 @@
 		f.End()
 	})
 }
+
+// The other tenant's run comes through one edge, where none of our officers ask: that
+// they do elsewhere is known there all the same, and status tells the figures of both.
+func TestTenantsAreKnownAtEveryEdge(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := tenantFleet(t, 1, tenantDay{"presence", true, false})
+		defer f.Stop()
+		spots := f.Spots()
+		f.playAt(spots[1:], 3*time.Second, officeDay...)
+		f.playAt(spots[:1], 6*time.Second, asks{"bulk", "mass", 30, 0})
+		from, to := f.playAt(spots[:1], 4*time.Second, asks{"bulk", "mass", 30, 0})
+		time.Sleep(10 * time.Second)
+		mine, at := map[string]bool{}, map[string]int{}
+		for _, e := range f.Rec.Events() {
+			switch {
+			case e.Kind == check.Sent && e.Class == "bulk" && e.At >= from && e.At < to:
+				mine[e.Ticket] = true
+			case e.Kind == check.RunStart && mine[e.Ticket]:
+				at[e.Replica]++
+			}
+		}
+		if len(at) != 2 {
+			t.Errorf("the run went to %v, want two replicas", at)
+		}
+		var status struct {
+			Tenants map[string]struct {
+				Share, BulkAtEdges int
+				Tokens             uint64
+				WarmPart           float64
+			}
+		}
+		if err := json.Unmarshal([]byte(f.Get(0, "/v1/status")), &status); err != nil {
+			t.Fatal(err)
+		}
+		ours, other := status.Tenants["office"], status.Tenants["archive"]
+		if ours.Share != 1 || ours.Tokens == 0 || ours.WarmPart <= other.WarmPart || other.Tokens < ours.Tokens || other.BulkAtEdges != 1 {
+			t.Errorf("status: %+v", status.Tenants)
+		}
+		f.End()
+	})
+}
