--- a/internal/admission/tenant_test.go
+++ b/internal/admission/tenant_test.go
@@ -36,8 +36,8 @@
 				objects["tenants/ours"], objects["tenants/other"] = []byte(c.doc), []byte(c.doc)
 				objects["classes/plates"], objects["classes/bulk"] = []byte(`{"urgent":true,"tenant":"ours"}`), []byte(`{"urgent":true,"tenant":"other"}`)
 			}
-			n.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: 2}, Value: conf.Kept{Serial: 2, Objects: objects}.Pack()})
-			n.Put(gossip.Entry{Key: order.Key("r"), Stamp: state.Stamp{Epoch: 1, Serial: 1},
+			n.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Version: 2}, Value: conf.Kept{Serial: 2, Objects: objects}.Pack()})
+			n.Put(gossip.Entry{Key: order.Key("r"), Stamp: state.Stamp{Epoch: 1, Version: 1},
 				Value: wire.Pack(order.Status{Listed: inventory.Listed{ID: "r", Model: true}, Slots: 1000, Items: map[string]string{"m": backend.Loaded}})})
 			synctest.Wait()
 			group := run.NewGroup(context.Background())
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -44,7 +44,7 @@
 	Platform string
 	Bounds   bounds.Bounds
 	Cadence  bounds.Cadence
-	Lister   inventory.Lister // nil asks Platform over the design's own face
+	Lister   inventory.Lister // nil asks Platform over the design's own API
 }
 
 // Agent is a running dsagent.
@@ -185,7 +185,7 @@
 		got, err := wire.Call[none, core.Newest](one, a.caller, n.Addr, "/conf/confirm", none{})
 		cancel()
 		if err != nil {
-			a.log.Info("configuration not confirmed", "by", n.Name, "problem", err)
+			a.log.Info("configuration not confirmed", "by", n.Name, "error", err)
 			continue
 		}
 		if got.Found {
@@ -231,7 +231,7 @@
 	d := feed.Down{AgentBoot: a.boot, Confirmed: a.confirmed.Load(), Conf: a.gossip.StampOf(conf.Key), HeardMs: min(a.touch.For().Milliseconds()+1, 1<<40),
 		Edges: len(a.members.Live(member.RoleAgent)), Agent: a.s.Name, Zone: a.s.Zone}
 	if fed := a.fed.Load(); fed != nil && fed.Boot == up.Boot {
-		d.Holds = fed.Serial
+		d.Holds = fed.Version
 	}
 	peers := a.members.Peers()
 	d.Peers = peers[:min(len(peers), maxPeers)]
--- a/internal/place/report/difference.go
+++ b/internal/place/report/difference.go
@@ -7,11 +7,11 @@
 // of the moment stays whole.
 func (r Report) Since(base Report) Report {
 	out := r
-	out.Base = base.Serial
+	out.Base = base.Version
 	out.Demand = changed(r.Demand, base.Demand)
 	out.WorkMs = changed(r.WorkMs, base.WorkMs)
 	out.Acked = changed(r.Acked, base.Acked)
-	if r.TenantsSerial == base.TenantsSerial {
+	if r.TenantsVersion == base.TenantsVersion {
 		out.Tenants = nil
 	}
 	for replica := range base.Acked {
@@ -28,7 +28,7 @@
 	if r.Base == 0 {
 		return r, true
 	}
-	if base.Agent != r.Agent || base.Boot != r.Boot || base.Serial != r.Base {
+	if base.Agent != r.Agent || base.Boot != r.Boot || base.Version != r.Base {
 		return Report{}, false
 	}
 	out := r
@@ -36,7 +36,7 @@
 	out.Demand = merged(base.Demand, r.Demand)
 	out.WorkMs = merged(base.WorkMs, r.WorkMs)
 	out.Acked = merged(base.Acked, r.Acked)
-	if r.TenantsSerial == base.TenantsSerial {
+	if r.TenantsVersion == base.TenantsVersion {
 		out.Tenants = base.Tenants
 	}
 	if len(r.Unacked) > 0 {
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 
@@ -13,6 +11,7 @@
 	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/sample"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member/touch"
 	"drumstall.example/internal/place/report"
@@ -37,13 +36,12 @@
 // mend gets news from the agent's peers while the agent is away, or so new
 // that it may know nobody yet: a configuration must come into force here all the same.
 func (p *Proxy) mend(ctx context.Context) {
-	to := slices.Clone(*p.peers.Load())
-	if p.agentFor() <= agentLost && p.env.Clock.Since()-time.Duration(p.agentNew.Load()) > agentYoung || len(to) == 0 {
+	known := *p.peers.Load()
+	if p.agentFor() <= agentLost && p.env.Clock.Since()-time.Duration(p.agentNew.Load()) > agentYoung || len(known) == 0 {
 		return
 	}
 	// Why: some of them may be down as well; one that answers is enough.
-	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-	to = to[:min(len(to), mendWith)]
+	to := sample.Of(known, mendWith)
 	asked := p.env.Clock.Since()
 	ch := run.Fan(p.group, len(to), func(ctx context.Context, i int) touch.Word {
 		ctx, cancel := context.WithTimeout(ctx, mendInterval)
@@ -130,7 +128,7 @@
 
 // difference is a report as the agent needs it.
 func (f *feedState) difference(r report.Report) report.Report {
-	if f.base.Serial == 0 {
+	if f.base.Version == 0 {
 		return r
 	}
 	return r.Since(f.base)
@@ -141,12 +139,12 @@
 func (f *feedState) settle(sent report.Report, holds uint64) {
 	before := f.base
 	switch {
-	case holds != 0 && holds == sent.Serial:
+	case holds != 0 && holds == sent.Version:
 		f.base = sent
-	case holds != before.Serial:
+	case holds != before.Version:
 		f.base = report.Report{}
 	}
-	if before.Serial != 0 && f.base.Serial == 0 {
+	if before.Version != 0 && f.base.Version == 0 {
 		f.reportedAt = 0
 	}
 }
@@ -164,10 +162,10 @@
 // report is this proxy's word to the controllers.
 func (p *Proxy) report() report.Report {
 	snap := p.routes.Now()
-	tenants, serial := p.tenants()
-	return report.Report{Boot: p.boot, Serial: p.reports.Add(1), Conf: snap.Serial, Demand: p.demands(), Inflight: p.routes.Inflight(),
+	tenants, version := p.tenants()
+	return report.Report{Boot: p.boot, Version: p.reports.Add(1), Conf: snap.Serial, Demand: p.demands(), Inflight: p.routes.Inflight(),
 		Waiting: p.admission.Waiting(), Pressed: p.routes.Pressed(), WorkMs: p.routes.Work(), Acked: snap.Acked, Zone: p.s.Zone, Serving: p.confirmed.Load(),
-		Tenants: tenants, TenantsSerial: serial}
+		Tenants: tenants, TenantsVersion: version}
 }
 
 // tellMiss passes the report on at once. Why: a load can only begin when a
--- a/internal/route/owner.go
+++ b/internal/route/owner.go
@@ -43,7 +43,7 @@
 	}
 	key := presenceKey(p)
 	// Why: the number counts up from the last one seen and says nothing of any clock.
-	k.gossip.Put(gossip.Entry{Key: key, Stamp: state.Stamp{Serial: k.gossip.StampOf(key).Serial + 1}, Value: []byte{1}})
+	k.gossip.Put(gossip.Entry{Key: key, Stamp: state.Stamp{Version: k.gossip.StampOf(key).Version + 1}, Value: []byte{1}})
 }
 
 // takePresence notes that a party has requests, by the word of any proxy. A word
--- a/internal/route/press_test.go
+++ b/internal/route/press_test.go
@@ -10,17 +10,11 @@
 
 // keeperOf is a keeper that learns of its replicas by their controllers' word.
 func keeperOf() *Keeper {
-	k := &Keeper{clock: &still{}, warmth: newMemory(), bulk: newBulk(nil), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
+	k := &Keeper{clock: &handClock{now: time.Hour}, warmth: newMemory(), bulk: newBulk(nil), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
 	k.snap.Store(&Snapshot{Conf: conf.Empty()})
 	return k
 }
 
-// still is a clock that stands.
-type still struct{}
-
-func (still) Since() time.Duration { return time.Hour }
-func (still) Wall() time.Time      { return time.Time{} }
-
 // What waits for a model that nobody holds yet tells how much work it will make.
 func TestWorkIsCountedWhileARequestWaits(t *testing.T) {
 	k := keeperOf()
--- a/internal/route/steer_test.go
+++ b/internal/route/steer_test.go
@@ -50,7 +50,7 @@
 		id := fmt.Sprint("r", i)
 		n := order.Status{Listed: inventory.Listed{ID: id, Zone: "z1", Model: true, Slots: 1000, Labels: map[string]string{"pool": "main"}}, Slots: 1000,
 			Items: map[string]string{"m": backend.Loaded}}
-		s.news.Put(gossip.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Serial: 1}, Value: wire.Pack(n)})
+		s.news.Put(gossip.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Version: 1}, Value: wire.Pack(n)})
 	}
 	s.configure(t, doc)
 	return s
@@ -64,7 +64,7 @@
 	}
 	s.serial++
 	k.Serial = s.serial
-	s.news.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Serial: s.serial}, Value: k.Pack()})
+	s.news.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Version: s.serial}, Value: k.Pack()})
 	s.renew()
 }
 
--- a/internal/state/coreset/admission.go
+++ b/internal/state/coremembers/admission.go
@@ -1,4 +1,4 @@
-package coreset
+package coremembers
 
 import (
 	"context"
@@ -15,16 +15,16 @@
 	}
 	q := Joining{Core: k.d.Self(), Replaces: k.d.Replaces}
 	if _, err := call[Joining, None](ctx, k, c, "/state/join", q); err != nil {
-		k.d.Log.Info("asked to join", "at", c.Name, "problem", err)
+		k.d.Log.Info("asked to join", "at", c.Name, "error", err)
 	}
 }
 
-// join is answered by the owner of the core set; others pass it on.
+// join is answered by the owner of the core membership; others pass it on.
 func (k *Keeper) join(ctx context.Context, q Joining) (None, error) {
 	if !k.d.Owner.Holds(Key) {
 		return k.passOn(ctx, q)
 	}
-	err := k.decide(ctx, func(set state.CoreSet) (state.CoreSet, error) {
+	err := k.decide(ctx, func(set state.CoreMembers) (state.CoreMembers, error) {
 		if set.Has(q.Core) {
 			return set, nil
 		}
@@ -40,7 +40,7 @@
 	return None{}, nil
 }
 
-// passOn hands a joining to whoever holds the core set; the refusal "not-owner"
+// passOn hands a joining to whoever holds the core membership; the refusal "not-owner"
 // says that nobody does.
 func (k *Keeper) passOn(ctx context.Context, q Joining) (None, error) {
 	for c := range k.d.Live() {
@@ -52,16 +52,16 @@
 			return call[Joining, None](ctx, k, c, "/state/join", q)
 		}
 	}
-	return None{}, wire.Drop("not-owner", "nobody holds the core set")
+	return None{}, wire.Refuse("not-owner", "nobody holds the core set")
 }
 
 // replace gives a core the place of the member that it names, or of its own past.
-func (k *Keeper) replace(set state.CoreSet, q Joining) (state.CoreSet, error) {
+func (k *Keeper) replace(set state.CoreMembers, q Joining) (state.CoreMembers, error) {
 	name := q.Replaces
 	if name == "" {
 		name = q.Core.Name
 	}
-	next := state.CoreSet{Serial: set.Serial + 1}
+	next := state.CoreMembers{Version: set.Version + 1}
 	replaced := false
 	for _, c := range set.Cores {
 		if c.Name != name {
@@ -69,7 +69,7 @@
 			continue
 		}
 		if _, alive := k.d.Live()[c]; alive {
-			return next, wire.Drop("alive", "member "+name+" is alive; it is not replaced")
+			return next, wire.Refuse("alive", "member "+name+" is alive; it is not replaced")
 		}
 		next.Cores = append(next.Cores, q.Core)
 		replaced = true
@@ -80,14 +80,14 @@
 		replaced = true
 	}
 	if !replaced {
-		return next, wire.Drop("unknown", "no member "+name+"; start the core with --replaces")
+		return next, wire.Refuse("unknown", "no member "+name+"; start the core with --replaces")
 	}
 	return next, nil
 }
 
 // admit takes a core in: in the place of its own past, of a voter that is gone,
 // or beside the others.
-func (k *Keeper) admit(set state.CoreSet, joiner state.Core) (state.CoreSet, error) {
+func (k *Keeper) admit(set state.CoreMembers, joiner state.Core) (state.CoreMembers, error) {
 	out, found := k.lost(set)
 	for _, c := range set.Cores {
 		if c.Name == joiner.Name {
@@ -95,9 +95,9 @@
 		}
 	}
 	if !found && k.doubts(set) {
-		return set, wire.Drop("doubt", "a member may be gone; its place is given when that is sure")
+		return set, wire.Refuse("doubt", "a member may be gone; its place is given when that is sure")
 	}
-	next := state.CoreSet{Serial: set.Serial + 1}
+	next := state.CoreMembers{Version: set.Version + 1}
 	for _, c := range set.Cores {
 		if !found || !c.Is(out) {
 			next.Cores = append(next.Cores, c)
@@ -109,7 +109,7 @@
 
 // doubts says that a voter is silent and may be gone. Why: a set that grew beside
 // one that is gone would need more of the others for a majority, until it is let go of.
-func (k *Keeper) doubts(set state.CoreSet) bool {
+func (k *Keeper) doubts(set state.CoreMembers) bool {
 	for _, c := range set.Cores {
 		if c.Is(k.d.Self()) {
 			continue
