--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"drumstall.example/internal/conf"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/queue"
 	"drumstall.example/internal/route"
@@ -113,6 +112,7 @@
 		refuse(w, queue.Answer{Why: "its class has gone", RetryS: 1})
 		return
 	}
+	ac.queue.SetShares(ac.routes.Now().Conf.Shares())
 	c := ac.queue.Class(w.Class, cl)
 	ac.sweep.In(sweep)
 	if !ac.queue.Put(c, w) {
@@ -154,7 +154,9 @@
 			if !c.Conf.Urgent {
 				full = ac.attempts.Load()-ac.urgent.Load() >= limit-limit/reserve || full
 			}
-			if full {
+			// Why: a tenant that calls all its requests urgent must leave the others' part of those places free.
+			kept := int64(float64(limit/reserve) * ac.queue.OthersPart(c.Of))
+			if full || kept > 0 && c.Of.Out.Load() >= limit-kept {
 				continue
 			}
 			c.Lanes(func(l *queue.Lane) (bool, bool) {
@@ -175,7 +177,7 @@
 				if w.Deadline.Sub(ac.now()) < r.Live.FirstFor() {
 					refuse(w, queue.Answer{Why: "its answer would begin after the deadline", Late: true, RetryS: 1})
 				} else if w.Claim() {
-					ac.give(w, r, c.Conf)
+					ac.give(w, r, c)
 				}
 				return true, false
 			})
@@ -186,9 +188,11 @@
 	}
 }
 
-func (ac *Controller) give(w *queue.Waiter, r *route.Replica, c conf.Class) {
+func (ac *Controller) give(w *queue.Waiter, r *route.Replica, c *queue.Class) {
+	urgent, tenant := c.Conf.Urgent, c.Of
 	ac.attempts.Add(1)
-	if c.Urgent {
+	tenant.Out.Add(1)
+	if urgent {
 		ac.urgent.Add(1)
 	}
 	place := ac.routes.Took(w.Target, r)
@@ -199,7 +203,8 @@
 		}
 		place.Done()
 		ac.attempts.Add(-1)
-		if c.Urgent {
+		tenant.Out.Add(-1)
+		if urgent {
 			ac.urgent.Add(-1)
 		}
 		ac.again.Now()
--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -62,7 +62,7 @@
 	up := feed.Up{Boot: p.boot, AgentBoot: f.agentBoot, Cursor: f.cursor, Confirmed: p.confirmed.Load(), Conf: snap.Stamp}
 	fresh, mine, _ := p.gossip.After(f.mine)
 	for _, e := range fresh {
-		if f.all || strings.HasPrefix(e.Key, inventory.MarkKey("")) {
+		if f.all || strings.HasPrefix(e.Key, inventory.MarkKey("")) || strings.HasPrefix(e.Key, route.TenantPrefix) {
 			up.Entries = append(up.Entries, e)
 		}
 	}
@@ -162,8 +162,10 @@
 // report is this proxy's word to the controllers.
 func (p *Proxy) report() report.Report {
 	snap := p.routes.Now()
+	tenants, version := p.tenants()
 	return report.Report{Boot: p.boot, Version: p.reports.Add(1), Conf: snap.Serial, Demand: p.demands(), Inflight: p.routes.Inflight(),
-		Waiting: p.admission.Waiting(), Pressed: p.routes.Pressed(), WorkMs: p.routes.Work(), Acked: snap.Acked, Zone: p.s.Zone, Serving: p.confirmed.Load()}
+		Waiting: p.admission.Waiting(), Pressed: p.routes.Pressed(), WorkMs: p.routes.Work(), Acked: snap.Acked, Zone: p.s.Zone, Serving: p.confirmed.Load(),
+		Tenants: tenants, TenantsVersion: version}
 }
 
 // tellMiss passes the report on at once. Why: a load can only begin when a
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -117,6 +117,7 @@
 	mu        sync.Mutex
 	demand    map[string]uint64
 	feed      feedState
+	figures   tenantFigures
 }
 
 // Start begins to serve.
@@ -144,7 +145,7 @@
 	p.agentNew.Store(-1 << 62)
 	p.peers.Store(&[]string{})
 	p.routes = route.NewKeeper(route.Deps{Group: p.group, Gossip: p.gossip, Clock: env.Clock, Replicas: p.replicas, Zone: func() string { return s.Zone },
-		HeardFor: p.touch.For, Edges: func() int { return int(p.edges.Load()) }, Ask: s.Cadence.ProxiesAsk, Deaf: s.Bounds.Drain - deafMargin})
+		HeardFor: p.touch.For, Edges: func() int { return int(p.edges.Load()) }, Ask: s.Cadence.ProxiesAsk, Log: p.log, Deaf: s.Bounds.Drain - deafMargin})
 	p.watch.Start(p.group, s.Cadence.List, func() bool { return p.agentFor() > agentLost })
 	misses := run.NewActor(p.group, 4, 0, nil)
 	p.missed = run.NewNudge(misses, p.tellMiss)
--- a/internal/route/press_test.go
+++ b/internal/route/press_test.go
@@ -10,7 +10,9 @@
 
 // keeperOf is a keeper that learns of its replicas by their controllers' word.
 func keeperOf() *Keeper {
-	return &Keeper{clock: &handClock{now: time.Hour}, warmth: newMemory(), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
+	k := &Keeper{clock: &handClock{now: time.Hour}, warmth: newMemory(), bulk: newBulk(nil), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
+	k.snap.Store(&Snapshot{Conf: conf.Empty()})
+	return k
 }
 
 // What waits for a model that nobody holds yet tells how much work it will make.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -58,6 +58,11 @@
 	if !k.d.Ask {
 		r.byWord(t)
 	}
+	if effective.HasTenants() && n.Listed.Model {
+		if s, found := effective.ServiceOf(n.Listed.Labels); found && !s.CacheByShare {
+			r.cacheTokens = s.CacheTokens
+		}
+	}
 	return r
 }
 
@@ -66,7 +71,7 @@
 	if live := k.lives[id]; live != nil {
 		return live
 	}
-	live := &Live{items: map[string]int{}}
+	live := &Live{items: map[string]int{}, tenants: map[string]int{}}
 	live.refused.Store(never)
 	live.silent.Store(never)
 	live.over.Store(never)
