A task in front that does not fit gives way to one that does

(2) Giving up a task that had waited for paceLimit removes those that counted on its victims too, sometimes all; the caller went on with the front.

Change: a blocked front gives way to any task that fits, and its claim does not count against the others until it fits again. Tasks given up are counted anew after each removal.

--- a/internal/place/order/carry.go
+++ b/internal/place/order/carry.go
@@ -35,6 +35,9 @@
 			return
 		}
 		c.dearestFirst(c.d.Clock.Since())
+		if c.tasks.Len() == 0 {
+			return
+		}
 		t := c.tasks.Front()
 		before := t.phase
 		c.step(t)
--- a/internal/place/order/task.go
+++ b/internal/place/order/task.go
@@ -34,6 +34,7 @@
 	wait    time.Duration // until the store has room, as last told
 	asked   int           // victims whose unload has been ordered
 	looks   int           // reports that have come since the last order
+	blocked bool          // when it was in front last, there was no room for it
 }
 
 // waits says that a task holds nothing up yet and may let another go first.
@@ -47,30 +48,60 @@
 // there has begun to move things. Why: the store's keeper lets the dearest start, but a replica's controller asks for
 // one at a time; behind a cheap one the dearest would not even be heard of.
 func (c *Controller) dearestFirst(now time.Duration) {
+	c.revalue()
+	if c.dropExpired(now) {
+		c.keep()
+	}
+	if c.tasks.Len() < 2 || !c.tasks.Front().waits() {
+		return
+	}
+	if best := c.next(); best > 0 {
+		c.tasks.PushFront(c.tasks.Remove(best))
+	}
+}
+
+// revalue brings up to date what each task is worth. Why: that changes while it
+// waits: others have begun to ask, or those that asked have gone.
+func (c *Controller) revalue() {
 	for i := range c.tasks.Len() {
 		t := c.tasks.At(i)
-		// Why: what is worth how much changes while it waits: others have begun to ask, or those that asked have gone.
 		if n := c.d.Requests(t.item.String()); n > 0 && t.cost > 0 {
 			t.worth = penalty.Of(n, t.cost)
 		}
 	}
-	for i := c.tasks.Len() - 1; i > 0; i-- {
+}
+
+// dropExpired gives up the tasks behind the front that have waited too long, and
+// says whether there were any.
+func (c *Controller) dropExpired(now time.Duration) (dropped bool) {
+	// Why: others may go with one that is given up, also the front, so what is left is counted anew.
+	for i := c.tasks.Len() - 1; i > 0; i = min(i, c.tasks.Len()) - 1 {
 		if t := c.tasks.At(i); t.waits() && now-t.begun > paceLimit {
-			c.giveUp(i, "the store had no room")
+			c.drop(i, "the store had no room")
+			dropped = true
 		}
 	}
-	if c.tasks.Len() < 2 || !c.tasks.Front().waits() {
-		return
-	}
+	return dropped
+}
+
+// next is which of several tasks should be in front, when the one there waits.
+// Why: the front may not fit yet: one that overtook it took the room that it counted on, and what makes room again
+// is behind it. It then gives way to any that fits; else they would wait for each other.
+func (c *Controller) next() int {
+	front := c.tasks.Front()
+	front.blocked = !c.fits(front)
 	best := 0
 	for i := 1; i < c.tasks.Len(); i++ {
-		if t := c.tasks.At(i); t.waits() && c.worthOfTime(t) > c.worthOfTime(c.tasks.At(best)) && c.fits(t) {
+		t := c.tasks.At(i)
+		isFirst := front.blocked && best == 0
+		if t.waits() && (isFirst || c.worthOfTime(t) > c.worthOfTime(c.tasks.At(best))) && c.fits(t) {
 			best = i
 		}
 	}
-	if c.worthOfTime(c.tasks.At(best)) > overtakes*c.worthOfTime(c.tasks.Front()) {
-		c.tasks.PushFront(c.tasks.Remove(best))
+	if !front.blocked && c.worthOfTime(c.tasks.At(best)) <= overtakes*c.worthOfTime(front) {
+		return 0
 	}
+	return best
 }
 
 // worthOfTime is what a task is worth by the time that its loads take. Why: an
@@ -98,7 +129,7 @@
 	for i := range c.tasks.Len() {
 		// Why: one that only waits for the store has its room made already, and that is nobody else's.
 		u := c.tasks.At(i)
-		if u != t && u.phase != grant {
+		if u != t && (u.phase != grant || u.blocked) {
 			continue
 		}
 		if l := c.book[conf.Item{Model: u.item.Model}]; l != nil && l.State == Reserved {
@@ -118,6 +149,12 @@
 func (c *Controller) fail(why string) { c.giveUp(0, why) }
 
 func (c *Controller) giveUp(i int, why string) {
+	c.drop(i, why)
+	c.keep()
+}
+
+// drop takes a task out, and with it those that counted on room that it would have made.
+func (c *Controller) drop(i int, why string) {
 	c.remove(i, why)
 	// Why: its victims stay after all, and whoever counted on the room they would have left over has none; it would
 	// hold up the others until it noticed.
@@ -126,7 +163,6 @@
 			c.remove(j, "the room it counted on is not given up")
 		}
 	}
-	c.keep()
 }
 
 // remove takes a task out and puts back what it had claimed.
