In a large fleet one core passes an agent's reports on to the others

Ruled out: a collector among the agents of a zone (lost with its zone, one more thing to detect, and the cores have to be told anyway); sums in place of reports (an unload asks for each edge's requests in flight and acknowledgement); the gossip (every node would carry every report); a longer interval (a load is ordered later by as much).

Change: above 24 live nodes an agent tells one core, which passes on to the others what is new of all its agents in one batch each 100 ms, at once where requests wait, and vouches for the cores that have taken the agent's report. Reports bear their agent's order, so one that comes late by way of another core does not undo a later one. Earlier versions vouch for nobody and are told as before. Small fleets are as they were.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -69,13 +69,16 @@
 	latest    atomic.Pointer[dated]
 	fed       atomic.Pointer[report.Report] // the last report that came with an exchange
 	reports   reports
-	asked     atomic.Int64 // when the proxy asked last, on our clock
+	order     atomic.Uint64 // of reports
+	asked     atomic.Int64  // when the proxy asked last, on our clock
 	urgent    *run.Nudge
 }
 
+// dated is a report of the proxy, when it came, and which it was of all that did.
 type dated struct {
-	r  report.Report
-	at time.Duration
+	r     report.Report
+	at    time.Duration
+	order uint64
 }
 
 type none struct{}
@@ -206,7 +209,7 @@
 
 func (a *Agent) keepReport(r report.Report) {
 	r.Agent, r.Zone = a.s.Name, a.s.Zone
-	a.latest.Store(&dated{r, a.env.Clock.Since()})
+	a.latest.Store(&dated{r, a.env.Clock.Since(), a.order.Add(1)})
 }
 
 // exchange answers the proxy.
--- a/internal/agent/report_test.go
+++ b/internal/agent/report_test.go
@@ -32,7 +32,7 @@
 		"other life": {report: report.Report{Agent: "e", Boot: "a", Version: 2}, wholeAt: now},
 		"long ago":   {report: second, wholeAt: now - wholeEvery - 1},
 	}}
-	got := r.bodies(latest, cores, now)
+	got := r.bodies(latest, cores, "", now)
 	for i, want := range []struct{ base, items int }{{0, 2}, {2, 1}, {1, 2}, {0, 2}, {0, 2}} {
 		d := unpacked(t, got[i])
 		if int(d.Base) != want.base || len(d.Demand) != want.items || got[i].whole != (want.base == 0) {
@@ -59,7 +59,7 @@
 		"reads":           {report: first, wholeAt: now, inflight: true},
 		"earlier version": {report: first, wholeAt: now},
 	}}
-	got := r.bodies(latest, cores, now)
+	got := r.bodies(latest, cores, "", now)
 	for i, want := range []struct {
 		since bool
 		told  int
@@ -90,7 +90,7 @@
 		{85_000, 61 * time.Second, true},
 	} {
 		r := reports{taken: map[string]takenReport{"core": {report: first, wholeAt: now - c.after, wholeLen: c.bytes}}}
-		if got := r.bodies(latest, []member.Node{{Addr: "core"}}, now)[0]; got.whole != c.whole {
+		if got := r.bodies(latest, []member.Node{{Addr: "core"}}, "", now)[0]; got.whole != c.whole {
 			t.Errorf("%d bytes, %v ago: whole %t", c.bytes, c.after, got.whole)
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,6 +30,7 @@
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/plan"
 	"drumstall.example/internal/place/report"
+	"drumstall.example/internal/place/report/relay"
 	"drumstall.example/internal/state"
 	"drumstall.example/internal/state/acceptor"
 	"drumstall.example/internal/state/coremembers"
@@ -95,6 +96,7 @@
 	spread         *gossip.Spreader
 	planner        *plan.Planner
 	reports        *report.Table
+	relay          *relay.Relay
 	views          *plan.ViewCache
 	watch          *inventory.Watch
 	replicas       backend.Client
@@ -187,6 +189,10 @@
 		Addr: c.addrOf, Rank: c.voters, Behind: func(v state.Core) { c.set.Behind(v) }, Quarantine: s.Bounds.Lease, OwnQuarantine: ownQuarantine, Handback: s.Cadence.Handback, OnTake: c.onTake})
 	c.planner = plan.New(plan.Deps{Group: c.group, Clock: env.Clock, Log: c.log, Self: s.Name, Cadence: s.Cadence, Store: s.Bounds.Store, Owner: c.own, Gossip: c.gossip,
 		Reports: c.reports, Conf: c.effective, Views: c.views.Views, Ask: c.consider, AskAll: c.considerAll, Tell: c.tellShared})
+	c.relay = relay.New(relay.Deps{Group: c.group, Clock: env.Clock, Cores: func() []member.Node { return c.members.Live(member.RoleCore) }, Self: s.Name, Newest: c.reports.Of,
+		Send: func(ctx context.Context, addr string, b relay.Batch) (relay.Taken, error) {
+			return wire.CallLarge[relay.Taken](ctx, c.caller, addr, relay.Path, wire.Prepare(b))
+		}})
 	c.set = coremembers.New(coremembers.Deps{Self: c.self, Want: s.Cores, Founders: s.Founders, MayFound: s.MayFound, Target: 2*s.Bounds.Tolerated + 1, Replaces: s.Replaces, Group: c.group, Log: c.log, Caller: c.caller,
 		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf, Gone: c.goneFor, Heard: c.heardFor}, c.mux)
 	c.watch.Start(c.group, s.Cadence.List, func() bool { return true })
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -9,6 +9,7 @@
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/plan"
 	"drumstall.example/internal/place/report"
+	"drumstall.example/internal/place/report/relay"
 )
 
 // none is an empty message.
@@ -45,9 +46,24 @@
 	wire.Handle(c.mux, "/place/share", func(ctx context.Context, s plan.Shared) (none, error) {
 		return none{}, c.planner.Shared(ctx, s)
 	})
-	wire.Handle(c.mux, "/place/report", func(ctx context.Context, r report.Report) (report.Taken, error) {
-		outcome, err := c.planner.Report(ctx, r)
-		// Why: the word is of the moment before; what was learned since is told with the next.
-		return report.Taken{Touch: c.touch.Word(), Whole: outcome == report.NoBase, Differences: true, InflightDifferences: true}, err
+	wire.Handle(c.mux, "/place/report", c.takeReport)
+	wire.HandleLarge(c.mux, relay.Path, func(ctx context.Context, b relay.Batch) (relay.Taken, error) {
+		return relay.Take(ctx, b, c.planner.Reports)
 	})
 }
+
+// takeReport takes an agent's report from the agent itself.
+func (c *Core) takeReport(ctx context.Context, r report.Report) (report.Taken, error) {
+	// Why: the word is of the moment before; what was learned since is told with the next.
+	taken := report.Taken{Touch: c.touch.Word(), Differences: true, InflightDifferences: true}
+	outcome, err := c.planner.Report(ctx, r)
+	if err != nil {
+		return taken, err
+	}
+	if outcome == report.NoBase {
+		taken.Whole = true
+		return taken, nil
+	}
+	taken.Relayed, err = c.relay.Reported(ctx, r)
+	return taken, err
+}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -55,6 +55,15 @@
 	return out
 }
 
+// ReportAges is how long ago each edge's newest report came, by the edge's name.
+func (c *Core) ReportAges() map[string]time.Duration {
+	now, ages := c.env.Clock.Since(), map[string]time.Duration{}
+	for name, r := range c.reports.All() {
+		ages[name] = now - r.At
+	}
+	return ages
+}
+
 // Status is what this core sees.
 func (c *Core) Status(ctx context.Context) any {
 	st := c.acc.Standing()
@@ -105,7 +114,7 @@
 		"conf": serial, "laggards": laggards, "edges": edges, "tenants": tenants, "replicas": views,
 		"claimsUnmet": gather(ctx, c, "/place/unmet", c.planner.Unmet), "afloatS": gather(ctx, c, "/place/afloat", c.planner.Afloat), "inflight": inflight, "platformHeardMs": c.watch.HeardFor().Milliseconds(),
 		"counts": map[string]int64{"garbledCalls": c.mux.Garbled(), "garbledAnswers": c.caller.Garbled(), "garbledGrams": c.post.Garbled(),
-			"news": int64(known), "newsDropped": dropped, "handedOver": c.own.Owed(),
+			"news": int64(known), "newsDropped": dropped, "handedOver": c.own.Owed(), "edgesRelayed": c.relay.Agents(),
 			"callsMade": calls, "bytesCalled": bytes, "gramsSent": c.post.Sent()},
 	}
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -21,9 +21,9 @@
 	fanout         = 3                      // peers told in a round
 	retell         = 5                      // rounds in which a fact is told
 	smallBytes     = 900                    // a larger value is pulled by who lacks it
-	// allTold is up to how many peers one who has something new tells all of them at once; others pass it
+	// AllTold is up to how many peers one who has something new tells all of them at once; others pass it
 	// on once more. In a larger fleet it goes down a tree, or from few to few where no core is known.
-	allTold      = 24
+	AllTold      = 24
 	retellDirect = 2
 	retellTold   = 1
 	buckets      = 64               // parts of the table that are compared
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -90,7 +90,7 @@
 // one down the tree. At once means that only what was never told goes out.
 func (s *Spreader) passOn(atOnce bool) {
 	all := s.peers()
-	if len(all) > allTold {
+	if len(all) > AllTold {
 		s.passOnInLargeFleet(atOnce)
 		return
 	}
--- a/internal/gossip/spread_test.go
+++ b/internal/gossip/spread_test.go
@@ -87,7 +87,7 @@
 }
 
 func TestAnOwnEntryGoesToAllAtOnceAndAtTheNextRound(t *testing.T) {
-	for _, peers := range []int{1, 5, allTold} {
+	for _, peers := range []int{1, 5, AllTold} {
 		among(t, peers, func(l *listeners) {
 			l.s.t.Put(entry("own", 1, 1))
 			wantHeard(t, "at once", l.pass(true, "own"), peers)
@@ -133,7 +133,7 @@
 }
 
 func TestInALargeFleetItGoesFromFewToFew(t *testing.T) {
-	among(t, allTold+1, func(l *listeners) {
+	among(t, AllTold+1, func(l *listeners) {
 		l.s.t.Put(entry("own", 1, 1))
 		l.s.t.Learn(entry("told", 1, 1))
 		wantHeard(t, "at once", l.pass(true, "own"), 0)
--- a/internal/gossip/tree_test.go
+++ b/internal/gossip/tree_test.go
@@ -17,7 +17,7 @@
 	l.s.passOn(false)
 }
 
-const largeFleet = allTold + 6
+const largeFleet = AllTold + 6
 
 func TestACoreTellsCoresTwiceAndAgentsBelowOnce(t *testing.T) {
 	among(t, largeFleet, func(l *listeners) {
--- a/internal/member/fanout/fanout.go
+++ b/internal/member/fanout/fanout.go
@@ -45,7 +45,7 @@
 	tellers := v.tellers()
 	var out []string
 	for _, n := range v.Nodes {
-		if n.Role == member.RoleAgent && n.Thought() && tellerOf(n, tellers) == v.Self.Name {
+		if n.Role == member.RoleAgent && n.Thought() && CoreOf(n, tellers) == v.Self.Name {
 			out = append(out, n.Addr)
 		}
 	}
@@ -63,8 +63,8 @@
 	return out
 }
 
-// tellerOf is the name of the core that tells an agent.
-func tellerOf(agent member.Node, tellers []member.Node) string {
+// CoreOf is the name of the one of some cores that an agent is below.
+func CoreOf(agent member.Node, tellers []member.Node) string {
 	key := []byte(agent.Name)
 	best, bestNear, bestDraw := "", false, uint64(0)
 	for _, core := range tellers {
--- a/internal/place/plan/history.go
+++ b/internal/place/plan/history.go
@@ -106,22 +106,39 @@
 	return i
 }
 
-// Report takes an edge's word. Why: what only grows is read where it has changed; a
-// slot that this core takes later is given all of it then.
+// Report takes an edge's word.
 func (p *Planner) Report(ctx context.Context, r report.Report) (report.Outcome, error) {
-	outcome := report.Kept
+	outcomes, err := p.Reports(ctx, []report.Report{r})
+	if err != nil {
+		return report.Kept, err
+	}
+	return outcomes[0], nil
+}
+
+// Reports takes the words of several edges, and tells what became of each.
+func (p *Planner) Reports(ctx context.Context, all []report.Report) ([]report.Outcome, error) {
+	outcomes := make([]report.Outcome, len(all))
 	err := p.actor.Ask(ctx, func() {
 		now := p.d.Clock.Since()
-		if outcome = p.d.Reports.Put(r, now); outcome != report.Kept {
-			return
-		}
-		p.work.add(r, p.d.Reports.Of(r.Agent).Report, now)
-		p.addDemand(r, now, func(conf.Item) bool { return true })
-		if p.hasNewMiss(r) {
-			p.soon.Now()
+		for i, r := range all {
+			outcomes[i] = p.takeReport(r, now)
 		}
 	})
-	return outcome, err
+	return outcomes, err
+}
+
+// takeReport takes an edge's word. Why: what only grows is read where it has changed; a
+// slot that this core takes later is given all of it then.
+func (p *Planner) takeReport(r report.Report, now time.Duration) report.Outcome {
+	if outcome := p.d.Reports.Put(r, now); outcome != report.Kept {
+		return outcome
+	}
+	p.work.add(r, p.d.Reports.Of(r.Agent).Report, now)
+	p.addDemand(r, now, func(conf.Item) bool { return true })
+	if p.hasNewMiss(r) {
+		p.soon.Now()
+	}
+	return report.Kept
 }
 
 // hasNewMiss says whether requests wait by a report for an item that this core plans
--- a/internal/place/report/difference_test.go
+++ b/internal/place/report/difference_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"reflect"
 	"testing"
+	"time"
 
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/state"
@@ -128,3 +129,31 @@
 		}
 	}
 }
+
+// A report that was passed on may come after a later one that was not: of another life of
+// the proxy, it would count what is no more.
+func TestAReportMadeBeforeIsStaleWhicheverWayItComes(t *testing.T) {
+	table := NewTable()
+	put := func(boot string, version uint64, agentBoot string, order uint64) Outcome {
+		return table.Put(Report{Agent: "e", Boot: boot, Version: version, AgentBoot: agentBoot, Order: order}, time.Second)
+	}
+	for i, c := range []struct {
+		boot      string
+		version   uint64
+		agentBoot string
+		order     uint64
+		want      Outcome
+	}{
+		{"first life", 7, "a", 7, Kept},
+		{"second life", 1, "a", 9, Kept},
+		{"first life", 8, "a", 8, Stale},
+		{"second life", 2, "a", 10, Kept},
+		{"third life", 1, "b", 1, Kept}, // the agent began anew as well
+		{"fourth life", 1, "", 0, Kept}, // an agent of an earlier version
+		{"fifth life", 1, "b", 2, Kept},
+	} {
+		if got := put(c.boot, c.version, c.agentBoot, c.order); got != c.want {
+			t.Errorf("%d: %v, want %v", i, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/place/report/relay/relay.go
@@ -0,0 +1,253 @@
+// Package relay passes reports of agents on to the other cores. In a large fleet
+// an agent reports to one core, which asks for a relay; the relay of that core sends what
+// is new to every other core, in one batch for all its agents, and vouches to each agent
+// for the cores that have taken its report. An agent tells those itself that nobody vouches for.
+//
+// The relay keeps no reports of its own and decides nothing: it reads the core's
+// table, and whatever it loses the agents make good.
+package relay
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/tick"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/member"
+	"drumstall.example/internal/place/report"
+)
+
+const (
+	// roundEvery is the time between two rounds of batches. A report by which requests wait
+	// for a load does not wait for the next.
+	roundEvery = 100 * time.Millisecond
+	// answerWithin is how long a core may take to answer a batch.
+	answerWithin = 500 * time.Millisecond
+	// askedFor is how long an agent's report is passed on after the agent last asked for it.
+	askedFor = 1500 * time.Millisecond
+	// vouchedFor is how long after a core has taken an agent's report it is vouched for.
+	vouchedFor = 1200 * time.Millisecond
+	// batchBytes is the size from which a batch takes no more reports; the rest goes with the next.
+	batchBytes = 256 << 10
+)
+
+// Deps is what a relay needs from its core.
+type Deps struct {
+	Group *run.Group
+	Clock tick.Clock
+	// Cores are the live cores, this one among them.
+	Cores func() []member.Node
+	Self  string // this core's name
+	// Newest is the newest report of an agent.
+	Newest func(agent string) report.Dated
+	Send   func(ctx context.Context, addr string, b Batch) (Taken, error)
+}
+
+// Relay passes on the reports of the agents that ask this core for it.
+type Relay struct {
+	d     Deps
+	actor *run.Actor
+	soon  *run.Nudge
+	asked map[string]time.Duration // by agent: when it last asked
+	peers map[string]*peer         // the other cores, by address
+	count atomic.Int64             // of the agents that ask
+}
+
+// peer is another core as the relay knows it.
+type peer struct {
+	name string
+	busy bool             // a batch is under way
+	late bool             // a round has passed it over for that
+	has  map[string]taken // by agent
+}
+
+// taken is the newest report of an agent that a peer has taken.
+type taken struct {
+	report report.Report
+	at     time.Duration // when it was sent
+}
+
+// New passes nothing on until an agent asks.
+func New(d Deps) *Relay {
+	r := &Relay{d: d, asked: map[string]time.Duration{}, peers: map[string]*peer{}}
+	r.actor = run.NewActor(d.Group, 256, roundEvery, r.round)
+	r.soon = run.NewNudge(r.actor, r.round)
+	return r
+}
+
+// Agents is how many agents' reports are passed on.
+func (r *Relay) Agents() int64 { return r.count.Load() }
+
+// Reported is told of a report that this core has taken from its agent, and gives the
+// keys of the cores that it vouches for: they have the agent's report of a moment before.
+func (r *Relay) Reported(ctx context.Context, rep report.Report) ([]uint32, error) {
+	var vouched []uint32
+	err := r.actor.Ask(ctx, func() {
+		if !rep.Relay {
+			delete(r.asked, rep.Agent)
+			return
+		}
+		now := r.d.Clock.Since()
+		r.asked[rep.Agent] = now
+		if rep.Base == 0 {
+			// Why: whatever went wrong with differences ends with a whole report, at every core.
+			r.forget(rep.Agent)
+		}
+		vouched = r.vouched(rep.Agent, now)
+	})
+	if err == nil && rep.Relay && len(rep.Waiting) > 0 {
+		r.soon.Now()
+	}
+	return vouched, err
+}
+
+// forget has a whole report of an agent sent next. The cores are vouched for all the same.
+func (r *Relay) forget(agent string) {
+	for _, p := range r.peers {
+		if has, found := p.has[agent]; found {
+			p.has[agent] = taken{at: has.at}
+		}
+	}
+}
+
+func (r *Relay) vouched(agent string, now time.Duration) []uint32 {
+	var out []uint32
+	for _, p := range r.peers {
+		if has, found := p.has[agent]; found && now-has.at < vouchedFor {
+			out = append(out, Key(p.name))
+		}
+	}
+	return out
+}
+
+// round sends every other core what it does not have.
+func (r *Relay) round() {
+	now := r.d.Clock.Since()
+	newest := r.newest(now)
+	r.follow()
+	packed := map[variant]cbor.RawMessage{}
+	for addr, p := range r.peers {
+		if p.busy {
+			p.late = true
+			continue
+		}
+		if b, of := p.batch(newest, packed); len(of) > 0 {
+			r.send(addr, p, b, of, now)
+		}
+	}
+}
+
+// newest is the reports that are to be passed on.
+func (r *Relay) newest(now time.Duration) []report.Report {
+	var out []report.Report
+	for agent, at := range r.asked {
+		if now-at >= askedFor {
+			delete(r.asked, agent)
+			for _, p := range r.peers {
+				delete(p.has, agent)
+			}
+			continue
+		}
+		// Why: a core that stood still must not pass on what was true before.
+		if d := r.d.Newest(agent); d.Version > 0 && now-d.At < askedFor {
+			out = append(out, d.Report)
+		}
+	}
+	r.count.Store(int64(len(r.asked)))
+	return out
+}
+
+// follow takes up the cores that are new and lets go of those that are gone.
+func (r *Relay) follow() {
+	live := map[string]bool{}
+	for _, n := range r.d.Cores() {
+		if n.Name == r.d.Self {
+			continue
+		}
+		live[n.Addr] = true
+		if p := r.peers[n.Addr]; p == nil || p.name != n.Name {
+			r.peers[n.Addr] = &peer{name: n.Name, has: map[string]taken{}}
+		}
+	}
+	for addr := range r.peers {
+		if !live[addr] {
+			delete(r.peers, addr)
+		}
+	}
+}
+
+// variant is a form of an agent's report: whole, or the difference from a version.
+type variant struct {
+	agent string
+	base  uint64 // 0 is the whole report
+}
+
+// batch is what a peer does not have, and the reports that are in it.
+func (p *peer) batch(newest []report.Report, packed map[variant]cbor.RawMessage) (b Batch, of []report.Report) {
+	size := 0
+	for _, latest := range newest {
+		base := p.has[latest.Agent].report
+		if base.Boot != latest.Boot {
+			base = report.Report{}
+		}
+		if base.Version == latest.Version || size >= batchBytes {
+			continue
+		}
+		form := variant{latest.Agent, base.Version}
+		if _, done := packed[form]; !done {
+			packed[form] = pack(latest, base)
+		}
+		b.Reports, of = append(b.Reports, packed[form]), append(of, latest)
+		size += len(packed[form])
+	}
+	return b, of
+}
+
+// pack packs a report for a core that has another, or none.
+func pack(latest, base report.Report) cbor.RawMessage {
+	latest.Relay = false // it goes no further
+	if base.Version == 0 {
+		return wire.Pack(latest)
+	}
+	return wire.Pack(latest.SinceInflight(base))
+}
+
+// send sends a batch with the reports of it.
+func (r *Relay) send(addr string, p *peer, b Batch, of []report.Report, now time.Duration) {
+	p.busy = true
+	r.d.Group.Go(func(ctx context.Context) {
+		one, cancel := context.WithTimeout(ctx, answerWithin)
+		got, err := r.d.Send(one, addr, b)
+		cancel()
+		_ = r.actor.Ask(ctx, func() {
+			p.busy = false
+			if p.late {
+				p.late = false
+				r.soon.Now()
+			}
+			// Why: whether it was taken is not known without an answer; the next batch shows it.
+			if err == nil {
+				p.settle(of, got, now)
+			}
+		})
+	})
+}
+
+// settle notes what a peer has taken of a batch.
+func (p *peer) settle(of []report.Report, got Taken, at time.Duration) {
+	not := map[int]bool{}
+	for _, i := range got.NotTaken {
+		not[i] = true
+	}
+	for i, rep := range of {
+		if not[i] {
+			delete(p.has, rep.Agent)
+			continue
+		}
+		p.has[rep.Agent] = taken{rep, at}
+	}
+}
--- /dev/null
+++ b/internal/place/report/relay/relay_test.go
@@ -0,0 +1,348 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/member"
+	"drumstall.example/internal/place/report"
+	"drumstall.example/internal/sim/simhost"
+)
+
+// peers are cores without relays of their own, by address.
+type peers struct {
+	mu      sync.Mutex
+	relay   *Relay
+	group   *run.Group
+	clock   simhost.Clock
+	own     *report.Table
+	tables  map[string]*report.Table
+	silent  map[string]bool
+	slow    time.Duration              // a batch takes to be answered
+	got     map[string][]report.Report // as they were sent
+	gotAt   map[string]time.Duration
+	largest int // bytes of a batch
+	version uint64
+}
+
+// among runs a relay beside the cores b and c.
+func among(t *testing.T, do func(t *testing.T, p *peers)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := &peers{group: run.NewGroup(t.Context()), clock: simhost.NewClock(), own: report.NewTable(), tables: map[string]*report.Table{},
+			silent: map[string]bool{}, got: map[string][]report.Report{}, gotAt: map[string]time.Duration{}}
+		for _, name := range []string{"b", "c"} {
+			p.tables[name] = report.NewTable()
+		}
+		p.relay = New(Deps{Group: p.group, Clock: p.clock, Cores: p.cores, Self: "a", Newest: p.own.Of, Send: p.send})
+		do(t, p)
+		p.group.Stop()
+	})
+}
+
+func (p *peers) cores() []member.Node {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := []member.Node{{Name: "a", Addr: "a"}}
+	for name := range p.tables {
+		out = append(out, member.Node{Name: name, Addr: name})
+	}
+	return out
+}
+
+func (p *peers) isSilent(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[addr]
+}
+
+func (p *peers) setSilent(addr string, silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent[addr] = silent
+}
+
+// lose has a core start anew, without any reports.
+func (p *peers) lose(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tables[name] = report.NewTable()
+}
+
+func (p *peers) send(ctx context.Context, addr string, b Batch) (Taken, error) {
+	if p.isSilent(addr) {
+		<-ctx.Done()
+		return Taken{}, errors.Wrap(wire.ErrUnreachable, addr)
+	}
+	time.Sleep(p.slow)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	size := 0
+	for _, packed := range b.Reports {
+		size += len(packed)
+	}
+	p.largest = max(p.largest, size)
+	return Take(ctx, b, func(_ context.Context, all []report.Report) (out []report.Outcome, err error) {
+		for _, r := range all {
+			p.got[addr] = append(p.got[addr], r)
+			p.gotAt[addr] = p.clock.Since()
+			out = append(out, p.tables[addr].Put(r, p.clock.Since()))
+		}
+		return out, nil
+	})
+}
+
+// report has an agent report to the relay's core, and gives the names of the cores that are vouched for.
+func (p *peers) report(t *testing.T, r report.Report) string {
+	t.Helper()
+	p.version++
+	r.Boot, r.Version = "x", p.version
+	if p.own.Put(r, p.clock.Since()) != report.Kept {
+		t.Fatalf("report %d was not kept", r.Version)
+	}
+	vouched, err := p.relay.Reported(t.Context(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, name := range []string{"b", "c"} {
+		if slices.Contains(vouched, Key(name)) {
+			names = append(names, name)
+		}
+	}
+	return strings.Join(names, " ")
+}
+
+// counted is a report of requests that were counted, to be passed on.
+func counted(agent string, n uint64) report.Report {
+	return report.Report{Agent: agent, Relay: true, Demand: map[string]uint64{"m": n, "other": 1}}
+}
+
+// have checks what the cores know of an agent's requests.
+func (p *peers) have(t *testing.T, agent string, want map[string]uint64) {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, n := range want {
+		if got := p.tables[name].Of(agent).Demand["m"]; got != n {
+			t.Errorf("%s has %d requests of %s, want %d", name, got, agent, n)
+		}
+	}
+}
+
+func TestReportsReachTheOtherCoresAsDifferences(t *testing.T) {
+	among(t, func(t *testing.T, p *peers) {
+		if got := p.report(t, counted("e", 1)); got != "" {
+			t.Errorf("%s vouched for before anything was passed on", got)
+		}
+		time.Sleep(500 * time.Millisecond)
+		if got := p.report(t, counted("e", 2)); got != "b c" {
+			t.Errorf("vouched for: %q", got)
+		}
+		time.Sleep(500 * time.Millisecond)
+		p.have(t, "e", map[string]uint64{"b": 2, "c": 2})
+		for name, got := range p.got {
+			if len(got) != 2 || got[0].Base != 0 || got[0].Relay || got[1].Relay {
+				t.Fatalf("%s was sent %+v", name, got)
+			}
+		}
+		// The second report was whole at this core, so it was passed on whole.
+		p.version++
+		before := p.own.Of("e").Report
+		third := before
+		third.Version, third.Demand = p.version, map[string]uint64{"m": 3, "other": 1}
+		difference := third.Since(before)
+		if p.own.Put(difference, p.clock.Since()) != report.Kept {
+			t.Fatal("not kept")
+		}
+		if _, err := p.relay.Reported(t.Context(), difference); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(200 * time.Millisecond)
+		p.have(t, "e", map[string]uint64{"b": 3, "c": 3})
+		if last := p.got["b"][2]; last.Base != 2 || len(last.Demand) != 1 {
+			t.Errorf("b was sent %+v", last)
+		}
+	})
+}
+
+// A report by which requests wait is passed on at once.
+func TestWhatIsWaitedForDoesNotWait(t *testing.T) {
+	among(t, func(t *testing.T, p *peers) {
+		time.Sleep(10 * time.Millisecond)
+		r := counted("e", 1)
+		r.Waiting = map[string]int{"m": 1}
+		now := p.clock.Since()
+		p.report(t, r)
+		synctest.Wait()
+		p.have(t, "e", map[string]uint64{"b": 1, "c": 1})
+		if took := p.gotAt["b"] - now; took != 0 {
+			t.Errorf("it took %v", took)
+		}
+	})
+}
+
+// Nor does it wait for the next round where a batch was under way.
+func TestWhatIsWaitedForFollowsTheBatchBefore(t *testing.T) {
+	among(t, func(t *testing.T, p *peers) {
+		p.slow = 20 * time.Millisecond
+		r := counted("e", 1)
+		r.Waiting = map[string]int{"m": 1}
+		p.report(t, r)
+		time.Sleep(5 * time.Millisecond)
+		r = counted("f", 1)
+		r.Waiting = map[string]int{"m": 1}
+		now := p.clock.Since()
+		p.report(t, r)
+		time.Sleep(3 * p.slow)
+		p.have(t, "f", map[string]uint64{"b": 1, "c": 1})
+		if took := p.gotAt["b"] - now; took > 2*p.slow {
+			t.Errorf("it took %v", took)
+		}
+	})
+}
+
+// A core that does not answer is not vouched for; when it answers again it gets what it lacks, whole where it
+// has lost what it had.
+func TestACoreThatIsSilentIsNotVouchedFor(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		among(t, func(t *testing.T, p *peers) {
+			n, vouched := uint64(0), ""
+			tell := func(seconds int) {
+				for range 2 * seconds {
+					n++
+					vouched = p.report(t, counted("e", n))
+					time.Sleep(500 * time.Millisecond)
+				}
+			}
+			tell(2)
+			if vouched != "b c" {
+				t.Fatalf("vouched for: %q", vouched)
+			}
+			p.setSilent("b", true)
+			tell(3)
+			if vouched != "c" {
+				t.Errorf("vouched for while b is silent: %q", vouched)
+			}
+			p.have(t, "e", map[string]uint64{"c": n})
+			if p.setSilent("b", false); lost {
+				p.lose("b")
+			}
+			tell(3)
+			if vouched != "b c" {
+				t.Errorf("vouched for after b was silent: %q", vouched)
+			}
+			p.have(t, "e", map[string]uint64{"b": n, "c": n})
+		})
+	}
+}
+
+// A core that started anew in between has none of the reports, and says so.
+func TestACoreThatHasLostItsReportsGetsThemWhole(t *testing.T) {
+	among(t, func(t *testing.T, p *peers) {
+		first := counted("e", 1)
+		p.report(t, first)
+		time.Sleep(200 * time.Millisecond)
+		p.lose("b")
+		for n := uint64(2); n <= 4; n++ {
+			before := p.own.Of("e").Report
+			p.version++
+			next := before
+			next.Version, next.Demand = p.version, map[string]uint64{"m": n, "other": 1}
+			difference := next.Since(before)
+			if p.own.Put(difference, p.clock.Since()) != report.Kept {
+				t.Fatal("not kept")
+			}
+			if _, err := p.relay.Reported(t.Context(), difference); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		p.have(t, "e", map[string]uint64{"b": 4, "c": 4})
+		if got := p.tables["b"].Of("e").Demand["other"]; got != 1 {
+			t.Errorf("b has %d requests of what did not change", got)
+		}
+	})
+}
+
+// What an agent no longer asks for is not passed on, nor what was true before this core stood still.
+func TestWhatIsOldIsNotPassedOn(t *testing.T) {
+	among(t, func(t *testing.T, p *peers) {
+		p.report(t, counted("e", 1))
+		time.Sleep(250 * time.Millisecond) // between two rounds
+		direct := counted("e", 2)
+		direct.Relay = false
+		if got := p.report(t, direct); got != "" {
+			t.Errorf("vouched for: %q", got)
+		}
+		time.Sleep(300 * time.Millisecond)
+		p.have(t, "e", map[string]uint64{"b": 1, "c": 1})
+
+		p.report(t, counted("f", 1))
+		p.group.Freeze()
+		time.Sleep(3 * time.Second)
+		p.group.Thaw()
+		time.Sleep(time.Second)
+		p.have(t, "f", map[string]uint64{"b": 0, "c": 0})
+	})
+}
+
+// Many large reports go in several batches.
+func TestABatchIsBounded(t *testing.T) {
+	among(t, func(t *testing.T, p *peers) {
+		const agents, items = 40, 2000
+		for a := range agents {
+			r := counted(fmt.Sprint("e", a), 1)
+			for i := range items {
+				r.Demand[fmt.Sprint("item-of-some-length-", i)] = uint64(i)
+			}
+			p.report(t, r)
+		}
+		time.Sleep(time.Second)
+		for a := range agents {
+			p.have(t, fmt.Sprint("e", a), map[string]uint64{"b": 1, "c": 1})
+		}
+		one := len(wire.Pack(p.own.Of("e1").Report))
+		if p.largest > batchBytes+one {
+			t.Errorf("a batch of %d bytes", p.largest)
+		}
+		if p.largest < batchBytes/2 {
+			t.Errorf("the largest batch has %d bytes: the test does not reach the bound", p.largest)
+		}
+	})
+}
+
+// A batch that cannot be read in part is taken for the rest.
+func TestWhatCannotBeReadIsNotTaken(t *testing.T) {
+	table := report.NewTable()
+	good := wire.Pack(report.Report{Agent: "e", Boot: "x", Version: 1})
+	b := Batch{}
+	b.Reports = append(b.Reports, []byte{0x01}, good, wire.Pack(report.Report{Agent: "f", Boot: "x", Version: 2, Base: 1}))
+	got, err := Take(t.Context(), b, into(table))
+	if err != nil || !slices.Equal(got.NotTaken, []int{0, 2}) || table.Of("e").Version != 1 {
+		t.Errorf("%+v, %v", got, err)
+	}
+	if _, err := Take(t.Context(), b, func(context.Context, []report.Report) ([]report.Outcome, error) { return nil, io.EOF }); err == nil {
+		t.Error("a core that could not keep them answered that it has")
+	}
+}
+
+func into(table *report.Table) func(context.Context, []report.Report) ([]report.Outcome, error) {
+	return func(_ context.Context, all []report.Report) (out []report.Outcome, err error) {
+		for _, r := range all {
+			out = append(out, table.Put(r, 0))
+		}
+		return out, nil
+	}
+}
--- a/internal/place/report/report.go
+++ b/internal/place/report/report.go
@@ -35,6 +35,12 @@
 	Tenants       map[string]Tenant `cbor:"16,keyasint,omitempty"`
 	// TenantsVersion is another one whenever Tenants is; a difference leaves out what its base has.
 	TenantsVersion uint64 `cbor:"17,keyasint,omitempty"`
+	// Relay asks the core to pass the report on to the other cores.
+	Relay bool `cbor:"18,keyasint,omitempty"`
+	// AgentBoot and Order tell which of an agent's reports is newer, whichever way each came: Order rises under one
+	// boot of the agent. Agents of earlier versions send neither.
+	AgentBoot string `cbor:"19,keyasint,omitempty"`
+	Order     uint64 `cbor:"20,keyasint,omitempty"`
 }
 
 // Tenant is what one tenant has at one proxy.
@@ -55,6 +61,8 @@
 	Differences bool `cbor:"3,keyasint,omitempty"`
 	// InflightDifferences says that it reads those of Inflight too.
 	InflightDifferences bool `cbor:"4,keyasint,omitempty"`
+	// Relayed are the keys of the other cores that have the agent's report of a moment before (package relay).
+	Relayed []uint32 `cbor:"5,keyasint,omitempty"`
 }
 
 // Dated is a report and when it came, on this core's clock.
@@ -100,6 +108,12 @@
 	NoBase
 )
 
+// follows says that a report was made by its agent after another. Why: reports
+// that are passed on may come after later ones that were not.
+func (r Report) follows(other Report) bool {
+	return r.AgentBoot != "" && r.AgentBoot == other.AgentBoot && r.Order > other.Order
+}
+
 // Put keeps a report if it is newer; its one caller is the planner's actor, so times never go back.
 func (t *Table) Put(r Report, at time.Duration) Outcome {
 	t.mu.Lock()
@@ -108,7 +122,7 @@
 	switch {
 	case !found:
 		was = &Dated{}
-	case was.Boot == r.Boot && was.Version >= r.Version:
+	case was.Boot == r.Boot && was.Version >= r.Version, was.follows(r):
 		return Stale
 	}
 	whole, ok := r.On(was.Report)
