Tables of the gossip are compared by one sum before those of 64 buckets

Ruled out: a digest each 2 s (it would mend a gap later, and halves at best what this all but ends).

Change: who compares sends one sum of all; who answers says that it is the same, or sends the sums of its buckets. A peer of an earlier version does not say that it reads totals and is sent the buckets; one that sends buckets is answered as before.

Tests: tables mended over real calls, alike in one call without sums; both ways with an earlier version.

--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"hash/fnv"
@@ -10,6 +11,8 @@
 	"drumstall.example/internal/state"
 )
 
+const digestPath = "/news/digest"
+
 // Heads asks for what is newer than these.
 type Heads struct {
 	Bucket []int                  `cbor:"1,keyasint"`
@@ -22,15 +25,20 @@
 	Want    []string `cbor:"2,keyasint"`
 }
 
-// Digest sums up the table by buckets.
+// Digest sums up the table: as a whole, or by buckets, as earlier versions do.
 type Digest struct {
-	Sums [][]byte `cbor:"1,keyasint"`
+	Sums  [][]byte `cbor:"1,keyasint"`
+	Total []byte   `cbor:"2,keyasint,omitempty"`
 }
 
-// Diff names the buckets that differ.
+// Diff says how two tables differ: in nothing, or what the sums of the buckets of who
+// answers are. It names the buckets that differ to who has sent its own.
 type Diff struct {
 	Bucket []int      `cbor:"1,keyasint"`
 	Touch  touch.Word `cbor:"2,keyasint,omitempty"` // how long who answers has been out of touch
+	Sums   [][]byte   `cbor:"3,keyasint,omitempty"`
+	// ReadsTotal says that who answers compares totals; one of an earlier version does not.
+	ReadsTotal bool `cbor:"4,keyasint,omitempty"`
 }
 
 // bucketOf is the part of the table that a key lies in.
@@ -52,17 +60,53 @@
 	}
 }
 
-// digest sums up the whole table.
+// sumBytes of a sum are compared.
+const sumBytes = 16
+
+// total sums up the whole table.
+func (t *Table) total() []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all [sha256.Size]byte
+	for i := range t.sums {
+		xor(&all, t.sums[i])
+	}
+	return all[:sumBytes]
+}
+
+// digest sums up the buckets of the table.
 func (t *Table) digest() Digest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	d := Digest{Sums: make([][]byte, buckets)}
 	for i := range t.sums {
-		d.Sums[i] = append([]byte(nil), t.sums[i][:16]...)
+		d.Sums[i] = append([]byte(nil), t.sums[i][:sumBytes]...)
 	}
 	return d
 }
 
+// differing is the buckets whose sums are not those of another table.
+func (d Digest) differing(sums [][]byte) []int {
+	var out []int
+	for i := range d.Sums {
+		if i >= len(sums) || !bytes.Equal(sums[i], d.Sums[i]) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// compare says how this table differs from the one that a digest sums up.
+func (t *Table) compare(d Digest) Diff {
+	switch {
+	case len(d.Total) == 0:
+		return Diff{Bucket: t.digest().differing(d.Sums)}
+	case bytes.Equal(d.Total, t.total()):
+		return Diff{ReadsTotal: true}
+	}
+	return Diff{ReadsTotal: true, Sums: t.digest().Sums}
+}
+
 // heads lists the newest stamps in some buckets.
 func (t *Table) heads(bucket []int) Heads {
 	in := map[int]bool{}
@@ -115,10 +159,16 @@
 // Mend makes a table and a peer's know what either knows. It gives the peer's word
 // on how long it has been out of touch, or 0 where that could not be done.
 func Mend(ctx context.Context, caller *wire.Caller, t *Table, addr, self string) touch.Word {
-	d, err := wire.Call[Digest, Diff](ctx, caller, addr, "/news/digest", t.digest())
+	d, err := wire.Call[Digest, Diff](ctx, caller, addr, digestPath, Digest{Total: t.total()})
+	if err == nil && !d.ReadsTotal {
+		d, err = wire.Call[Digest, Diff](ctx, caller, addr, digestPath, t.digest())
+	}
 	if err != nil {
 		return 0
 	}
+	if len(d.Sums) > 0 {
+		d.Bucket = t.digest().differing(d.Sums)
+	}
 	if len(d.Bucket) == 0 {
 		return d.Touch
 	}
--- /dev/null
+++ b/internal/gossip/digest_test.go
@@ -0,0 +1,99 @@
+package gossip
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"drumstall.example/internal/kernel/wire"
+)
+
+// digestPeer serves a table for Mend, as this build does or as an earlier one, which
+// reads the sums of buckets alone; it counts what is asked.
+func digestPeer(t *testing.T, table *Table, earlier bool) (addr string, digests *[]Digest) {
+	mux, asked := wire.NewMux(), &[]Digest{}
+	wire.Handle(mux, digestPath, func(_ context.Context, d Digest) (Diff, error) {
+		*asked = append(*asked, d)
+		if earlier {
+			return Diff{Bucket: table.digest().differing(d.Sums)}, nil
+		}
+		return table.compare(d), nil
+	})
+	wire.HandleLarge(mux, "/news/gap", func(_ context.Context, h Heads) (Gap, error) { return table.gap(h), nil })
+	wire.Handle(mux, "/news/push", func(_ context.Context, b bundle) (Pushed, error) {
+		for _, e := range b.Entries {
+			table.Learn(e)
+		}
+		return Pushed{}, nil
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), asked
+}
+
+// Two tables know what either knew after one exchange, also with an earlier version;
+// those that are alike exchange one sum.
+func TestTablesAreMendedByOneSumFirst(t *testing.T) {
+	for _, earlier := range []bool{false, true} {
+		a, b := NewTable(), NewTable()
+		for i := range 50 {
+			e := entry(fmt.Sprint("k", i), 1, 1)
+			if i != 7 {
+				a.Put(e)
+			}
+			if i != 9 {
+				b.Put(e)
+			}
+		}
+		addr, asked := digestPeer(t, b, earlier)
+		caller := wire.NewCaller(wire.Host())
+		t.Cleanup(caller.Close)
+		Mend(t.Context(), caller, a, addr, "a")
+		if !bytes.Equal(a.total(), b.total()) || fmt.Sprint(a.digest()) != fmt.Sprint(b.digest()) {
+			t.Errorf("earlier version %t: still apart", earlier)
+		}
+		calls, _ := caller.Sent()
+		*asked = nil
+		Mend(t.Context(), caller, a, addr, "a")
+		after, _ := caller.Sent()
+		switch {
+		case earlier && len(*asked) != 2:
+			t.Errorf("an earlier version was asked %d times", len(*asked))
+		case !earlier && (after-calls != 1 || len((*asked)[0].Sums) != 0):
+			t.Errorf("tables that are alike took %d calls, %d sums", after-calls, len((*asked)[0].Sums))
+		}
+	}
+}
+
+// A peer of an earlier version sends the sums of its buckets, and is told which differ.
+func TestAnEarlierVersionIsToldTheBuckets(t *testing.T) {
+	a, b := NewTable(), NewTable()
+	a.Put(entry("k", 1, 1))
+	got := b.compare(a.digest())
+	if len(got.Bucket) != 1 || got.Bucket[0] != bucketOf("k") || len(got.Sums) != 0 {
+		t.Errorf("%+v", got)
+	}
+	b.Put(entry("k", 1, 1))
+	if got := b.compare(a.digest()); len(got.Bucket) != 0 {
+		t.Errorf("alike, but %+v", got)
+	}
+}
+
+// Tables with the same entries have the same total in whatever order they came, and another entry makes another.
+func TestATotalIsOfTheEntries(t *testing.T) {
+	a, b := NewTable(), NewTable()
+	for i := range 100 {
+		a.Put(entry(fmt.Sprint("k", i), 1, 1))
+		b.Put(entry(fmt.Sprint("k", 99-i), 1, 1))
+	}
+	if !bytes.Equal(a.total(), b.total()) {
+		t.Error("the same entries, another total")
+	}
+	b.Put(entry("k3", 1, 2))
+	if bytes.Equal(a.total(), b.total()) {
+		t.Error("a newer entry, the same total")
+	}
+}
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -73,14 +73,9 @@
 		return p, nil
 	})
 	wire.HandleLarge(mux, "/news/pull", func(_ context.Context, g Gap) (bundle, error) { return t.pick(g.Want), nil })
-	wire.Handle(mux, "/news/digest", func(_ context.Context, d Digest) (Diff, error) {
-		mine := t.digest()
-		out := Diff{Touch: in.Word()}
-		for i := range mine.Sums {
-			if i >= len(d.Sums) || string(d.Sums[i]) != string(mine.Sums[i]) {
-				out.Bucket = append(out.Bucket, i)
-			}
-		}
+	wire.Handle(mux, digestPath, func(_ context.Context, d Digest) (Diff, error) {
+		out := t.compare(d)
+		out.Touch = in.Word()
 		return out, nil
 	})
 	wire.HandleLarge(mux, "/news/gap", func(_ context.Context, h Heads) (Gap, error) { return t.gap(h), nil })
