A page of all log lines, held to the source by a test

Ruled out: a table in the source that the calls would name (each line would stand twice). No program changes.

--- /dev/null
+++ b/internal/kernel/ring/lines_test.go
@@ -0,0 +1,120 @@
+package ring
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// levels are the methods of a logger that write a line.
+var levels = map[string]string{"Debug": "debug", "Info": "info", "Warn": "warn", "Error": "error"}
+
+// logCall is the level, the message and the keys of a call that writes a log line. A message
+// that is put together is known by what it begins with.
+func logCall(call *ast.CallExpr) (row string, ok bool) {
+	method, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok || levels[method.Sel.Name] == "" || len(call.Args) == 0 || !isLogger(method.X) {
+		return "", false
+	}
+	first := call.Args[0]
+	if sum, isSum := first.(*ast.BinaryExpr); isSum {
+		first = sum.X
+	}
+	message, ok := literal(first)
+	if !ok {
+		return "", false
+	}
+	var keys []string
+	for i := 1; i < len(call.Args); i += 2 {
+		key, _ := literal(call.Args[i])
+		keys = append(keys, key)
+	}
+	return strings.Join([]string{levels[method.Sel.Name], strings.TrimSpace(message), strings.Join(keys, " ")}, " | "), true
+}
+
+// isLogger says whether an expression is a logger by its name.
+func isLogger(e ast.Expr) bool {
+	switch e := e.(type) {
+	case *ast.SelectorExpr:
+		return strings.EqualFold(e.Sel.Name, "log")
+	case *ast.Ident:
+		return strings.EqualFold(e.Name, "log") || strings.EqualFold(e.Name, "logger")
+	}
+	return false
+}
+
+func literal(e ast.Expr) (string, bool) {
+	lit, ok := e.(*ast.BasicLit)
+	if !ok || lit.Kind != token.STRING {
+		return "", false
+	}
+	s, err := strconv.Unquote(lit.Value)
+	return s, err == nil
+}
+
+// linesOf lists the log lines that the programs write.
+func linesOf(t *testing.T, folders ...string) []string {
+	var out []string
+	for _, folder := range folders {
+		err := filepath.WalkDir(folder, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			if err != nil {
+				return err
+			}
+			ast.Inspect(file, func(n ast.Node) bool {
+				if call, isCall := n.(*ast.CallExpr); isCall {
+					if row, ok := logCall(call); ok {
+						out = append(out, row)
+					}
+				}
+				return true
+			})
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+var pageRow = regexp.MustCompile("(?m)^\\| (debug|info|warn|error) \\| `([^`]*)` \\|([^|]*)\\|")
+
+// The page of log lines names every line that the programs write, with its level and keys, and no other.
+func TestThePageNamesEveryLogLine(t *testing.T) {
+	const root = "../../../"
+	page, err := os.ReadFile(root + "docs/logs.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var told []string
+	for _, row := range pageRow.FindAllStringSubmatch(string(page), -1) {
+		told = append(told, row[1]+" | "+row[2]+" | "+strings.Join(strings.Fields(strings.ReplaceAll(row[3], "`", "")), " "))
+	}
+	written := linesOf(t, root+"internal", root+"platform", root+"cmd")
+	if len(written) < 30 {
+		t.Fatalf("only %d lines found", len(written))
+	}
+	for _, line := range written {
+		if !slices.Contains(told, line) {
+			t.Errorf("not on the page: %s", line)
+		}
+	}
+	for _, line := range told {
+		if !slices.Contains(written, line) {
+			t.Errorf("on the page, but not written: %s", line)
+		}
+	}
+}
