An agent's report to one core waits for no other core's answer

Cause: an agent told all cores at once and waited for every answer, a second at most, before its next report. While a core was silent and not yet known to be (2.6 s), reports came each second rather than twice, and a miss in that time was told after up to a second, though its load can only begin then.

Ruled out: a shorter limit for all (a core that is only slow would be sent whole reports again and again).

Change: each core is told one report at a time; one that has not answered is passed over and gets the newest when it has.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -69,6 +69,7 @@
 	latest    atomic.Pointer[dated]
 	fed       atomic.Pointer[report.Report] // the last report that came with an exchange
 	reports   reports
+	reporting *run.Actor    // of the reports
 	order     atomic.Uint64 // of reports
 	asked     atomic.Int64  // when the proxy asked last, on our clock
 	urgent    *run.Nudge
@@ -116,8 +117,8 @@
 	a.watch.Start(a.group, s.Cadence.List, a.asksPlatform)
 	wire.Handle(a.feedMux, feed.Path, a.exchange)
 	wire.Handle(a.feedMux, feed.UrgentPath, a.takeUrgent)
-	reports := run.NewActor(a.group, 8, s.Cadence.Report, func() { a.report(a.group.Context()) })
-	a.urgent = run.NewNudge(reports, func() { a.report(a.group.Context()) })
+	a.reporting = run.NewActor(a.group, 32, s.Cadence.Report, a.report)
+	a.urgent = run.NewNudge(a.reporting, a.report)
 	a.group.Every(confirmInterval, a.confirm)
 	a.base.Go(a.post.Run)
 	for _, srv := range []*wire.Server{wire.NewServer(ln, a.mux), wire.NewServer(fl, a.feedMux)} {
--- a/internal/agent/relays.go
+++ b/internal/agent/relays.go
@@ -57,6 +57,9 @@
 	return out
 }
 
+// is says whether a core is the one that passes reports on.
+func (r *relays) is(core member.Node) bool { return core.Name == r.core }
+
 // avoid has another core chosen for a while, and takes nothing for told.
 func (r *relays) avoid(core string, now time.Duration) {
 	if r.avoided == nil {
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -7,7 +7,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member"
 	"drumstall.example/internal/place/report"
@@ -32,6 +31,7 @@
 // the actor of the reports only.
 type reports struct {
 	taken  map[string]takenReport
+	asked  map[string]bool // cores that are being told: whether there was more to tell since
 	relays relays
 }
 
@@ -45,7 +45,6 @@
 
 // told is what became of a report that one core was told.
 type told struct {
-	core    int // as an index of those told
 	reached bool
 	taken   bool
 	whole   int // bytes of the whole report that it was given; 0 is none
@@ -54,54 +53,71 @@
 	relayed  []uint32 // keys of the cores that it vouches for
 }
 
+// newest is the proxy's newest report, if it may still be passed on.
+func (a *Agent) newest(now time.Duration) (report.Report, bool) {
+	l := a.latest.Load()
+	if l == nil || now-l.at > reportLasts {
+		return report.Report{}, false
+	}
+	r := l.r
+	r.AgentBoot, r.Order = a.boot, l.order
+	return r, true
+}
+
 // report passes the proxy's report to every core, as the difference from what
 // the core has of it. In a large fleet one core passes it on, and only the cores that
 // this one does not vouch for are told from here.
-func (a *Agent) report(ctx context.Context) {
+func (a *Agent) report() {
 	now := a.env.Clock.Since()
-	l := a.latest.Load()
-	if l == nil || now-l.at > reportLasts {
+	r, ok := a.newest(now)
+	if !ok {
 		return
 	}
-	latest := l.r
-	latest.AgentBoot, latest.Order = a.boot, l.order
 	cores := a.members.Live(member.RoleCore)
-	relay := a.reports.relays.choose(a.members.Self(), a.members.Nodes(), now)
 	a.reports.keep(cores)
-	first, others := a.reports.relays.split(cores, relay)
-	answered, relayed := a.tell(latest, first, relay, now)
-	if relay == "" {
-		return
-	}
-	if !answered {
-		a.log.Info("the core that passes reports on does not answer", "core", relay)
-		a.reports.relays.avoid(relay, now)
-	}
-	a.reports.relays.vouched = relayed
-	// Why: the report that was just sent is as good as told where the last one got through.
-	a.tell(latest, a.reports.relays.unvouched(others), "", now)
+	first, others := a.reports.relays.split(cores, a.reports.relays.choose(a.members.Self(), a.members.Nodes(), now))
+	a.tell(r, first, others, now)
 }
 
-// tell sends a report to some cores, one of which is asked to pass it on; it says
-// whether that one has answered, and for which cores it vouches.
-func (a *Agent) tell(r report.Report, cores []member.Node, relay string, now time.Duration) (answered bool, relayed []uint32) {
+// tell sends a report to some cores, and to the others too that the core which passes
+// reports on turns out not to vouch for. It waits for no answer: one core that is
+// silent must not keep from the rest that requests wait. A core that has not answered
+// the report before gets the newest when it has.
+func (a *Agent) tell(r report.Report, cores, others []member.Node, now time.Duration) {
+	relay := a.reports.relays.core
+	cores = a.reports.free(cores)
 	bodies := a.reports.bodies(r, cores, relay, now)
-	ch := run.Fan(a.group, len(cores), func(ctx context.Context, i int) told {
-		return a.tellCore(ctx, r, i, cores[i], bodies[i])
-	})
-	for range cores {
-		got := <-ch
-		core := cores[got.core]
-		if core.Name == relay {
-			answered, relayed = got.reached, got.relayed
+	for i, core := range cores {
+		a.group.Go(func(ctx context.Context) {
+			got := a.tellCore(ctx, r, core, bodies[i])
+			_ = a.reporting.Ask(ctx, func() { a.answered(r, core, got, others, now) })
+		})
+	}
+}
+
+// answered notes what became of a report at a core.
+func (a *Agent) answered(r report.Report, core member.Node, got told, others []member.Node, at time.Duration) {
+	a.reports.note(core.Addr, r, got, at)
+	now := a.env.Clock.Since()
+	if a.reports.relays.is(core) {
+		if !got.reached {
+			a.log.Info("the core that passes reports on does not answer", "core", core.Name)
+			a.reports.relays.avoid(core.Name, now)
 		}
-		a.reports.note(core.Addr, r, got, now)
+		a.reports.relays.vouched = got.relayed
+		// Why: the report that was just sent is as good as told where the last one got through.
+		a.tell(r, a.reports.relays.unvouched(others), nil, now)
+	}
+	if !a.reports.release(core.Addr) {
+		return
+	}
+	if newest, ok := a.newest(now); ok {
+		a.tell(newest, []member.Node{core}, nil, now)
 	}
-	return answered, relayed
 }
 
 // tellCore sends a report to one core, whole where the core cannot use the difference.
-func (a *Agent) tellCore(ctx context.Context, r report.Report, i int, core member.Node, b body) told {
+func (a *Agent) tellCore(ctx context.Context, r report.Report, core member.Node, b body) told {
 	within := limit
 	if b.relay {
 		within = relayLimit
@@ -117,7 +133,7 @@
 		whole = len(packed)
 		got, err = a.tellReport(ctx, core.Addr, packed, within)
 	}
-	return told{core: i, reached: err == nil, taken: err == nil && !got.Whole && got.Differences, whole: whole, inflight: got.InflightDifferences, relayed: got.Relayed}
+	return told{reached: err == nil, taken: err == nil && !got.Whole && got.Differences, whole: whole, inflight: got.InflightDifferences, relayed: got.Relayed}
 }
 
 // keep forgets cores that are gone.
@@ -129,6 +145,31 @@
 	maps.DeleteFunc(r.taken, func(addr string, _ takenReport) bool { return !live[addr] })
 }
 
+// free is those of some cores that are not being told anything; they are from now on. The
+// rest are told again when they have answered.
+func (r *reports) free(cores []member.Node) []member.Node {
+	if r.asked == nil {
+		r.asked = map[string]bool{}
+	}
+	var out []member.Node
+	for _, c := range cores {
+		if _, busy := r.asked[c.Addr]; busy {
+			r.asked[c.Addr] = true
+			continue
+		}
+		r.asked[c.Addr] = false
+		out = append(out, c)
+	}
+	return out
+}
+
+// release ends that a core is being told, and says whether it was passed over meanwhile.
+func (r *reports) release(addr string) bool {
+	again := r.asked[addr]
+	delete(r.asked, addr)
+	return again
+}
+
 // note keeps what a core has taken.
 func (r *reports) note(addr string, latest report.Report, got told, now time.Duration) {
 	if r.taken == nil {
--- a/internal/agent/report_test.go
+++ b/internal/agent/report_test.go
@@ -95,3 +95,27 @@
 		}
 	}
 }
+
+// A core that has not answered is told nothing more, and again once it has if there was more to tell.
+func TestACoreIsToldOneReportAtATime(t *testing.T) {
+	cores := []member.Node{{Addr: "1"}, {Addr: "2"}}
+	var r reports
+	if got := r.free(cores); len(got) != 2 {
+		t.Fatalf("%d cores are told at first", len(got))
+	}
+	if again := r.release("1"); again {
+		t.Error("told again, with nothing new")
+	}
+	if got := r.free(cores); len(got) != 1 || got[0].Addr != "1" {
+		t.Errorf("%+v are told while core 2 is silent", got)
+	}
+	if again := r.release("2"); !again {
+		t.Error("a core that was passed over is not told again")
+	}
+	if got := r.free(cores[1:]); len(got) != 1 {
+		t.Error("a core that has answered is told nothing")
+	}
+	if again := r.release("2"); again {
+		t.Error("told once more")
+	}
+}
--- a/internal/sim/fleet/relay_test.go
+++ b/internal/sim/fleet/relay_test.go
@@ -74,11 +74,11 @@
 		limit  time.Duration // for the age of a report
 	}{
 		{"killed", func(f *Fleet, lost *Node, _ []*Node) { f.KillCore(lost, true) }, true, 750 * time.Millisecond},
-		{"frozen", func(f *Fleet, lost *Node, _ []*Node) { f.Freeze(lost) }, true, 1300 * time.Millisecond},
+		{"frozen", func(f *Fleet, lost *Node, _ []*Node) { f.Freeze(lost) }, true, 900 * time.Millisecond},
 		{"cut from the cores", func(f *Fleet, lost *Node, others []*Node) {
 			f.Between([]string{lost.IP}, IPs(others), true)
 		}, false, 1600 * time.Millisecond},
-		{"cut from the edges", func(f *Fleet, lost *Node, _ []*Node) { f.Between([]string{lost.IP}, IPs(f.Edges), true) }, true, 1300 * time.Millisecond},
+		{"cut from the edges", func(f *Fleet, lost *Node, _ []*Node) { f.Between([]string{lost.IP}, IPs(f.Edges), true) }, true, 900 * time.Millisecond},
 		{"cut from one core, one way", func(f *Fleet, lost *Node, others []*Node) { f.Net.Cut(lost.IP, others[0].IP, true) }, false, 1600 * time.Millisecond},
 	}
 	for _, fault := range faults {
@@ -116,3 +116,24 @@
 		})
 	}
 }
+
+// Nor do reports wait for a core that is silent where an agent tells every core itself: by them
+// controllers hear what is waited for.
+func TestReportsDoNotWaitForASilentCore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(t, 1, Small(3))
+		defer f.Stop()
+		time.Sleep(4 * time.Second)
+		f.Freeze(f.Cores[0])
+		oldest, edge, core := f.oldestReport(f.Cores[1:], 3*time.Second)
+		t.Logf("the oldest report was %v old", oldest)
+		if oldest > 750*time.Millisecond {
+			t.Errorf("the report of %s was %v old at %s", edge, oldest, core)
+		}
+		f.Thaw(f.Cores[0])
+		time.Sleep(3 * time.Second)
+		if oldest, edge, core := f.oldestReport(f.Cores, 3*time.Second); oldest > 750*time.Millisecond {
+			t.Errorf("after it: the report of %s was %v old at %s", edge, oldest, core)
+		}
+	})
+}
