Waiting for copies of a model stands once in the fleet's tests

Two scenarios (tenants, warm prefixes) counted the holders in the same loop; untilCopies serves both. The demands are the same: four copies within 30 s. Both scenarios pass. Tests only; found on reading the change once more.

--- a/internal/sim/fleet/helpers_test.go
+++ b/internal/sim/fleet/helpers_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"time"
 
 	"drumstall.example/internal/check"
+	"drumstall.example/internal/conf"
 )
 
 func (f *Fleet) back() { f.Rec.Put(check.Event{Kind: check.Back}) }
@@ -22,3 +24,16 @@
 	}
 	return n
 }
+
+// untilCopies waits until so many replicas hold a model.
+func (f *Fleet) untilCopies(model string, copies int) {
+	f.Until(30*time.Second, fmt.Sprintf("%d copies of %s", copies, model), func() bool {
+		n := 0
+		for _, r := range f.Replicas {
+			if r.Holds(conf.Item{Model: model}) {
+				n++
+			}
+		}
+		return n == copies
+	})
+}
--- a/internal/sim/fleet/tenants_test.go
+++ b/internal/sim/fleet/tenants_test.go
@@ -60,15 +60,7 @@
 		_, ok := f.Patch(0, day.config(1, keptTokens), "")
 		return ok
 	})
-	f.Until(30*time.Second, "four copies", func() bool {
-		n := 0
-		for _, r := range f.Replicas {
-			if r.Holds(conf.Item{Model: "model-01"}) {
-				n++
-			}
-		}
-		return n == 4
-	})
+	f.untilCopies("model-01", 4)
 	return f
 }
 
--- a/internal/sim/fleet/warm_test.go
+++ b/internal/sim/fleet/warm_test.go
@@ -73,15 +73,7 @@
 					_, ok := f.Patch(0, fmt.Appendf(nil, `{"replace":{"weights":%s,"claims":{"always":{"group":"fleet","models":["model-01"],"minCopies":4}}},"remove":{"claims":["ready"]}}`, p.weights), "")
 					return ok
 				})
-				f.Until(30*time.Second, "four copies", func() bool {
-					n := 0
-					for _, r := range f.Replicas {
-						if r.Holds(conf.Item{Model: "model-01"}) {
-							n++
-						}
-					}
-					return n == 4
-				})
+				f.untilCopies("model-01", 4)
 				spots, fl := f.Spots(), f.D.Flows[1]
 				ask := func(paper int) {
 					prompt, to := stand.Prompt(fl.Route, paper, f.Rnd.IntN(1<<30)), spots[f.Rnd.IntN(len(spots))]
