Table indexes are kept in shards, of which a change copies only its own

Cause: every load at any replica made each proxy copy the whole index of items and the whole map of planners' words. Ruled out: a longer pause between renewals alone, which delays news. Tests: random versions against plain maps, and how much a change copies.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -248,7 +248,7 @@
 				l.Empty = time.Time{}
 				return false, false
 			}
-			x, told := s.Expect[l.Key]
+			x, told := s.Expect.Get(l.Key)
 			at, coming := s.Coming[l.Key]
 			ready := now.Add(at - ac.routes.Since())
 			// Why: silence counts from the last word. A load that is just done is no longer on its way, and the
--- /dev/null
+++ b/internal/kernel/sharded/map_test.go
@@ -0,0 +1,106 @@
+package sharded
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+)
+
+// Each version is what a plain map would be, whatever the versions after it set and drop.
+func TestAVersionNeverChanges(t *testing.T) {
+	type version struct {
+		m    Map[int]
+		want map[string]int
+	}
+	for seed := range uint64(20) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		var versions []version
+		now := version{want: map[string]int{}}
+		for step := range 60 {
+			d := NewDraft(now.m)
+			want := maps.Clone(now.want)
+			changed := false
+			for range rnd.IntN(5) {
+				key := fmt.Sprint("k", rnd.IntN(200))
+				if rnd.IntN(3) == 0 {
+					_, found := want[key]
+					changed = changed || found
+					delete(want, key)
+					d.Drop(key)
+				} else {
+					changed = true
+					want[key] = step
+					d.Set(key, step)
+				}
+				if got, found := d.Get(key); got != want[key] || found != has(want, key) {
+					t.Fatalf("seed %d step %d: the draft has %d, %v of %s", seed, step, got, found, key)
+				}
+			}
+			if d.Changed() != changed {
+				t.Fatalf("seed %d step %d: changed %v, want %v", seed, step, d.Changed(), changed)
+			}
+			now = version{d.Map(), want}
+			versions = append(versions, now)
+		}
+		for i, v := range versions {
+			if got := maps.Collect(v.m.All()); !maps.Equal(got, v.want) || v.m.Len() != len(v.want) {
+				t.Fatalf("seed %d: version %d is %v, %d long; want %v", seed, i, got, v.m.Len(), v.want)
+			}
+			for key := range 200 {
+				name := fmt.Sprint("k", key)
+				if got, found := v.m.Get(name); got != v.want[name] || found != has(v.want, name) {
+					t.Fatalf("seed %d: version %d has %d, %v of %s", seed, i, got, found, name)
+				}
+			}
+		}
+	}
+}
+
+func has(m map[string]int, key string) bool {
+	_, found := m[key]
+	return found
+}
+
+func TestAllCanBeLeftEarly(t *testing.T) {
+	var d Draft[int]
+	for i := range 300 {
+		d.Set(fmt.Sprint(i), i)
+	}
+	seen := 0
+	for range d.Map().All() {
+		if seen++; seen == 10 {
+			break
+		}
+	}
+	if seen != 10 {
+		t.Errorf("%d were given", seen)
+	}
+}
+
+// A change of one key of many costs a small part of what a copy of the whole would.
+func TestAChangeCopiesLittle(t *testing.T) {
+	const keys = 10_000
+	var d Draft[int]
+	for i := range keys {
+		d.Set(fmt.Sprint("key-", i), i)
+	}
+	m := d.Map()
+	plain := maps.Collect(m.All())
+	bytes := func(f func()) int64 {
+		return testing.Benchmark(func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				f()
+			}
+		}).AllocedBytesPerOp()
+	}
+	whole := bytes(func() { maps.Clone(plain)["key-7"] = 1 })
+	part := bytes(func() {
+		next := NewDraft(m)
+		next.Set("key-7", 1)
+	})
+	if part*20 > whole {
+		t.Errorf("a change copies %d bytes, the whole is %d", part, whole)
+	}
+}
--- a/internal/route/draft.go
+++ b/internal/route/draft.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"drumstall.example/internal/kernel/sharded"
 )
 
 // copyOnWrite is a map that belongs to the table before, too, until it is changed.
@@ -34,21 +36,22 @@
 
 // index finds the replicas that may hold what a request needs.
 type index struct {
-	holders  map[string][]string // of each item: the replicas of models that are ready for it
-	services []string            // replicas that hold no models
+	holders  sharded.Map[[]string] // of each item: the replicas of models that are ready for it
+	services []string              // replicas that hold no models
 }
 
 // able are the replicas that are worth a look for a request.
 func (x index) able(t Target, item string) []string {
 	if t.Route.Kind == "model" {
-		return x.holders[item]
+		holders, _ := x.holders.Get(item)
+		return holders
 	}
 	return x.services
 }
 
 // indexing is an index while it is changed; no list is changed in its place.
 type indexing struct {
-	holders  copyOnWrite[[]string]
+	holders  sharded.Draft[[]string]
 	services []string
 }
 
@@ -62,7 +65,7 @@
 	}
 	for item := range after.models() {
 		if !before.models()[item] {
-			x.holders.set(item, with(x.holders.entries[item], id))
+			x.holders.Set(item, with(x.of(item), id))
 		}
 	}
 	switch was, is := before.isService(), after.isService(); {
@@ -75,13 +78,19 @@
 
 // letGo notes that a replica holds an item no more.
 func (x *indexing) letGo(id, item string) {
-	if left := without(x.holders.entries[item], id); len(left) > 0 {
-		x.holders.set(item, left)
+	if left := without(x.of(item), id); len(left) > 0 {
+		x.holders.Set(item, left)
 	} else {
-		x.holders.drop(item)
+		x.holders.Drop(item)
 	}
 }
 
+// of is the replicas that are ready for an item.
+func (x *indexing) of(item string) []string {
+	holders, _ := x.holders.Get(item)
+	return holders
+}
+
 // models are the items that a replica of models is ready for.
 func (r *Replica) models() map[string]bool {
 	if r == nil || !r.Listed.Model {
--- a/internal/route/renew.go
+++ b/internal/route/renew.go
@@ -8,6 +8,7 @@
 
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/gossip"
+	"drumstall.example/internal/kernel/sharded"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/place/plan"
 	"drumstall.example/internal/state"
@@ -27,7 +28,7 @@
 	now      time.Duration
 	replicas copyOnWrite[*Replica]
 	acked    copyOnWrite[state.Stamp]
-	expect   copyOnWrite[plan.Expect]
+	expect   sharded.Draft[plan.Expect]
 	index    indexing
 	isNew    bool // a newer configuration is in force
 	coming   bool // what is on its way is to be found anew
@@ -35,20 +36,20 @@
 
 func newDraft(s *Snapshot, now time.Duration) *draft {
 	return &draft{next: *s, now: now, replicas: copyOnWrite[*Replica]{entries: s.Replicas}, acked: copyOnWrite[state.Stamp]{entries: s.Acked},
-		expect: copyOnWrite[plan.Expect]{entries: s.Expect},
-		index:  indexing{holders: copyOnWrite[[]string]{entries: s.index.holders}, services: s.index.services}}
+		expect: sharded.NewDraft(s.Expect),
+		index:  indexing{holders: sharded.NewDraft(s.index.holders), services: s.index.services}}
 }
 
 // changed says whether the draft differs from the table before.
 func (d *draft) changed() bool {
-	return d.isNew || d.coming || d.replicas.own || d.acked.own || d.expect.own
+	return d.isNew || d.coming || d.replicas.own || d.acked.own || d.expect.Changed()
 }
 
 // snapshot is the finished table.
 func (d *draft) snapshot() *Snapshot {
 	s := d.next
-	s.Replicas, s.Acked, s.Expect = d.replicas.entries, d.acked.entries, d.expect.entries
-	s.index = index{holders: d.index.holders.entries, services: d.index.services}
+	s.Replicas, s.Acked, s.Expect = d.replicas.entries, d.acked.entries, d.expect.Map()
+	s.index = index{holders: d.index.holders.Map(), services: d.index.services}
 	return &s
 }
 
@@ -232,7 +233,7 @@
 	var x plan.Expect
 	if e.Gone || wire.Unpack(e.Value, &x) != nil {
 		delete(k.expects.latest, item)
-		d.expect.drop(item)
+		d.expect.Drop(item)
 		return
 	}
 	if k.expects.latest == nil {
@@ -240,7 +241,7 @@
 	}
 	k.expects.latest[item] = d.now
 	k.expects.ordered.PushBack(expected{item, d.now})
-	d.expect.set(item, x)
+	d.expect.Set(item, x)
 }
 
 // expire drops the words that count no more. Why: a refusal is news for a while only.
@@ -249,7 +250,7 @@
 		old := x.ordered.PopFront()
 		if at, found := x.latest[old.item]; found && at == old.at {
 			delete(x.latest, old.item)
-			d.expect.drop(old.item)
+			d.expect.Drop(old.item)
 		}
 	}
 }
--- a/internal/route/renew_reference_test.go
+++ b/internal/route/renew_reference_test.go
@@ -156,7 +156,7 @@
 		out.Rows[id] = plainRow{Listed: r.Listed, Slots: r.Slots, Elsewhere: r.elsewhere(), Room: r.mayHave(), ServeFor: r.ServeFor, Ready: readyItems(r.Ready),
 			Heard: w.k.heardAt(r), Told: r.Told}
 	}
-	maps.Copy(out.Expect, s.Expect)
+	maps.Insert(out.Expect, s.Expect.All())
 	maps.Copy(out.Coming, s.Coming)
 	maps.Copy(out.Acked, s.Acked)
 	out.Stamp = s.Stamp
--- a/internal/route/renew_test.go
+++ b/internal/route/renew_test.go
@@ -80,7 +80,7 @@
 
 // checkKept sees to it that a table that somebody still reads has not changed.
 func (w *world) checkKept(before *Snapshot, was plainTable) {
-	if !maps.Equal(before.Acked, was.Acked) || !maps.Equal(before.Expect, was.Expect) || !maps.Equal(before.Coming, was.Coming) || len(before.Replicas) != len(was.Rows) {
+	if !maps.Equal(before.Acked, was.Acked) || !maps.Equal(maps.Collect(before.Expect.All()), was.Expect) || !maps.Equal(before.Coming, was.Coming) || len(before.Replicas) != len(was.Rows) {
 		w.t.Fatal("a table was changed after it had been given out")
 	}
 	for id, r := range before.Replicas {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -14,6 +14,7 @@
 	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/sharded"
 	"drumstall.example/internal/kernel/tick"
 	"drumstall.example/internal/place/plan"
 	"drumstall.example/internal/state"
@@ -61,7 +62,7 @@
 	Serial   uint64
 	Stamp    state.Stamp
 	Replicas map[string]*Replica
-	Expect   map[string]plan.Expect
+	Expect   sharded.Map[plan.Expect] // of items that nobody holds: planners' words
 	Coming   map[string]time.Duration // items on their way: when they should be there, on our clock
 	Acked    map[string]state.Stamp
 	Version  uint64 // rises when the configuration or what is told of a replica changes
