A probe's partner is picked without copying the members

Cause: each beat of the membership copied and shuffled all members to pick one core. Change: sample.Reservoir picks while it goes through them. Tests: a reservoir is fair and holds no more than it picks.

--- a/internal/kernel/sample/sample.go
+++ b/internal/kernel/sample/sample.go
@@ -13,3 +13,28 @@
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out[:min(n, len(out))]
 }
+
+// Reservoir picks some of those it is shown, each as likely as any other, and holds no more than that.
+type Reservoir[T any] struct {
+	most   int
+	seen   int
+	picked []T
+}
+
+// NewReservoir picks up to most.
+func NewReservoir[T any](most int) Reservoir[T] { return Reservoir[T]{most: most} }
+
+// Show offers one more.
+func (r *Reservoir[T]) Show(one T) {
+	r.seen++
+	if len(r.picked) < r.most {
+		r.picked = append(r.picked, one)
+		return
+	}
+	if at := rand.IntN(r.seen); at < r.most {
+		r.picked[at] = one
+	}
+}
+
+// Picked are those that were picked so far, in no order.
+func (r *Reservoir[T]) Picked() []T { return r.picked }
--- a/internal/kernel/sample/sample_test.go
+++ b/internal/kernel/sample/sample_test.go
@@ -50,3 +50,33 @@
 		}
 	}
 }
+
+func TestAReservoirHoldsNoMoreThanItPicksAndIsFair(t *testing.T) {
+	const (
+		rounds = 6000
+		size   = 6
+	)
+	for most := range size + 2 {
+		counts := map[int]int{}
+		for range rounds {
+			r := NewReservoir[int](most)
+			for x := range size {
+				r.Show(x)
+			}
+			got := slices.Clone(r.Picked())
+			slices.Sort(got)
+			if len(got) != min(most, size) || len(slices.Compact(got)) != len(got) {
+				t.Fatalf("%d of %d: got %v", most, size, got)
+			}
+			for _, x := range got {
+				counts[x]++
+			}
+		}
+		want := rounds * min(most, size) / size
+		for x := range size {
+			if n := counts[x]; n < want*8/10 || n > want*12/10 {
+				t.Errorf("%d of %d: %d was picked %d times, want about %d", most, size, x, n, want)
+			}
+		}
+	}
+}
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -73,22 +73,26 @@
 
 // some picks up to n live nodes by chance, without the one of a name.
 func (t *Table) some(n int, not string) []Node {
-	var out []Node
+	picked := sample.NewReservoir[Node](n)
 	for _, e := range t.nodes {
 		if e.node.State == Alive && e.node.Name != not {
-			out = append(out, e.node)
+			picked.Show(e.node)
 		}
 	}
-	return sample.Of(out, n)
+	return picked.Picked()
 }
 
 // someOf picks a live node of a role by chance; no name means that there is none.
 func (t *Table) someOf(role string) Node {
-	for _, n := range t.some(len(t.nodes), "") {
-		if n.Role == role {
-			return n
+	picked := sample.NewReservoir[Node](1)
+	for _, e := range t.nodes {
+		if e.node.State == Alive && e.node.Role == role {
+			picked.Show(e.node)
 		}
 	}
+	for _, n := range picked.Picked() {
+		return n
+	}
 	return Node{}
 }
 
