Proxies take news in every 100 ms where nobody waits, not every 20 ms

Cause: on a large site there is news all the time; a proxy exchanged with its agent 18 times a second, with 6 entries each. Change: exchanges under news are 100 ms apart, 20 ms only while requests wait at this proxy. Test: the gap is longer where nobody waits, and long enough for news to come together.

--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -154,11 +154,19 @@
 func (p *Proxy) rest(ctx context.Context, answered time.Duration) {
 	f := &p.feed
 	if answered-f.answeredAt < feedBusy {
-		run.Wait(ctx, feedBusyGap)
+		run.Wait(ctx, busyGap(p.admission.Waiting()))
 	}
 	f.answeredAt = p.env.Clock.Since()
 }
 
+// busyGap is how far apart exchanges are while much is new, with so many requests waiting for each item.
+func busyGap(waiting map[string]int) time.Duration {
+	if len(waiting) > 0 {
+		return feedWaitedGap
+	}
+	return feedBusyGap
+}
+
 // report is this proxy's word to the controllers.
 func (p *Proxy) report() report.Report {
 	snap := p.routes.Now()
--- a/internal/proxy/feed_test.go
+++ b/internal/proxy/feed_test.go
@@ -40,3 +40,15 @@
 		}
 	}
 }
+
+// Where much is new all the time, a proxy at which nobody waits once took it in as often as one at which
+// requests wait for what the news may tell of; that was a good part of a large fleet's processor time.
+func TestNewsIsTakenInMoreOftenWhileRequestsWait(t *testing.T) {
+	idle, waited := busyGap(nil), busyGap(map[string]int{"m": 1})
+	if idle < 2*waited {
+		t.Errorf("exchanges are %v apart with nobody waiting, %v with somebody", idle, waited)
+	}
+	if idle < feedBusy {
+		t.Errorf("a gap of %v lets no more come together than without one", idle)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -34,9 +34,11 @@
 	// feedHold is how long the agent may hold an answer back until it has news, and feedGap the least time between two questions.
 	feedHold = 200 * time.Millisecond
 	feedGap  = 2 * time.Millisecond
-	// feedBusyGap is the time between two questions while each answer has news that came within feedBusy of the one before.
-	feedBusyGap = 20 * time.Millisecond
-	feedBusy    = 50 * time.Millisecond
+	// feedBusyGap is the time between two questions while each answer has news that came within feedBusy of the one
+	// before, and feedWaitedGap the same while requests wait here for what the news may tell of.
+	feedBusyGap   = 100 * time.Millisecond
+	feedWaitedGap = 20 * time.Millisecond
+	feedBusy      = 50 * time.Millisecond
 	// reportEvery is how often a report goes to the agent, and reportGap how soon after another when what is in force has changed.
 	reportEvery = 200 * time.Millisecond
 	reportGap   = 50 * time.Millisecond
