A relay's round begins at once only for an item that was not waited for

Cause: where requests wait all the time every report of every agent began a round of its own: 20 rounds a second, five batches each. Change: at once only where requests wait for an item that they did not wait for in the agent's report before. In a small fleet, where nobody asks, a report costs the relay nothing and it has no rounds. Test: what is waited for still, and more of it, waits for the round; another item does not.

--- a/internal/place/report/relay/relay.go
+++ b/internal/place/report/relay/relay.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// roundEvery is the time between two rounds of batches. A report by which requests wait
-	// for a load does not wait for the next.
+	// roundEvery is the time between two rounds of batches. A report by which requests wait for
+	// an item that they did not wait for in the one before does not wait for the next.
 	roundEvery = 100 * time.Millisecond
 	// answerWithin is how long a core may take to answer a batch.
 	answerWithin = 500 * time.Millisecond
@@ -53,6 +53,7 @@
 	actor *run.Actor
 	soon  *run.Nudge
 	asked map[string]time.Duration // by agent: when it last asked
+	waits map[string]waiting       // by agent that asks
 	peers map[string]*peer         // the other cores, by address
 	count atomic.Int64             // of the agents that ask
 }
@@ -65,6 +66,19 @@
 	has  map[string]taken // by agent
 }
 
+// waiting is how many requests wait for each item at an edge.
+type waiting map[string]int
+
+// isNew says that an item is waited for that was not in the report before.
+func (w waiting) isNew(before waiting) bool {
+	for item := range w {
+		if before[item] == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // taken is the newest report of an agent that a peer has taken.
 type taken struct {
 	report report.Report
@@ -73,7 +87,7 @@
 
 // New passes nothing on until an agent asks.
 func New(d Deps) *Relay {
-	r := &Relay{d: d, asked: map[string]time.Duration{}, peers: map[string]*peer{}}
+	r := &Relay{d: d, asked: map[string]time.Duration{}, waits: map[string]waiting{}, peers: map[string]*peer{}}
 	r.actor = run.NewActor(d.Group, 256, roundEvery, r.round)
 	r.soon = run.NewNudge(r.actor, r.round)
 	return r
@@ -85,21 +99,30 @@
 // Reported is told of a report that this core has taken from its agent, and gives the
 // keys of the cores that it vouches for: they have the agent's report of a moment before.
 func (r *Relay) Reported(ctx context.Context, rep report.Report) ([]uint32, error) {
+	// Why: in a small fleet nobody asks, and there is nothing to forget.
+	if !rep.Relay && r.Agents() == 0 {
+		return nil, nil
+	}
 	var vouched []uint32
+	urgent := false
 	err := r.actor.Ask(ctx, func() {
+		defer func() { r.count.Store(int64(len(r.asked))) }()
 		if !rep.Relay {
 			delete(r.asked, rep.Agent)
+			delete(r.waits, rep.Agent)
 			return
 		}
 		now := r.d.Clock.Since()
 		r.asked[rep.Agent] = now
+		urgent = waiting(rep.Waiting).isNew(r.waits[rep.Agent])
+		r.waits[rep.Agent] = rep.Waiting
 		if rep.Base == 0 {
 			// Why: whatever went wrong with differences ends with a whole report, at every core.
 			r.forget(rep.Agent)
 		}
 		vouched = r.vouched(rep.Agent, now)
 	})
-	if err == nil && rep.Relay && len(rep.Waiting) > 0 {
+	if err == nil && urgent {
 		r.soon.Now()
 	}
 	return vouched, err
@@ -126,6 +149,9 @@
 
 // round sends every other core what it does not have.
 func (r *Relay) round() {
+	if len(r.asked) == 0 {
+		return
+	}
 	now := r.d.Clock.Since()
 	newest := r.newest(now)
 	r.follow()
@@ -147,6 +173,7 @@
 	for agent, at := range r.asked {
 		if now-at >= askedFor {
 			delete(r.asked, agent)
+			delete(r.waits, agent)
 			for _, p := range r.peers {
 				delete(p.has, agent)
 			}
--- a/internal/place/report/relay/relay_test.go
+++ b/internal/place/report/relay/relay_test.go
@@ -193,6 +193,37 @@
 	})
 }
 
+// What is waited for still is told with the next round. Where requests wait all the time, each report of each edge
+// once had a batch of its own.
+func TestWhatIsWaitedForStillWaitsForTheRound(t *testing.T) {
+	for name, c := range map[string]struct {
+		waiting map[string]int
+		atOnce  bool
+	}{
+		"the same":         {map[string]int{"m": 1}, false},
+		"more for it":      {map[string]int{"m": 9}, false},
+		"nothing any more": {nil, false},
+		"another too":      {map[string]int{"m": 1, "n": 1}, true},
+		"another":          {map[string]int{"n": 1}, true},
+	} {
+		among(t, func(t *testing.T, p *peers) {
+			r := counted("e", 1)
+			r.Waiting = map[string]int{"m": 1}
+			p.report(t, r)
+			time.Sleep(roundEvery + roundEvery/10)
+			r = counted("e", 2)
+			r.Waiting = c.waiting
+			now := p.clock.Since()
+			p.report(t, r)
+			time.Sleep(roundEvery)
+			p.have(t, "e", map[string]uint64{"b": 2, "c": 2})
+			if took := p.gotAt["b"] - now; (took == 0) != c.atOnce {
+				t.Errorf("%s: it took %v", name, took)
+			}
+		})
+	}
+}
+
 // Nor does it wait for the next round where a batch was under way.
 func TestWhatIsWaitedForFollowsTheBatchBefore(t *testing.T) {
 	among(t, func(t *testing.T, p *peers) {
