What has taken long is looked at less often

Failed trial, not kept: asking the store's keeper again after 200 ms in place of 40 ms. Change: a 32nd part of the time since the order may pass between two looks, so a load of 2.5 s is seen 80 ms late at most. Test: fails first (56 looks at a load of twice its time, at most 30 after), and bounds how late anything is seen.

--- a/internal/place/order/expect_test.go
+++ b/internal/place/order/expect_test.go
@@ -158,6 +158,43 @@
 	}
 }
 
+// What takes long is looked at less often the longer it has taken, and is never seen later than by a small part of
+// that. A load was once looked at 25 times a second from when it might be done.
+func TestWhatTakesLongIsLookedAtLessOften(t *testing.T) {
+	const step = 40 * time.Millisecond
+	cfg := conf.Empty()
+	cfg.Models = map[string]conf.Model{"m": {LoadFor: 2 * time.Second}}
+	for name, c := range map[string]struct {
+		phase phase
+		took  time.Duration
+		most  int // looks
+	}{
+		"a load that is done in time": {loaded, 2 * time.Second, 4},
+		"a load that takes longer":    {loaded, 4 * time.Second, 30},
+		"one that takes very long":    {loaded, 20 * time.Second, 85},
+		"an unload at once":           {gone, 50 * time.Millisecond, 3},
+		"an unload that takes longer": {gone, 4 * time.Second, 75},
+	} {
+		clk := &clock{time.Minute}
+		ctl := &Controller{d: Deps{Clock: clk, Conf: func() conf.Effective { return cfg }}, book: map[conf.Item]*line{}, traits: backend.Traits{TellsBusy: true}}
+		ctl.tasks.PushBack(&task{item: model("m"), phase: c.phase, since: clk.now})
+		looks, seen := 0, time.Duration(0)
+		for ; seen < c.took; clk.now += step {
+			if ctl.expects() > clk.now {
+				continue
+			}
+			ctl.lookedAt, seen = clk.now, clk.now-time.Minute
+			looks++
+		}
+		if late := seen - c.took; late > step+c.took/lookPart {
+			t.Errorf("%s: seen %v late", name, late)
+		}
+		if looks > c.most {
+			t.Errorf("%s: looked at %d times, want at most %d", name, looks, c.most)
+		}
+	}
+}
+
 // With reports that are so late, few looks are in vain, and none is put off by more
 // than a step; what took long once does not keep the next one waiting.
 func TestHowLateReportsAreIsLearned(t *testing.T) {
--- a/internal/place/order/expects.go
+++ b/internal/place/order/expects.go
@@ -5,20 +5,31 @@
 // surely is the part of the time that a load takes as a rule before which it is never done.
 const surely = 0.9
 
+// lookPart is which part of the time since an order may pass from one look to the next. Why: what has taken long
+// already may be seen a little later; that costs it a small part of its time, and spares half of the looks at a load.
+const lookPart = 32
+
 // expects is when a report may next show that the task in front has got on. Why: a
 // report tells how things stood a while ago, and what it cannot show yet need not be asked for.
 func (c *Controller) expects() time.Duration {
 	if c.tasks.Len() == 0 || !c.traits.TellsBusy {
 		return 0
 	}
-	switch t := c.tasks.Front(); {
+	t := c.tasks.Front()
+	first := time.Duration(0)
+	switch {
 	case t.phase == gone, t.phase == loaded && c.quick(t.item):
-		return t.since + c.delay.least
+		first = t.since + c.delay.least
 	case t.phase == loaded:
 		load := time.Duration(c.loadMs(c.d.Conf().Models[t.item.Model], t.item.Model)) * time.Millisecond
-		return t.since + time.Duration(surely*float64(load))
+		first = t.since + time.Duration(surely*float64(load))
+	default:
+		return 0
+	}
+	if c.lookedAt <= t.since {
+		return first
 	}
-	return 0
+	return max(first, c.lookedAt+(c.lookedAt-t.since)/lookPart)
 }
 
 // looked notes that a report which was asked for after the task's last order has come.
