--- a/internal/member/fanout/fleet_test.go
+++ b/internal/member/fanout/fleet_test.go
@@ -27,7 +27,7 @@
 	gossipPort = ":7000"
 )
 
-// node is a core or an agent without anything but members and news.
+// node is a core or an agent without anything but members and gossip.
 type node struct {
 	name   string
 	ip     string
--- a/internal/place/plan/views_test.go
+++ b/internal/place/plan/views_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// Asking again without news costs nothing.
+// Asking again without anything new costs nothing.
 func TestViewsAreNotMadeAnewWithoutNews(t *testing.T) {
 	table := gossip.NewTable()
 	cache := NewViewCache(table)
--- a/internal/route/steer_test.go
+++ b/internal/route/steer_test.go
@@ -20,7 +20,7 @@
 type sharedWorld struct {
 	*Keeper
 	clock  *handClock
-	news   *gossip.Table
+	gossip *gossip.Table
 	serial uint64
 }
 
@@ -41,16 +41,16 @@
 
 func newSharedOf(t *testing.T, doc string, replicas int) *sharedWorld {
 	t.Helper()
-	s := &sharedWorld{clock: &handClock{now: time.Hour}, news: gossip.NewTable()}
+	s := &sharedWorld{clock: &handClock{now: time.Hour}, gossip: gossip.NewTable()}
 	stopped := run.NewGroup(context.Background())
 	stopped.Stop()
-	s.Keeper = NewKeeper(Deps{Group: stopped, Gossip: s.news, Clock: s.clock, Zone: func() string { return "z1" },
+	s.Keeper = NewKeeper(Deps{Group: stopped, Gossip: s.gossip, Clock: s.clock, Zone: func() string { return "z1" },
 		HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 1 }})
 	for i := range replicas {
 		id := fmt.Sprint("r", i)
 		n := order.Status{Listed: inventory.Listed{ID: id, Zone: "z1", Model: true, Slots: 1000, Labels: map[string]string{"pool": "main"}}, Slots: 1000,
 			Items: map[string]string{"m": backend.Loaded}}
-		s.news.Put(gossip.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Version: 1}, Value: wire.Pack(n)})
+		s.gossip.Put(gossip.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Version: 1}, Value: wire.Pack(n)})
 	}
 	s.configure(t, doc)
 	return s
@@ -64,7 +64,7 @@
 	}
 	s.serial++
 	k.Serial = s.serial
-	s.news.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Version: s.serial}, Value: k.Pack()})
+	s.gossip.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Version: s.serial}, Value: k.Pack()})
 	s.renew()
 }
 
@@ -140,11 +140,11 @@
 func TestPresenceIsToldToOtherProxies(t *testing.T) {
 	a, b := newShared(t, fmt.Sprintf(withTenants, "")), newShared(t, fmt.Sprintf(withTenants, ""))
 	a.send("plates", 0)
-	fresh, _, _ := a.news.After(0)
+	fresh, _, _ := a.gossip.After(0)
 	told := 0
 	for _, e := range fresh {
 		if e.Key == presenceKey(party{Tenant: "ours"}) {
-			b.news.Put(e)
+			b.gossip.Put(e)
 			told++
 		}
 	}
--- a/internal/sim/capacity/messages_test.go
+++ b/internal/sim/capacity/messages_test.go
@@ -83,7 +83,7 @@
 	return r
 }
 
-// The datagram of a probe and of news; the types are not exported, the keys are the same.
+// The datagram of a probe and of gossip; the types are not exported, the keys are the same.
 type note struct {
 	Seq    uint64        `cbor:"1,keyasint"`
 	From   string        `cbor:"2,keyasint"`
