Tests that read the source share one walk through it

Three tests (log lines, messages, who may start processes) each walked the tree and parsed its files. internal/kernel/source does it once; only tests import it.

--- a/internal/kernel/ring/lines_test.go
+++ b/internal/kernel/ring/lines_test.go
@@ -2,16 +2,15 @@
 
 import (
 	"go/ast"
-	"go/parser"
 	"go/token"
-	"io/fs"
 	"os"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
 	"strings"
 	"testing"
+
+	"drumstall.example/internal/kernel/source"
 )
 
 // levels are the methods of a logger that write a line.
@@ -64,14 +63,7 @@
 func linesOf(t *testing.T, folders ...string) []string {
 	var out []string
 	for _, folder := range folders {
-		err := filepath.WalkDir(folder, func(path string, d fs.DirEntry, err error) error {
-			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-				return err
-			}
-			file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
-			if err != nil {
-				return err
-			}
+		err := source.Files(folder, 0, func(_ string, file *ast.File) error {
 			ast.Inspect(file, func(n ast.Node) bool {
 				if call, isCall := n.(*ast.CallExpr); isCall {
 					if row, ok := logCall(call); ok {
--- a/internal/kernel/setup/build_test.go
+++ b/internal/kernel/setup/build_test.go
@@ -2,15 +2,16 @@
 
 import (
 	"debug/elf"
+	"go/ast"
 	"go/parser"
-	"go/token"
-	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
+
+	"drumstall.example/internal/kernel/source"
 )
 
 // Only dsfleet and dsscale, which are proof, may start processes: one package has the means, and nobody else uses it.
@@ -21,14 +22,7 @@
 		`"drumstall.example/internal/sim/process"`: {filepath.Join("cmd", "dsfleet"), filepath.Join("cmd", "dsscale")},
 	}
 	seen := 0
-	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return err
-		}
-		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
-		if err != nil {
-			return err
-		}
+	err := source.Files(root, parser.ImportsOnly, func(path string, f *ast.File) error {
 		folder, err := filepath.Rel(root, filepath.Dir(path))
 		if err != nil {
 			return err
--- a/internal/kernel/wire/compat_test.go
+++ b/internal/kernel/wire/compat_test.go
@@ -3,31 +3,22 @@
 import (
 	"fmt"
 	"go/ast"
-	"go/parser"
-	"go/token"
 	"go/types"
-	"io/fs"
 	"os"
-	"path/filepath"
 	"reflect"
 	"sort"
 	"strconv"
 	"strings"
 	"testing"
+
+	"drumstall.example/internal/kernel/source"
 )
 
 // messages lists every numbered field of every message in a tree of source, as
 // 'package.Type number Field type'.
 func messages(t *testing.T, root string) []string {
 	var out []string
-	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return err
-		}
-		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
-		if err != nil {
-			return err
-		}
+	err := source.Files(root, 0, func(path string, file *ast.File) error {
 		ast.Inspect(file, func(n ast.Node) bool {
 			spec, ok := n.(*ast.TypeSpec)
 			if !ok {
