--- a/internal/place/report/relay/random_test.go
+++ b/internal/place/report/relay/random_test.go
@@ -108,13 +108,8 @@
 	if l.base.Version != 0 && rnd.IntN(5) > 0 {
 		sent = l.now.SinceInflight(l.base)
 	}
-	if p.own.Put(sent, p.clock.Since()) != report.Kept {
-		t.Fatalf("report %d of %s was not kept", sent.Version, sent.Agent)
-	}
 	l.base = l.now
-	if _, err := p.relay.Reported(t.Context(), sent); err != nil {
-		t.Fatal(err)
-	}
+	p.take(t, sent)
 }
 
 // FuzzTake holds that no batch breaks a core, and that what is not taken is named once, of the batch's reports.
--- a/internal/place/report/relay/relay_test.go
+++ b/internal/place/report/relay/relay_test.go
@@ -103,18 +103,35 @@
 	})
 }
 
-// report has an agent report to the relay's core, and gives the names of the cores that are vouched for.
-func (p *peers) report(t *testing.T, r report.Report) string {
+// take lays a report in the table of the relay's core and tells the relay, which gives the keys of those it vouches for.
+func (p *peers) take(t *testing.T, r report.Report) []uint32 {
 	t.Helper()
-	p.version++
-	r.Boot, r.Version = "x", p.version
 	if p.own.Put(r, p.clock.Since()) != report.Kept {
-		t.Fatalf("report %d was not kept", r.Version)
+		t.Fatalf("report %d of %s was not kept", r.Version, r.Agent)
 	}
 	vouched, err := p.relay.Reported(t.Context(), r)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return vouched
+}
+
+// reportDifference has an agent report what differs from its report before: that so many requests were counted.
+func (p *peers) reportDifference(t *testing.T, agent string, n uint64) {
+	t.Helper()
+	p.version++
+	before := p.own.Of(agent).Report
+	next := before
+	next.Version, next.Demand = p.version, map[string]uint64{"m": n, "other": 1}
+	p.take(t, next.Since(before))
+}
+
+// report has an agent report to the relay's core, and gives the names of the cores that are vouched for.
+func (p *peers) report(t *testing.T, r report.Report) string {
+	t.Helper()
+	p.version++
+	r.Boot, r.Version = "x", p.version
+	vouched := p.take(t, r)
 	var names []string
 	for _, name := range []string{"b", "c"} {
 		if slices.Contains(vouched, Key(name)) {
@@ -158,17 +175,7 @@
 			}
 		}
 		// The second report was whole at this core, so it was passed on whole.
-		p.version++
-		before := p.own.Of("e").Report
-		third := before
-		third.Version, third.Demand = p.version, map[string]uint64{"m": 3, "other": 1}
-		difference := third.Since(before)
-		if p.own.Put(difference, p.clock.Since()) != report.Kept {
-			t.Fatal("not kept")
-		}
-		if _, err := p.relay.Reported(t.Context(), difference); err != nil {
-			t.Fatal(err)
-		}
+		p.reportDifference(t, "e", 3)
 		time.Sleep(200 * time.Millisecond)
 		p.have(t, "e", map[string]uint64{"b": 3, "c": 3})
 		if last := p.got["b"][2]; last.Base != 2 || len(last.Demand) != 1 {
@@ -287,17 +294,7 @@
 		time.Sleep(200 * time.Millisecond)
 		p.lose("b")
 		for n := uint64(2); n <= 4; n++ {
-			before := p.own.Of("e").Report
-			p.version++
-			next := before
-			next.Version, next.Demand = p.version, map[string]uint64{"m": n, "other": 1}
-			difference := next.Since(before)
-			if p.own.Put(difference, p.clock.Since()) != report.Kept {
-				t.Fatal("not kept")
-			}
-			if _, err := p.relay.Reported(t.Context(), difference); err != nil {
-				t.Fatal(err)
-			}
+			p.reportDifference(t, "e", n)
 			time.Sleep(300 * time.Millisecond)
 		}
 		p.have(t, "e", map[string]uint64{"b": 4, "c": 4})
