--- a/.ci/race.sh
+++ b/.ci/race.sh
@@ -1,14 +1,20 @@
 # Tests under the race detector, whose own runtime breaks off now and then. Sourced by .ci/run; internal/ci tests it.
 
+# What a log shows of a test, or of the build, that failed; of a check of the detector's own that did; and of a fault
+# outside of Go's code.
+failure='^ *--- FAIL|WARNING: DATA RACE|^panic:'
+check='^ThreadSanitizer: CHECK failed'
+fault='^SIG(SEGV|BUS|ILL|FPE|ABRT): '
+
 # detector_broke_off says that a log shows the race detector's own runtime at its end, and neither a failed test, a race,
 # a panic nor a failed build: it ends with "ThreadSanitizer: CHECK failed", or with a fault outside of Go's code, which
 # Go prints with the processor's state, neither as a panic nor as a fatal error. The tests run no C code of this
 # project's. One such fault was at an address that is within __tsan::SlotLock in the test's binary built from the same commit.
 detector_broke_off() {
-  ! grep -qE '^ *--- FAIL|WARNING: DATA RACE|^panic:|\[build failed\]|\[setup failed\]' "$1" || return 1
-  grep -q '^ThreadSanitizer: CHECK failed' "$1" && return 0
+  ! grep -qE "$failure|\[build failed\]|\[setup failed\]" "$1" || return 1
+  grep -qE "$check" "$1" && return 0
   ! grep -qE '^fatal error:|^SIGQUIT: ' "$1" || return 1
-  grep -E -A1 '^SIG(SEGV|BUS|ILL|FPE|ABRT): ' "$1" | grep -q '^PC=0x'
+  grep -E -A1 "$fault" "$1" | grep -q '^PC=0x'
 }
 
 # race_tests runs tests under the race detector. The detector's own runtime breaks off now and then, before, between or
@@ -29,10 +35,10 @@
     fi
     mapfile -t packages < <(awk -F'\t' '$1 == "FAIL" && NF >= 3 {print $2}' "$log")
     echo "the race detector's runtime broke off (try $try); again: ${packages[*]}"
-    grep -E -m1 -A12 '^(ThreadSanitizer: CHECK failed|SIG(SEGV|BUS|ILL|FPE|ABRT): )' "$log"
+    grep -E -m1 -A12 "$check|$fault" "$log"
   done
   echo "how it began to fail:"
-  grep -nE -m5 -A12 '^ *--- FAIL|WARNING: DATA RACE|^panic:|^fatal error:|^ThreadSanitizer|^SIG(SEGV|BUS|ILL|FPE|ABRT): ' "$log" || true
+  grep -nE -m5 -A12 "$failure|^fatal error:|^ThreadSanitizer|$fault" "$log" || true
   rm -f "$log"
   return "$status"
 }
