review: keep the stand-ins in test files, since no other source may start processes

TestOnlyTheProofStartsProcesses reads every Go file of the tree that is no test, and named review/harness/deployment.go. The stand-ins are built with go test -c now.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/harness"
 mkdir -p ../../target
-GOWORK=off go build -o ../../target/review-harness .
+GOWORK=off go test -c -o ../../target/review-harness .
--- a/review/harness/deployment.go
+++ b/review/harness/deployment_test.go
@@ -1,7 +1,7 @@
-// Package main runs the cases of the review: it starts drumstall's own programs
+// Package review runs the cases of the review: it starts drumstall's own programs
 // as processes on loopback addresses, with small stand-ins for the platform,
 // the replicas, the clients and the operator.
-package main
+package review
 
 import (
 	"bytes"
