--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -110,6 +110,7 @@
 		_, _ = ln.Close(), pc.Close()
 		return nil, errors.Wrap(err, "agent: feed address")
 	}
+	a.gossip.OnNew(a.onGossip)
 	a.post = wire.NewPost(pc)
 	self := member.Node{Name: s.Name, Role: member.RoleAgent, Zone: s.Zone, Addr: s.Addr, Boot: a.boot, Inc: uint64(max(env.Clock.Wall().UnixMilli(), 1)), Build: env.BuildName()}
 	a.members = member.New(a.group, env.Clock, a.log, a.post, a.caller, a.mux, self, s.Seeds, a.touch)
@@ -201,6 +202,13 @@
 	}
 }
 
+// onGossip logs when a configuration has come.
+func (a *Agent) onGossip(e gossip.Entry) {
+	if e.Key == conf.Key {
+		a.log.Info("configuration learned", "epoch", e.Stamp.Epoch, "version", e.Stamp.Version, "bytes", len(e.Value))
+	}
+}
+
 // takeUrgent passes a report on at once.
 func (a *Agent) takeUrgent(_ context.Context, r report.Report) (feed.Taken, error) {
 	a.keepReport(r)
--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -22,7 +22,10 @@
 		defer close(told)
 		push, cancel := context.WithTimeout(ctx, pushLimit)
 		defer cancel()
-		c.spread.Push(push, c.members.Peers(), e)
+		began, peers := c.env.Clock.Since(), c.members.Peers()
+		reached := c.spread.Push(push, peers, e)
+		c.log.Info("configuration pushed", "epoch", e.Stamp.Epoch, "version", e.Stamp.Version, "bytes", len(e.Value), "nodes", len(peers), "reached", reached,
+			"tookMs", (c.env.Clock.Since() - began).Milliseconds())
 	})
 	if started {
 		run.WaitOn(ctx, told, pushLimit)
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -18,6 +18,7 @@
 	if e.Key != conf.Key {
 		return
 	}
+	began := time.Now()
 	k, err := conf.Unpack(e.Value)
 	if err != nil {
 		c.log.Error("news of a configuration that cannot be read", "error", err)
@@ -30,6 +31,7 @@
 	}
 	c.conf.Store(&eff)
 	c.serial.Store(k.Serial)
+	c.log.Info("configuration in force", "epoch", e.Stamp.Epoch, "version", e.Stamp.Version, "serial", k.Serial, "tookMs", time.Since(began).Milliseconds())
 }
 
 // submit keeps a configuration as the owner of its key, and tells everyone
@@ -38,6 +40,7 @@
 	var out operator.Submitted
 	errStop := errors.New("refused")
 	change := conf.Change{Manner: s.Manner, ContentType: s.ContentType, Body: s.Body, IfMatch: s.IfMatch}
+	began := time.Now()
 	rec, err := c.own.Update(ctx, conf.Key, func(old state.Record, found bool) ([]byte, error) {
 		var was conf.Kept
 		if found {
@@ -70,6 +73,7 @@
 	if err != nil {
 		return operator.Submitted{}, err
 	}
+	c.log.Info("configuration kept", "epoch", rec.Stamp.Epoch, "version", rec.Stamp.Version, "serial", out.Serial, "bytes", len(rec.Value), "tookMs", time.Since(began).Milliseconds())
 	c.announce(ctx, gossip.Entry{Key: conf.Key, Stamp: rec.Stamp, Value: rec.Value})
 	return out, nil
 }
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -210,8 +210,9 @@
 func (s *Spreader) Mend(ctx context.Context, addr string) { Mend(ctx, s.caller, s.t, addr, s.self()) }
 
 // Push hands entries to nodes at these addresses at once, and returns when each
-// has answered, a second is over or ctx ends; who could not be reached learns them later.
-func (s *Spreader) Push(ctx context.Context, to []string, entries ...Entry) {
+// has answered, a second is over or ctx ends; who could not be reached learns them later. It
+// gives how many have answered.
+func (s *Spreader) Push(ctx context.Context, to []string, entries ...Entry) int {
 	message := wire.Prepare(bundle{From: s.self(), Entries: entries})
 	ch := run.Fan(s.g, len(to), func(_ context.Context, i int) bool {
 		one, cancel := context.WithTimeout(ctx, time.Second)
@@ -219,7 +220,11 @@
 		_, err := wire.CallLarge[Pushed](one, s.caller, to[i], "/news/push", message)
 		return err == nil
 	})
+	reached := 0
 	for range to {
-		<-ch
+		if <-ch {
+			reached++
+		}
 	}
+	return reached
 }
--- a/internal/route/renew.go
+++ b/internal/route/renew.go
@@ -92,6 +92,7 @@
 		if e.Key != conf.Key || e.Gone || !e.Stamp.Newer(d.next.Stamp) {
 			continue
 		}
+		began := time.Now()
 		kept, err := conf.Unpack(e.Value)
 		if err != nil {
 			return false
@@ -100,6 +101,9 @@
 		if err != nil {
 			return false
 		}
+		if k.d.Log != nil {
+			k.d.Log.Info("configuration in force", "epoch", e.Stamp.Epoch, "version", e.Stamp.Version, "serial", kept.Serial, "tookMs", time.Since(began).Milliseconds())
+		}
 		d.next.Conf, d.next.Stamp, d.next.Serial = effective, e.Stamp, kept.Serial
 		d.next.Version++
 		d.isNew = true
