Keys of tenants: a request without a known key is refused, and the key goes no further

Cause: the product knew no keys. All headers of a caller go on, Authorization with them, and the tenants of a document were read by nobody. Class: a part of a configuration that is taken without being understood. Change: tenants.keys, tenants.class, tenants.sharing, routes.public, limits.requireKeys in the native configuration; the proxy identifies a request by its key before it resolves the route, in both APIs; replicas are told the tenant.

--- a/design/design.go
+++ b/design/design.go
@@ -39,7 +39,7 @@
 
 var _ = Service("caller", func() {
 	Description("Requests of callers.")
-	refusals("bad", "unknown_target", "too_large", "full", "too_late", "lost")
+	refusals("bad", "unauthorized", "unknown_target", "too_large", "full", "too_late", "lost")
 	Method("shoot", func() {
 		Description("Send one request over a route; the answer is streamed back as the back end sends it.")
 		Payload(func() {
@@ -48,6 +48,7 @@
 			Attribute("adapter", String, "Adapter of the model")
 			Attribute("deadlineMs", Int, "Caller's own deadline in milliseconds; the route's is the upper bound")
 			Attribute("ticket", String, "Caller's own number for the request, passed on to the back end")
+			Attribute("authorization", String, "Bearer KEY, a key of the caller's tenant, where keys are required")
 			Required("route")
 		})
 		Result(func() {
@@ -62,6 +63,7 @@
 			Param("adapter")
 			Header("deadlineMs:Drumstall-Deadline-Ms")
 			Header("ticket:Drumstall-Ticket")
+			Header("authorization:Authorization")
 			SkipRequestBodyEncodeDecode()
 			SkipResponseBodyEncodeDecode()
 			Response(StatusOK, func() {
@@ -70,6 +72,7 @@
 				Header("replica:Drumstall-Replica")
 			})
 			refusalStatus("bad", StatusBadRequest)
+			refusalStatus("unauthorized", StatusUnauthorized)
 			refusalStatus("unknown_target", StatusNotFound)
 			refusalStatus("too_large", StatusRequestEntityTooLarge)
 			refusalStatus("full", StatusServiceUnavailable)
--- a/gen/caller/client.go
+++ b/gen/caller/client.go
@@ -31,6 +31,7 @@
 // Shoot calls the "shoot" endpoint of the "caller" service.
 // Shoot may return the following errors:
 //   - "bad" (type *Refusal)
+//   - "unauthorized" (type *Refusal)
 //   - "unknown_target" (type *Refusal)
 //   - "too_large" (type *Refusal)
 //   - "full" (type *Refusal)
@@ -51,6 +52,7 @@
 // Vitals may return the following errors:
 //   - "full" (type *Refusal)
 //   - "bad" (type *Refusal)
+//   - "unauthorized" (type *Refusal)
 //   - "unknown_target" (type *Refusal)
 //   - "too_large" (type *Refusal)
 //   - "too_late" (type *Refusal)
--- a/gen/caller/service.go
+++ b/gen/caller/service.go
@@ -66,6 +66,8 @@
 	DeadlineMs *int
 	// Caller's own number for the request, passed on to the back end
 	Ticket *string
+	// Bearer KEY, a key of the caller's tenant, where keys are required
+	Authorization *string
 }
 
 // ShootResult is the result type of the caller service shoot method.
--- a/gen/http/caller/client/cli.go
+++ b/gen/http/caller/client/cli.go
@@ -16,7 +16,7 @@
 
 // BuildShootPayload builds the payload for the caller shoot endpoint from CLI
 // flags.
-func BuildShootPayload(callerShootRoute string, callerShootModel string, callerShootAdapter string, callerShootDeadlineMs string, callerShootTicket string) (*caller.ShootPayload, error) {
+func BuildShootPayload(callerShootRoute string, callerShootModel string, callerShootAdapter string, callerShootDeadlineMs string, callerShootTicket string, callerShootAuthorization string) (*caller.ShootPayload, error) {
 	var err error
 	var route string
 	{
@@ -52,12 +52,19 @@
 			ticket = &callerShootTicket
 		}
 	}
+	var authorization *string
+	{
+		if callerShootAuthorization != "" {
+			authorization = &callerShootAuthorization
+		}
+	}
 	v := &caller.ShootPayload{}
 	v.Route = route
 	v.Model = model
 	v.Adapter = adapter
 	v.DeadlineMs = deadlineMs
 	v.Ticket = ticket
+	v.Authorization = authorization
 
 	return v, nil
 }
--- a/gen/http/caller/client/encode_decode.go
+++ b/gen/http/caller/client/encode_decode.go
@@ -67,6 +67,10 @@
 			head := *p.Ticket
 			req.Header.Set("Drumstall-Ticket", head)
 		}
+		if p.Authorization != nil {
+			head := *p.Authorization
+			req.Header.Set("Authorization", head)
+		}
 		values := req.URL.Query()
 		if p.Model != nil {
 			values.Add("model", *p.Model)
@@ -84,6 +88,7 @@
 // restored after having been read.
 // DecodeShootResponse may return the following errors:
 //   - "bad" (type *caller.Refusal): http.StatusBadRequest
+//   - "unauthorized" (type *caller.Refusal): http.StatusUnauthorized
 //   - "unknown_target" (type *caller.Refusal): http.StatusNotFound
 //   - "too_large" (type *caller.Refusal): http.StatusRequestEntityTooLarge
 //   - "full" (type *caller.Refusal): http.StatusServiceUnavailable
@@ -160,6 +165,36 @@
 				return nil, goahttp.ErrValidationError("caller", "shoot", err)
 			}
 			return nil, NewShootBad(&body, outcome, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body ShootUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "shoot", err)
+			}
+			err = ValidateShootUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "shoot", err)
+			}
+			var (
+				outcome    string
+				retryAfter *string
+			)
+			outcomeRaw := resp.Header.Get("Drumstall-Outcome")
+			if outcomeRaw == "" {
+				err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "header"))
+			}
+			outcome = outcomeRaw
+			retryAfterRaw := resp.Header.Get("Retry-After")
+			if retryAfterRaw != "" {
+				retryAfter = &retryAfterRaw
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "shoot", err)
+			}
+			return nil, NewShootUnauthorized(&body, outcome, retryAfter)
 		case http.StatusNotFound:
 			var (
 				body ShootUnknownTargetResponseBody
--- a/gen/http/caller/client/types.go
+++ b/gen/http/caller/client/types.go
@@ -23,6 +23,17 @@
 	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
 }
 
+// ShootUnauthorizedResponseBody is the type of the "caller" service "shoot"
+// endpoint HTTP response body for the "unauthorized" error.
+type ShootUnauthorizedResponseBody struct {
+	// Short reason
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in one sentence
+	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
+	// Every fault found in what was sent
+	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
+}
+
 // ShootUnknownTargetResponseBody is the type of the "caller" service "shoot"
 // endpoint HTTP response body for the "unknown_target" error.
 type ShootUnknownTargetResponseBody struct {
@@ -118,6 +129,25 @@
 	return v
 }
 
+// NewShootUnauthorized builds a caller service shoot endpoint unauthorized
+// error.
+func NewShootUnauthorized(body *ShootUnauthorizedResponseBody, outcome string, retryAfter *string) *caller.Refusal {
+	v := &caller.Refusal{
+		Name:   *body.Name,
+		Detail: *body.Detail,
+	}
+	if body.Faults != nil {
+		v.Faults = make([]string, len(body.Faults))
+		for i, val := range body.Faults {
+			v.Faults[i] = val
+		}
+	}
+	v.Outcome = outcome
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
 // NewShootUnknownTarget builds a caller service shoot endpoint unknown_target
 // error.
 func NewShootUnknownTarget(body *ShootUnknownTargetResponseBody, outcome string, retryAfter *string) *caller.Refusal {
@@ -239,6 +269,18 @@
 	return
 }
 
+// ValidateShootUnauthorizedResponseBody runs the validations defined on
+// shoot_unauthorized_response_body
+func ValidateShootUnauthorizedResponseBody(body *ShootUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Detail == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("detail", "body"))
+	}
+	return
+}
+
 // ValidateShootUnknownTargetResponseBody runs the validations defined on
 // shoot_unknown_target_response_body
 func ValidateShootUnknownTargetResponseBody(body *ShootUnknownTargetResponseBody) (err error) {
--- a/gen/http/caller/server/encode_decode.go
+++ b/gen/http/caller/server/encode_decode.go
@@ -37,12 +37,13 @@
 	return func(r *http.Request) (*caller.ShootPayload, error) {
 		var payload *caller.ShootPayload
 		var (
-			route      string
-			model      *string
-			adapter    *string
-			deadlineMs *int
-			ticket     *string
-			err        error
+			route         string
+			model         *string
+			adapter       *string
+			deadlineMs    *int
+			ticket        *string
+			authorization *string
+			err           error
 
 			params = mux.Vars(r)
 		)
@@ -71,10 +72,14 @@
 		if ticketRaw != "" {
 			ticket = &ticketRaw
 		}
+		authorizationRaw := r.Header.Get("Authorization")
+		if authorizationRaw != "" {
+			authorization = &authorizationRaw
+		}
 		if err != nil {
 			return payload, err
 		}
-		payload = NewShootPayload(route, model, adapter, deadlineMs, ticket)
+		payload = NewShootPayload(route, model, adapter, deadlineMs, ticket, authorization)
 
 		return payload, nil
 	}
@@ -107,6 +112,23 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadRequest)
 			return enc.Encode(body)
+		case "unauthorized":
+			var res *caller.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewShootUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("Drumstall-Outcome", res.Outcome)
+			if res.RetryAfter != nil {
+				w.Header().Set("Retry-After", *res.RetryAfter)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
 		case "unknown_target":
 			var res *caller.Refusal
 			errors.As(v, &res)
--- a/gen/http/caller/server/types.go
+++ b/gen/http/caller/server/types.go
@@ -22,6 +22,17 @@
 	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
 }
 
+// ShootUnauthorizedResponseBody is the type of the "caller" service "shoot"
+// endpoint HTTP response body for the "unauthorized" error.
+type ShootUnauthorizedResponseBody struct {
+	// Short reason
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in one sentence
+	Detail string `form:"detail" json:"detail" xml:"detail"`
+	// Every fault found in what was sent
+	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
+}
+
 // ShootUnknownTargetResponseBody is the type of the "caller" service "shoot"
 // endpoint HTTP response body for the "unknown_target" error.
 type ShootUnknownTargetResponseBody struct {
@@ -104,6 +115,22 @@
 	return body
 }
 
+// NewShootUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "shoot" endpoint of the "caller" service.
+func NewShootUnauthorizedResponseBody(res *caller.Refusal) *ShootUnauthorizedResponseBody {
+	body := &ShootUnauthorizedResponseBody{
+		Name:   res.Name,
+		Detail: res.Detail,
+	}
+	if res.Faults != nil {
+		body.Faults = make([]string, len(res.Faults))
+		for i, val := range res.Faults {
+			body.Faults[i] = val
+		}
+	}
+	return body
+}
+
 // NewShootUnknownTargetResponseBody builds the HTTP response body from the
 // result of the "shoot" endpoint of the "caller" service.
 func NewShootUnknownTargetResponseBody(res *caller.Refusal) *ShootUnknownTargetResponseBody {
@@ -201,13 +228,14 @@
 }
 
 // NewShootPayload builds a caller service shoot endpoint payload.
-func NewShootPayload(route string, model *string, adapter *string, deadlineMs *int, ticket *string) *caller.ShootPayload {
+func NewShootPayload(route string, model *string, adapter *string, deadlineMs *int, ticket *string, authorization *string) *caller.ShootPayload {
 	v := &caller.ShootPayload{}
 	v.Route = route
 	v.Model = model
 	v.Adapter = adapter
 	v.DeadlineMs = deadlineMs
 	v.Ticket = ticket
+	v.Authorization = authorization
 
 	return v
 }
--- a/gen/http/cli/drumstall/cli.go
+++ b/gen/http/cli/drumstall/cli.go
@@ -35,8 +35,8 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "caller shoot --route \"Eveniet id expedita itaque autem cum.\" --model \"Autem quos omnis quis.\" --adapter \"Reiciendis molestias voluptatem quasi at nulla.\" --deadline-ms 5763505179393071394 --ticket \"Mollitia est a qui.\" --stream \"goa.png\"" + "\n" +
-		os.Args[0] + " " + "operator put --if-match \"Aliquam voluptate vero et.\" --content-type \"Eaque eum corrupti.\" --stream \"goa.png\"" + "\n" +
+	return os.Args[0] + " " + "caller shoot --route \"Sint occaecati ipsum eos sit placeat placeat.\" --model \"Aperiam in.\" --adapter \"Aut expedita ducimus architecto quas.\" --deadline-ms 402795038470680114 --ticket \"Ut reprehenderit numquam ut.\" --authorization \"Ipsum dolor.\" --stream \"goa.png\"" + "\n" +
+		os.Args[0] + " " + "operator put --if-match \"Adipisci et officia aliquam amet eveniet.\" --content-type \"Et eum enim fugiat laborum rerum.\" --stream \"goa.png\"" + "\n" +
 		os.Args[0] + " " + "replica vitals" + "\n" +
 		os.Args[0] + " " + "platform list" + "\n" +
 		""
@@ -54,13 +54,14 @@
 	var (
 		callerFlags = flag.NewFlagSet("caller", flag.ContinueOnError)
 
-		callerShootFlags          = flag.NewFlagSet("shoot", flag.ExitOnError)
-		callerShootRouteFlag      = callerShootFlags.String("route", "REQUIRED", "Name of the route")
-		callerShootModelFlag      = callerShootFlags.String("model", "", "")
-		callerShootAdapterFlag    = callerShootFlags.String("adapter", "", "")
-		callerShootDeadlineMsFlag = callerShootFlags.String("deadline-ms", "", "")
-		callerShootTicketFlag     = callerShootFlags.String("ticket", "", "")
-		callerShootStreamFlag     = callerShootFlags.String("stream", "REQUIRED", "path to file containing the streamed request body")
+		callerShootFlags             = flag.NewFlagSet("shoot", flag.ExitOnError)
+		callerShootRouteFlag         = callerShootFlags.String("route", "REQUIRED", "Name of the route")
+		callerShootModelFlag         = callerShootFlags.String("model", "", "")
+		callerShootAdapterFlag       = callerShootFlags.String("adapter", "", "")
+		callerShootDeadlineMsFlag    = callerShootFlags.String("deadline-ms", "", "")
+		callerShootTicketFlag        = callerShootFlags.String("ticket", "", "")
+		callerShootAuthorizationFlag = callerShootFlags.String("authorization", "", "")
+		callerShootStreamFlag        = callerShootFlags.String("stream", "REQUIRED", "path to file containing the streamed request body")
 
 		callerVitalsFlags = flag.NewFlagSet("vitals", flag.ExitOnError)
 
@@ -235,7 +236,7 @@
 			switch epn {
 			case "shoot":
 				endpoint = c.Shoot()
-				data, err = callerc.BuildShootPayload(*callerShootRouteFlag, *callerShootModelFlag, *callerShootAdapterFlag, *callerShootDeadlineMsFlag, *callerShootTicketFlag)
+				data, err = callerc.BuildShootPayload(*callerShootRouteFlag, *callerShootModelFlag, *callerShootAdapterFlag, *callerShootDeadlineMsFlag, *callerShootTicketFlag, *callerShootAuthorizationFlag)
 				if err == nil {
 					data, err = callerc.BuildShootStreamPayload(data, *callerShootStreamFlag)
 				}
@@ -314,6 +315,7 @@
 	fmt.Fprint(os.Stderr, " -adapter STRING")
 	fmt.Fprint(os.Stderr, " -deadline-ms INT")
 	fmt.Fprint(os.Stderr, " -ticket STRING")
+	fmt.Fprint(os.Stderr, " -authorization STRING")
 	fmt.Fprint(os.Stderr, " -stream STRING")
 	fmt.Fprintln(os.Stderr)
 
@@ -327,11 +329,12 @@
 	fmt.Fprintln(os.Stderr, `    -adapter STRING: `)
 	fmt.Fprintln(os.Stderr, `    -deadline-ms INT: `)
 	fmt.Fprintln(os.Stderr, `    -ticket STRING: `)
+	fmt.Fprintln(os.Stderr, `    -authorization STRING: `)
 	fmt.Fprintln(os.Stderr, `    -stream STRING: path to file containing the streamed request body`)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller shoot --route \"Eveniet id expedita itaque autem cum.\" --model \"Autem quos omnis quis.\" --adapter \"Reiciendis molestias voluptatem quasi at nulla.\" --deadline-ms 5763505179393071394 --ticket \"Mollitia est a qui.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller shoot --route \"Sint occaecati ipsum eos sit placeat placeat.\" --model \"Aperiam in.\" --adapter \"Aut expedita ducimus architecto quas.\" --deadline-ms 402795038470680114 --ticket \"Ut reprehenderit numquam ut.\" --authorization \"Ipsum dolor.\" --stream \"goa.png\"")
 }
 
 func callerVitalsUsage() {
@@ -385,7 +388,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator put --if-match \"Aliquam voluptate vero et.\" --content-type \"Eaque eum corrupti.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator put --if-match \"Adipisci et officia aliquam amet eveniet.\" --content-type \"Et eum enim fugiat laborum rerum.\" --stream \"goa.png\"")
 }
 
 func operatorPatchUsage() {
@@ -407,7 +410,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator patch --if-match \"Enim est.\" --content-type \"Excepturi inventore aut.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator patch --if-match \"Ipsam voluptas harum sint qui fuga.\" --content-type \"Saepe praesentium fugit.\" --stream \"goa.png\"")
 }
 
 func operatorGetUsage() {
@@ -425,7 +428,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator get --what \"Voluptatem necessitatibus nostrum est.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator get --what \"Asperiores aut quas sint.\"")
 }
 
 func operatorStatusUsage() {
@@ -459,7 +462,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --model \"Ducimus ex.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --model \"Maiores repellat iure perferendis et molestias.\"")
 }
 
 func operatorRescueUsage() {
@@ -477,7 +480,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator rescue --body '{\n      \"lost\": [\n         \"Ab incidunt ducimus.\",\n         \"Dolorem ab.\",\n         \"Minus doloremque aut.\",\n         \"In voluptatum molestias velit.\"\n      ],\n      \"serial\": 11407475188000470358\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator rescue --body '{\n      \"lost\": [\n         \"Optio ad numquam.\",\n         \"Tempora corrupti.\",\n         \"Fuga fuga consequatur.\"\n      ],\n      \"serial\": 14192872260554403530\n   }'")
 }
 
 func operatorLogsUsage() {
@@ -538,7 +541,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "replica order --body '{\n      \"adapter\": \"Vitae et omnis.\",\n      \"controller\": \"Deleniti deleniti nihil laborum aperiam magni tenetur.\",\n      \"epoch\": 13826004153791768022,\n      \"id\": \"Culpa et tenetur iure.\",\n      \"model\": \"Soluta reprehenderit laudantium labore atque.\",\n      \"sizeMib\": 7360057567895594319,\n      \"verb\": \"unload\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "replica order --body '{\n      \"adapter\": \"Eum alias omnis.\",\n      \"controller\": \"Ea ut.\",\n      \"epoch\": 10177112009300773840,\n      \"id\": \"Id quae consequatur sequi.\",\n      \"model\": \"Voluptas velit.\",\n      \"sizeMib\": 6942872760721540855,\n      \"verb\": \"unload-adapter\"\n   }'")
 }
 
 // platformUsage displays the usage of the platform command and its subcommands.
--- a/gen/http/operator/client/cli.go
+++ b/gen/http/operator/client/cli.go
@@ -97,7 +97,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorRescueBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"lost\": [\n         \"Ab incidunt ducimus.\",\n         \"Dolorem ab.\",\n         \"Minus doloremque aut.\",\n         \"In voluptatum molestias velit.\"\n      ],\n      \"serial\": 11407475188000470358\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"lost\": [\n         \"Optio ad numquam.\",\n         \"Tempora corrupti.\",\n         \"Fuga fuga consequatur.\"\n      ],\n      \"serial\": 14192872260554403530\n   }'")
 		}
 		if body.Lost == nil {
 			err = goa.MergeErrors(err, goa.MissingFieldError("lost", "body"))
--- a/gen/http/replica/client/cli.go
+++ b/gen/http/replica/client/cli.go
@@ -23,7 +23,7 @@
 	{
 		err = json.Unmarshal([]byte(replicaOrderBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"adapter\": \"Vitae et omnis.\",\n      \"controller\": \"Deleniti deleniti nihil laborum aperiam magni tenetur.\",\n      \"epoch\": 13826004153791768022,\n      \"id\": \"Culpa et tenetur iure.\",\n      \"model\": \"Soluta reprehenderit laudantium labore atque.\",\n      \"sizeMib\": 7360057567895594319,\n      \"verb\": \"unload\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"adapter\": \"Eum alias omnis.\",\n      \"controller\": \"Ea ut.\",\n      \"epoch\": 10177112009300773840,\n      \"id\": \"Id quae consequatur sequi.\",\n      \"model\": \"Voluptas velit.\",\n      \"sizeMib\": 6942872760721540855,\n      \"verb\": \"unload-adapter\"\n   }'")
 		}
 		if !(body.Verb == "load" || body.Verb == "unload" || body.Verb == "load-adapter" || body.Verb == "unload-adapter") {
 			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.verb", body.Verb, []any{"load", "unload", "load-adapter", "unload-adapter"}))
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -99,6 +99,12 @@
 // Close lets go of idle connections.
 func (s *Sender) Close() { s.http.CloseIdleConnections() }
 
+// Identity is whose key a caller has borne.
+type Identity struct {
+	Required bool   // callers bear keys here: theirs is no replica's business
+	Tenant   string // whose key it is; "" bore none that is known
+}
+
 // Request is what a replica is sent.
 type Request struct {
 	ID          string // of the replica
@@ -111,10 +117,11 @@
 	Host        string
 	Header      http.Header
 	Body        []byte
-	Number      int           // 1 for the first attempt
-	Rank        int           // 0 is the most urgent
-	Tenant      string        // whose it is; "" where there are no tenants
-	Share       int           // weight of the tenant
+	Number      int    // 1 for the first attempt
+	Rank        int    // 0 is the most urgent
+	Tenant      string // whose it is; "" where there are no tenants
+	Share       int    // weight of the tenant
+	Identity    Identity
 	Urgency     int           // step of urgency within the tenant; 0 is the first
 	Left        time.Duration // that the caller will wait
 	LastEvent   string        // the event after which a stream goes on
--- a/internal/attempt/native.go
+++ b/internal/attempt/native.go
@@ -35,6 +35,9 @@
 	if q.Ticket != "" {
 		req.Header.Set(backend.HeaderTicket, q.Ticket)
 	}
+	if q.Identity.Tenant != "" {
+		req.Header.Set(backend.HeaderTenant, q.Identity.Tenant)
+	}
 	if q.Tenant != "" {
 		req.Header.Set(backend.HeaderTenant, q.Tenant)
 		req.Header.Set(backend.HeaderTenantShare, strconv.Itoa(q.Share))
--- a/internal/conf/effect.go
+++ b/internal/conf/effect.go
@@ -67,7 +67,7 @@
 		e.Classes[name] = Class{Urgent: f["urgent"].(bool), Rank: f["rank"].(int), Weight: f["weight"].(int), Queue: f["holding"].(int),
 			Tenant: f["tenant"].(string)}
 	case "tenants":
-		e.Tenants[name] = Tenant{Share: f["share"].(int)}
+		e.Tenants[name] = readTenant(f)
 	case "services":
 		e.Services[name] = readService(name, f)
 	case "routes":
@@ -101,6 +101,14 @@
 	return e, nil
 }
 
+func readTenant(f map[string]any) Tenant {
+	t := Tenant{Share: f["share"].(int), Keys: f["keys"].([]string), Class: f["class"].(string)}
+	if !f["sharing"].(bool) {
+		t.Share = 0
+	}
+	return t
+}
+
 func readModel(name string, f map[string]any) (Model, Faults) {
 	m := Model{
 		SizeMib: f["sizeMib"].(int), LoadFor: ms(f["loadMs"]), ServeFor: ms(f["serveMs"]), Adapters: map[string]bool{},
@@ -125,7 +133,7 @@
 	}
 	return Route{
 		Name: name, Kind: f["kind"].(string), Selector: s, Class: f["class"].(string),
-		Deadline: ms(f["deadlineMs"]), Repeatable: f["repeatable"].(bool), MaxBody: int64(f["maxBodyBytes"].(int)),
+		Deadline: ms(f["deadlineMs"]), Repeatable: f["repeatable"].(bool), MaxBody: int64(f["maxBodyBytes"].(int)), Public: f["public"].(bool),
 		Host: f["host"].(string), Prefix: f["pathPrefix"].(string), Split: split, Streaming: f["streaming"].(bool),
 		Resumable: f["resumable"].(bool), Attempts: f["attempts"].(int), Target: ms(f["targetMs"]), GapTarget: ms(f["gapTargetMs"]),
 	}, faults
@@ -149,8 +157,9 @@
 		PaceLoads: f["paceLoads"].(int), RetryAllowance: f["retryAllowance"].(int), Attempts: f["shots"].(int),
 		Csf: f["csf"].(float64), DayWeights: f["dayWeights"].([]float64),
 		Unit: ms(f["unitMs"]), Epoch: f["epochUnits"].(int), WarmupMinutes: f["warmupMinutes"].(int), HorizonMinutes: f["horizonMinutes"].(int),
-		PassEvery: time.Duration(f["passMinutes"].(int)) * time.Minute,
-		PassSlack: float64(f["passSlack"].(int)) / 100,
+		PassEvery:   time.Duration(f["passMinutes"].(int)) * time.Minute,
+		PassSlack:   float64(f["passSlack"].(int)) / 100,
+		RequireKeys: f["requireKeys"].(bool),
 	}, nil
 }
 
--- a/internal/conf/model.go
+++ b/internal/conf/model.go
@@ -43,6 +43,7 @@
 	Deadline   time.Duration // longest a request may wait for its first byte
 	Repeatable bool          // a request may run twice
 	MaxBody    int64         // bytes
+	Public     bool          // requests need no key
 	Host       string        // with Prefix: requests are matched by host and path
 	Prefix     string
 	Split      []Share       // services by weight, in place of a selector
@@ -68,6 +69,7 @@
 	HorizonMinutes int
 	PassEvery      time.Duration
 	PassSlack      float64 // share of the store's pace
+	RequireKeys    bool    // requests on routes that are not public must bear a tenant's key
 }
 
 // Effective is a configuration ready for use; it is never changed once made.
@@ -77,7 +79,7 @@
 	Claims  map[string]Claim
 	Drains  map[string]labels.Selector
 	Classes map[string]Class
-	Tenants map[string]Tenant // none: nothing is shared between tenants
+	Tenants map[string]Tenant // none has a share: nothing is shared between tenants
 	Routes  map[string]Route
 	// Services are named sets of replicas that routes are split over.
 	Services map[string]Service
@@ -87,6 +89,7 @@
 	prefixes map[string]map[string]string // host: path prefix: route
 	hosts    map[string]bool              // services that hold models
 	shares   map[string]int               // of all tenants
+	keys     map[digest]string            // tenant of each key
 }
 
 // Empty is what is in force before the first configuration.
--- a/internal/conf/service.go
+++ b/internal/conf/service.go
@@ -96,7 +96,8 @@
 
 // complete checks services and prefixes and builds what requests are looked up by.
 func (e *Effective) complete() Faults {
-	var faults Faults
+	keys, faults := e.sumKeys()
+	e.keys = keys
 	e.prefixes = map[string]map[string]string{}
 	e.hosts = map[string]bool{}
 	e.shares = e.sumShares()
--- a/internal/conf/tenant.go
+++ b/internal/conf/tenant.go
@@ -1,14 +1,20 @@
 package conf
 
-import "fmt"
+import (
+	"crypto/sha256"
+	"fmt"
+)
 
 // DefaultTenant is the tenant of classes that name none. It has share 1 unless
 // an object of its name says otherwise.
 const DefaultTenant = "default"
 
-// Tenant is an owner of classes that shares the fleet with others.
+// Tenant is an owner of requests: of those of its classes, and of those whose
+// callers bear one of its keys.
 type Tenant struct {
-	Share int // its weight among the tenants that want something
+	Share int      // its weight among the tenants that want something; 0 takes no part
+	Keys  []string // that its callers bear
+	Class string   // of the requests that bear a key of it, in place of their route's; "" keeps that
 }
 
 // Ranks is how many steps of urgency there are within a tenant.
@@ -24,7 +30,7 @@
 }
 
 // HasTenants says whether anything is shared between tenants at all.
-func (e Effective) HasTenants() bool { return len(e.Tenants) > 0 }
+func (e Effective) HasTenants() bool { return len(e.shares) > 0 }
 
 // TenantOf is the tenant of a class.
 func (e Effective) TenantOf(class string) string {
@@ -48,11 +54,13 @@
 
 func (e Effective) sumShares() map[string]int {
 	out := map[string]int{}
-	if !e.HasTenants() {
-		return out
+	for name, t := range e.Tenants {
+		if t.Share > 0 {
+			out[name] = t.Share
+		}
 	}
-	for name := range e.Tenants {
-		out[name] = e.ShareOf(name)
+	if len(out) == 0 {
+		return out
 	}
 	for name := range e.Classes {
 		tenant := e.TenantOf(name)
@@ -61,7 +69,37 @@
 	return out
 }
 
-// tenantReferences tells which classes name a tenant that is not there.
+// digest is what a key is looked up by. Why: how long a look-up takes must tell nothing of the keys.
+type digest [sha256.Size]byte
+
+// TenantOfKey is the tenant whose callers bear a key.
+func (e Effective) TenantOfKey(key string) (tenant string, known bool) {
+	tenant, known = e.keys[sha256.Sum256([]byte(key))]
+	return tenant, known
+}
+
+// sumKeys makes what keys are looked up by. Two tenants may not have one key; a fault
+// names the tenants and not the key.
+func (e Effective) sumKeys() (map[digest]string, Faults) {
+	var faults Faults
+	out := map[digest]string{}
+	for _, name := range sorted(e.Tenants) {
+		for _, key := range e.Tenants[name].Keys {
+			if key == "" {
+				faults = append(faults, fmt.Sprintf("tenants/%s.keys: a key is empty", name))
+				continue
+			}
+			sum := digest(sha256.Sum256([]byte(key)))
+			if other, found := out[sum]; found && other != name {
+				faults = append(faults, fmt.Sprintf("tenants/%s.keys: a key is also one of %q", name, other))
+			}
+			out[sum] = name
+		}
+	}
+	return out, faults
+}
+
+// tenantReferences tells what names a tenant or a class that is not there.
 func (e Effective) tenantReferences() Faults {
 	var faults Faults
 	for _, name := range sorted(e.Classes) {
@@ -70,5 +108,16 @@
 			faults = append(faults, fmt.Sprintf("classes/%s.tenant: no tenant %q", name, tenant))
 		}
 	}
+	for _, name := range sorted(e.Tenants) {
+		class := e.Tenants[name].Class
+		c, found := e.Classes[class]
+		switch {
+		case class == "":
+		case !found:
+			faults = append(faults, fmt.Sprintf("tenants/%s.class: no class %q", name, class))
+		case c.Tenant != "" && c.Tenant != name:
+			faults = append(faults, fmt.Sprintf("tenants/%s.class: the class %q is of the tenant %q", name, class, c.Tenant))
+		}
+	}
 	return faults
 }
--- a/internal/proxy/native.go
+++ b/internal/proxy/native.go
@@ -42,7 +42,7 @@
 	if refusal := p.Ready(ctx); refusal != nil {
 		return nil, nil, refusal.goaError()
 	}
-	target, refusal := p.target(q)
+	target, identity, refusal := p.target(q)
 	if refusal != nil {
 		return nil, nil, refusal.goaError()
 	}
@@ -58,7 +58,7 @@
 	if target.Route.Kind == "model" {
 		target.Prompt = route.ReadPrompt(target.Item.String(), raw)
 	}
-	call := Call{Target: target, Deadline: began.Add(target.Route.Deadline), ContentType: "application/json", Body: raw}
+	call := Call{Target: target, Identity: identity, Deadline: began.Add(target.Route.Deadline), ContentType: "application/json", Body: raw}
 	if q.DeadlineMs != nil {
 		call.Deadline = began.Add(target.Route.Within(time.Duration(*q.DeadlineMs) * time.Millisecond))
 	}
@@ -72,11 +72,19 @@
 	return &gen.ShootResult{Outcome: string(attempt.Ran), ContentType: a.ContentType, Replica: a.Replica}, a.Body, nil
 }
 
-// target finds what the request names.
-func (p *Proxy) target(q *gen.ShootPayload) (route.Target, *Refusal) {
+// target finds what the request names, and whose it is.
+func (p *Proxy) target(q *gen.ShootPayload) (route.Target, attempt.Identity, *Refusal) {
 	r, found := p.Conf().Routes[q.Route]
 	if !found {
-		return route.Target{}, &Refusal{Reason: NoRoute, Detail: "no route " + q.Route, Outcome: attempt.NotRun}
+		return route.Target{}, attempt.Identity{}, &Refusal{Reason: NoRoute, Detail: "no route " + q.Route, Outcome: attempt.NotRun}
+	}
+	authorization := ""
+	if q.Authorization != nil {
+		authorization = *q.Authorization
+	}
+	r, identity, refusal := p.Identify(r, authorization)
+	if refusal != nil {
+		return route.Target{}, identity, refusal
 	}
 	var item conf.Item
 	if q.Model != nil {
@@ -85,5 +93,6 @@
 	if q.Adapter != nil {
 		item.Adapter = *q.Adapter
 	}
-	return p.Resolve(r, item)
+	t, refusal := p.Resolve(r, item)
+	return t, identity, refusal
 }
--- a/internal/proxy/passage.go
+++ b/internal/proxy/passage.go
@@ -166,7 +166,7 @@
 	c, id := w.call, r.Listed.ID
 	cfg := w.p.Conf()
 	class := cfg.Classes[c.Target.Route.Class]
-	q := attempt.Request{ID: id, Addr: r.Listed.Addr, Item: c.Target.Item, Ticket: c.Ticket, ContentType: c.ContentType, Method: c.Method, Path: c.Path,
+	q := attempt.Request{ID: id, Addr: r.Listed.Addr, Identity: c.Identity, Item: c.Target.Item, Ticket: c.Ticket, ContentType: c.ContentType, Method: c.Method, Path: c.Path,
 		Host: c.Host, Header: c.Header, Body: c.Body, Number: w.arrived + 1, Rank: class.Rank, Left: time.Until(c.Deadline),
 		LastEvent: c.LastEvent, FirstBy: firstBy, Sendable: func() bool { return w.p.routes.Sendable(id) }}
 	if cfg.HasTenants() {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -18,6 +18,7 @@
 // Call is one request as an API has read it.
 type Call struct {
 	Target      route.Target
+	Identity    attempt.Identity
 	Deadline    time.Time
 	FirstBy     time.Time // when the caller goes away if nothing has come; zero is the deadline
 	Ticket      string    // the caller's own number
@@ -45,12 +46,13 @@
 
 // The reasons.
 const (
-	NoRoute  Reason = "unknown_target"
-	Bad      Reason = "bad"
-	TooLarge Reason = "too_large"
-	Full     Reason = "full"
-	TooLate  Reason = "too_late"
-	Lost     Reason = "lost"
+	NoRoute      Reason = "unknown_target"
+	Unauthorized Reason = "unauthorized"
+	Bad          Reason = "bad"
+	TooLarge     Reason = "too_large"
+	Full         Reason = "full"
+	TooLate      Reason = "too_late"
+	Lost         Reason = "lost"
 )
 
 // Refusal is the final answer of a request that is given up on.
