A change of the configuration costs its author no more in a larger fleet

Cause: what the author of a change does grew with the fleet: a connection, a compressed document and an answer for each node, on a core with a fifth of a processor. Class: work of one node that grows with the number of nodes. Change: in a large fleet the author hands a change to the other cores, and each core's headline brings the agents below it to pull; an answer to a pull is packed and compressed once for all who ask for the same document, one pull of a key from a peer is under way at a time, and what a core pushes is passed down as a core's news. The answer to a report names the configuration that the core has, so a lost datagram is made good within half a second over a connection that is there anyway.

--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"drumstall.example/internal/conf"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member"
 	"drumstall.example/internal/place/report"
@@ -196,6 +197,7 @@
 	got, err := wire.Call[cbor.RawMessage, report.Taken](ctx, a.caller, addr, reportPath, packed)
 	if err == nil {
 		a.touch.Told(asked, got.Touch)
+		a.spread.Fetch(addr, conf.Key, got.Conf)
 	}
 	return got, err
 }
--- a/internal/gossip/push_test.go
+++ b/internal/gossip/push_test.go
@@ -25,6 +25,8 @@
 // nodes are spreaders on a network of their own, the first one at a core's link.
 type nodes struct {
 	g       *run.Group
+	cores   int
+	callers []*wire.Caller
 	fabric  *simnet.Fabric
 	addrs   []string
 	tables  []*Table
@@ -32,9 +34,12 @@
 }
 
 // spreaders runs f in a fleet of n nodes.
-func spreaders(t *testing.T, n int, f func(fleet *nodes)) {
+func spreaders(t *testing.T, n int, f func(fleet *nodes)) { spreadersBelow(t, 0, n, f) }
+
+// spreadersBelow runs f in a fleet of n nodes, of which so many are the cores of a tree; 0 is no tree.
+func spreadersBelow(t *testing.T, cores, n int, f func(fleet *nodes)) {
 	synctest.Test(t, func(t *testing.T) {
-		fleet := &nodes{g: run.NewGroup(t.Context()), fabric: simnet.New(1, func(string, string) time.Duration { return time.Millisecond })}
+		fleet := &nodes{g: run.NewGroup(t.Context()), cores: cores, fabric: simnet.New(1, func(string, string) time.Duration { return time.Millisecond })}
 		for i := range n {
 			fleet.addrs = append(fleet.addrs, fmt.Sprintf("10.0.0.%d:90", i+1))
 		}
@@ -55,7 +60,7 @@
 func (n *nodes) start(t *testing.T, i int) func() {
 	ip := fmt.Sprintf("10.0.0.%d", i+1)
 	rate := edgeLink
-	if i == 0 {
+	if i == 0 || i < n.cores {
 		rate = coreLink
 	}
 	n.fabric.Rate(ip, rate)
@@ -74,8 +79,8 @@
 	srv := wire.NewServer(ln, mux)
 	n.g.Go(srv.Run)
 	n.g.Go(post.Run)
-	s := NewSpreader(n.g, table, slog.New(slog.DiscardHandler), post, caller, mux, func() string { return n.addrs[i] }, func() []string { return peers }, nil, touch.New(tick.Machine()))
-	n.tables, n.spreads = append(n.tables, table), append(n.spreads, s)
+	s := NewSpreader(n.g, table, slog.New(slog.DiscardHandler), post, caller, mux, func() string { return n.addrs[i] }, func() []string { return peers }, n.treeOf(i), touch.New(tick.Machine()))
+	n.tables, n.spreads, n.callers = append(n.tables, table), append(n.spreads, s), append(n.callers, caller)
 	return func() {
 		srv.Close()
 		post.Close()
@@ -83,6 +88,26 @@
 	}
 }
 
+// treeOf is the tree as a node sees it: agents are below the cores by turns.
+func (n *nodes) treeOf(i int) func() Tree {
+	if n.cores == 0 {
+		return nil
+	}
+	tree := Tree{IsCore: i < n.cores}
+	for j, addr := range n.addrs {
+		switch {
+		case j == i:
+		case j < n.cores:
+			tree.Cores = append(tree.Cores, addr)
+		case tree.IsCore && j%n.cores == i:
+			tree.Below = append(tree.Below, addr)
+		case !tree.IsCore && j%n.cores == i%n.cores:
+			tree.Neighbours = append(tree.Neighbours, addr)
+		}
+	}
+	return func() Tree { return tree }
+}
+
 // have counts the nodes that have an entry.
 func (n *nodes) have(e Entry) int {
 	count := 0
@@ -142,3 +167,38 @@
 		}
 	})
 }
+
+// announced has the first node announce a document and gives the bytes of calls that this cost it until
+// every node had it; it fails if that takes longer than within.
+func (n *nodes) announced(t *testing.T, version uint64, document []byte, within time.Duration) (bytes int64) {
+	t.Helper()
+	e := entry("config/main", 1, version)
+	e.Value = document
+	_, before := n.callers[0].Sent()
+	began := time.Now()
+	n.spreads[0].Announce(n.g.Context(), e)
+	for n.have(e) < len(n.addrs) {
+		if time.Since(began) > within {
+			t.Fatalf("version %d: %d of %d nodes have it after %v", version, n.have(e), len(n.addrs), within)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	_, after := n.callers[0].Sent()
+	return after - before
+}
+
+// What one change costs its author must not grow with the nodes of the fleet, or a core with a fifth of a
+// processor loses its leases over it.
+func TestAChangeCostsItsAuthorNoMoreInALargerFleet(t *testing.T) {
+	const cores = 7
+	costs := map[int]int64{}
+	for _, n := range []int{100, 300} {
+		spreadersBelow(t, cores, n, func(fleet *nodes) {
+			time.Sleep(300 * time.Millisecond)
+			costs[n] = fleet.announced(t, 1, routes(1000), 2*time.Second)
+		})
+	}
+	if costs[300] > costs[100]*11/10 {
+		t.Errorf("a change costs its author %d bytes of calls among 300 nodes, and %d among 100", costs[300], costs[100])
+	}
+}
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -35,6 +35,8 @@
 	tree    func() Tree          // nil is a fleet without one
 	known   atomic.Pointer[Tree] // the tree of the last round
 	pulling atomic.Int64         // pulls under way
+	pulls   pulls
+	packed  packedAnswer
 }
 
 // NewSpreader starts to pass news on and to take it, until g stops. self and peers
@@ -66,13 +68,13 @@
 	wire.Handle(mux, "/news/push", func(_ context.Context, b bundle) (Pushed, error) {
 		p := Pushed{}
 		for _, e := range b.Entries {
-			if t.Learn(e) {
+			if t.put(e, s.originOf(b.From)) {
 				p.Taken++
 			}
 		}
 		return p, nil
 	})
-	wire.HandleLarge(mux, "/news/pull", func(_ context.Context, g Gap) (bundle, error) { return t.pick(g.Want), nil })
+	wire.HandlePrepared(mux, pullPath, func(_ context.Context, g Gap) (wire.Large, error) { return s.packed.of(t.pick(g.Want)), nil })
 	wire.Handle(mux, digestPath, func(_ context.Context, d Digest) (Diff, error) {
 		out := t.compare(d)
 		out.Touch = in.Word()
@@ -156,45 +158,6 @@
 	}
 }
 
-// take learns what a datagram holds, and pulls what it only names.
-func (s *Spreader) take(b bundle) {
-	var want []string
-	from := s.originOf(b.From)
-	for _, e := range b.Entries {
-		if !e.Head {
-			s.t.put(e, from)
-		} else if e.Stamp.Newer(s.t.StampOf(e.Key)) {
-			want = append(want, e.Key)
-		}
-	}
-	// Why: a few pulls at a time; the digests mend what is left out.
-	if len(want) == 0 || s.pulling.Add(1) > 8 {
-		if len(want) > 0 {
-			s.pulling.Add(-1)
-		}
-		return
-	}
-	if !s.g.Go(func(ctx context.Context) {
-		defer s.pulling.Add(-1)
-		s.pull(ctx, b.From, want)
-	}) {
-		s.pulling.Add(-1)
-	}
-}
-
-// pull asks a peer for the entries of some keys.
-func (s *Spreader) pull(ctx context.Context, addr string, want []string) {
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-	defer cancel()
-	b, err := wire.Call[Gap, bundle](ctx, s.caller, addr, "/news/pull", Gap{Want: want})
-	if err != nil {
-		return
-	}
-	for _, e := range b.Entries {
-		s.t.Learn(e)
-	}
-}
-
 // compare mends gaps with one peer.
 func (s *Spreader) compare(ctx context.Context) {
 	to := sample.Of(s.peers(), 1)
@@ -208,23 +171,3 @@
 
 // Mend makes both sides know what either knows.
 func (s *Spreader) Mend(ctx context.Context, addr string) { Mend(ctx, s.caller, s.t, addr, s.self()) }
-
-// Push hands entries to nodes at these addresses at once, and returns when each
-// has answered, a second is over or ctx ends; who could not be reached learns them later. It
-// gives how many have answered.
-func (s *Spreader) Push(ctx context.Context, to []string, entries ...Entry) int {
-	message := wire.Prepare(bundle{From: s.self(), Entries: entries})
-	ch := run.Fan(s.g, len(to), func(_ context.Context, i int) bool {
-		one, cancel := context.WithTimeout(ctx, time.Second)
-		defer cancel()
-		_, err := wire.CallLarge[Pushed](one, s.caller, to[i], "/news/push", message)
-		return err == nil
-	})
-	reached := 0
-	for range to {
-		if <-ch {
-			reached++
-		}
-	}
-	return reached
-}
--- a/internal/kernel/wire/wire.go
+++ b/internal/kernel/wire/wire.go
@@ -209,11 +209,11 @@
 
 // Handle answers calls at path with f.
 func Handle[Q, A any](m *Mux, path string, f func(context.Context, Q) (A, error)) {
-	handle(m, path, f, func(w http.ResponseWriter, _ *http.Request, answer []byte) { _, _ = w.Write(answer) })
+	handle(m, path, f, func(w http.ResponseWriter, _ *http.Request, answer A) { _, _ = w.Write(Pack(answer)) })
 }
 
 // handle reads a message, acts on it with f and hands the answer to write.
-func handle[Q, A any](m *Mux, path string, f func(context.Context, Q) (A, error), write func(http.ResponseWriter, *http.Request, []byte)) {
+func handle[Q, A any](m *Mux, path string, f func(context.Context, Q) (A, error), write func(http.ResponseWriter, *http.Request, A)) {
 	m.mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Drumstall-Speaks", Speaks)
 		// Why: a message of another version may mean something else; it is never half-applied.
@@ -238,7 +238,7 @@
 			_, _ = w.Write(Pack(no))
 			return
 		}
-		write(w, r, Pack(a))
+		write(w, r, a)
 	})
 }
 
--- a/internal/place/report/report.go
+++ b/internal/place/report/report.go
@@ -63,6 +63,8 @@
 	InflightDifferences bool `cbor:"4,keyasint,omitempty"`
 	// Relayed are the keys of the other cores that have the agent's report of a moment before (package relay).
 	Relayed []uint32 `cbor:"5,keyasint,omitempty"`
+	// Conf is the stamp of the configuration that the core has, so that an agent whose is older gets it there.
+	Conf state.Stamp `cbor:"6,keyasint,omitempty"`
 }
 
 // Dated is a report and when it came, on this core's clock.
