A proxy that starts serves only by a table made from what is in force

Cause: a proxy was confirmed as soon as the document stood in its gossip table; the table of routes is made from it later, in another goroutine. Without any configuration it was confirmed at once. Class: readiness before knowledge, looked for elsewhere: the agent is confirmed by the owner's own word, a core says 503 while it cannot be sure. Change: confirmed is who has a table in force that is no older than what the agent knows, and a configuration at all; until then 503 with Retry-After, and not ready.

--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -108,13 +108,19 @@
 	}
 	p.agentSeen.Store(int64(asked))
 	p.touch.Told(asked, touch.Word(down.HeardMs+1))
-	// Why: a proxy just started serves on nothing until it has what was in force before.
-	if down.Confirmed && !p.confirmed.Load() && !down.Conf.Newer(p.gossip.StampOf(conf.Key)) {
+	if !p.confirmed.Load() && knowsEnough(down, p.routes.Now()) {
 		p.confirmed.Store(true)
 	}
 	p.rest(ctx, p.env.Clock.Since())
 }
 
+// knowsEnough says whether a proxy that was just started may serve by a table: its agent
+// knows what was in force before, and the table was made from that or from what came after. By a table without
+// any configuration it would tell callers that there is no route.
+func knowsEnough(agent feed.Down, table *route.Snapshot) bool {
+	return agent.Confirmed && table.Serial > 0 && !agent.Conf.Newer(table.Stamp)
+}
+
 // reportDue says whether a report goes with an exchange: now and then, and soon
 // after what is in force here has changed, since controllers may wait for that.
 func (f *feedState) reportDue(snap *route.Snapshot, now time.Duration) bool {
--- a/internal/proxy/feed_test.go
+++ b/internal/proxy/feed_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"drumstall.example/internal/feed"
 	"drumstall.example/internal/place/report"
+	"drumstall.example/internal/route"
+	"drumstall.example/internal/state"
 )
 
 // A proxy sends differences only from what its agent says it holds, and the whole
@@ -52,3 +55,24 @@
 		t.Errorf("a gap of %v lets no more come together than without one", idle)
 	}
 }
+
+// A proxy once served as soon as the document had come, by a table that was still empty.
+func TestAProxyServesOnlyByATableMadeFromWhatIsInForce(t *testing.T) {
+	stamp := func(version uint64) state.Stamp { return state.Stamp{Epoch: 1, Version: version} }
+	for name, c := range map[string]struct {
+		agent feed.Down
+		table route.Snapshot
+		want  bool
+	}{
+		"the table is made from it":              {feed.Down{Confirmed: true, Conf: stamp(4)}, route.Snapshot{Serial: 2, Stamp: stamp(4)}, true},
+		"the table is made from a newer one":     {feed.Down{Confirmed: true, Conf: stamp(4)}, route.Snapshot{Serial: 3, Stamp: stamp(5)}, true},
+		"the table is older":                     {feed.Down{Confirmed: true, Conf: stamp(4)}, route.Snapshot{Serial: 1, Stamp: stamp(3)}, false},
+		"the table is empty":                     {feed.Down{Confirmed: true, Conf: stamp(4)}, route.Snapshot{}, false},
+		"there is no configuration yet":          {feed.Down{Confirmed: true}, route.Snapshot{}, false},
+		"the agent does not know the newest yet": {feed.Down{Conf: stamp(4)}, route.Snapshot{Serial: 2, Stamp: stamp(4)}, false},
+	} {
+		if got := knowsEnough(c.agent, &c.table); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
