Test: a keeper rests between configurations and then reads the newest

The rest after reading a configuration had no test of its own in route, since nothing takes time on the simulated clock; a clock that is a step later at each look shows it.

--- /dev/null
+++ b/internal/route/reading_test.go
@@ -0,0 +1,51 @@
+package route
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/state"
+)
+
+// slowClock is that of a machine on which everything takes its time: each look at it is a step later.
+type slowClock struct{ handClock }
+
+const slowStep = 20 * time.Millisecond
+
+func (c *slowClock) Since() time.Duration {
+	c.now += slowStep
+	return c.now
+}
+
+func TestAKeeperRestsBetweenConfigurationsAndThenReadsTheNewest(t *testing.T) {
+	clock, table := &slowClock{handClock{time.Hour}}, gossip.NewTable()
+	stopped := run.NewGroup(context.Background())
+	stopped.Stop()
+	k := NewKeeper(Deps{Group: stopped, Gossip: table, Clock: clock, Zone: func() string { return "z" }, HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 1 }})
+	come := func(version uint64) {
+		table.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Version: version}, Value: conf.Kept{Serial: version, Objects: map[string][]byte{}}.Pack()})
+		k.renew()
+	}
+	inForce := func(when string, want uint64) {
+		t.Helper()
+		if got := k.Now().Serial; got != want {
+			t.Errorf("%s: %d is in force, want %d", when, got, want)
+		}
+	}
+	come(1)
+	inForce("the first one", 1)
+	come(2)
+	inForce("while the keeper rests", 1)
+	come(3)
+	inForce("while the keeper rests", 1)
+	clock.now += readingRest * slowStep
+	k.renew()
+	inForce("after the rest", 3)
+	clock.now += time.Second
+	come(4)
+	inForce("one that comes alone", 4)
+}
