The rest between two readings of a configuration has a bound

A rest of four times the reading is right while that takes tens of ms. On a machine that is so slow that it takes half a second, a change that came right after another would have waited two seconds for its turn, and applyMs is 2 to 3 s. Found by reading; no run showed it. Test: TestAKeeperOnASlowMachineRestsNoLongerThanTheBound.

--- a/internal/route/reading_test.go
+++ b/internal/route/reading_test.go
@@ -23,9 +23,7 @@
 
 func TestAKeeperRestsBetweenConfigurationsAndThenReadsTheNewest(t *testing.T) {
 	clock, table := &slowClock{handClock{time.Hour}}, gossip.NewTable()
-	stopped := run.NewGroup(context.Background())
-	stopped.Stop()
-	k := NewKeeper(Deps{Group: stopped, Gossip: table, Clock: clock, Zone: func() string { return "z" }, HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 1 }})
+	k := NewKeeper(Deps{Group: stoppedGroup(), Gossip: table, Clock: clock, Zone: func() string { return "z" }, HeardFor: func() time.Duration { return 0 }, Edges: func() int { return 1 }})
 	come := func(version uint64) {
 		table.Put(gossip.Entry{Key: conf.Key, Stamp: state.Stamp{Epoch: 1, Version: version}, Value: conf.Kept{Serial: version, Objects: map[string][]byte{}}.Pack()})
 		k.renew()
@@ -49,3 +47,18 @@
 	come(4)
 	inForce("one that comes alone", 4)
 }
+
+// On a machine so slow that reading takes a second, what has come must not wait for many more.
+func TestAKeeperOnASlowMachineRestsNoLongerThanTheBound(t *testing.T) {
+	r := NewKeeper(Deps{Group: stoppedGroup(), Gossip: gossip.NewTable(), Clock: &handClock{}, Zone: func() string { return "z" }}).reading
+	r.Worked(0, time.Second)
+	if left := r.Left(time.Second); left != readingRestMost {
+		t.Errorf("a rest of %v after reading for a second", left)
+	}
+}
+
+func stoppedGroup() *run.Group {
+	g := run.NewGroup(context.Background())
+	g.Stop()
+	return g
+}
