Pulls that wait keep no other from being pulled, a configuration among them

Cause found by reading, then shown by a test: eight pulls could be under way, and what came beside them was dropped, for the digests to mend. Since pulls of entries over 900 bytes waited 300 ms for their turn, they kept the eight places all that time: where many entries change, as after a freeze, the configuration was among what was dropped, from the headline and from the answer to a report alike. Change: a pull that rests takes no place, what finds none waits for one in place of being dropped, and only entries of 8 KB and more rest. The tests' way of failing no longer ends a bubble with goroutines in it.

--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -14,10 +14,11 @@
 	pullPath = "/news/pull"
 	// pullLimit is how long a pull may take.
 	pullLimit = 2 * time.Second
-	// pullGap is the least time between two pulls of a large entry. Why: of changes in quick succession every
-	// node would ask for every one.
-	pullGap = 300 * time.Millisecond
-	// mostPulls is how many pulls are under way at once; the digests mend what is left out.
+	// pullGap is the least time between two pulls of an entry of largeBytes or more. Why: of changes in
+	// quick succession every node would ask for every one.
+	pullGap    = 300 * time.Millisecond
+	largeBytes = 8 << 10
+	// mostPulls is how many pulls are under way at once; others wait for their turn.
 	mostPulls = 8
 )
 
@@ -107,20 +108,17 @@
 	if len(told) == 0 {
 		return
 	}
-	done := func() {
-		s.pulling.Add(-1)
-		s.pulls.end(from, told)
-	}
-	if s.pulling.Add(1) > mostPulls {
-		done()
-		return
-	}
 	if !s.g.Go(func(ctx context.Context) {
-		defer done()
+		defer s.pulls.end(from, told)
+		// Why: what rests takes nobody's turn.
 		run.Wait(ctx, s.pulls.rest(keysOf(told)))
+		if !run.WaitOn(ctx, s.turns, pullLimit) {
+			return
+		}
+		defer func() { s.turns <- struct{}{} }()
 		s.pull(ctx, from, s.lacking(told))
 	}) {
-		done()
+		s.pulls.end(from, told)
 	}
 }
 
@@ -157,7 +155,7 @@
 	}
 	from := s.originOf(addr)
 	for _, e := range b.Entries {
-		if len(e.Value) > smallBytes {
+		if len(e.Value) >= largeBytes {
 			s.pulls.came(e.Key)
 		}
 		s.t.put(e, from)
--- a/internal/gossip/push_test.go
+++ b/internal/gossip/push_test.go
@@ -186,7 +186,8 @@
 	t.Helper()
 	for began := time.Now(); n.have(e) < len(n.addrs); time.Sleep(10 * time.Millisecond) {
 		if time.Since(began) > within {
-			t.Fatalf("version %d: %d of %d nodes have it after %v", e.Stamp.Version, n.have(e), len(n.addrs), within)
+			t.Errorf("version %d: %d of %d nodes have it after %v", e.Stamp.Version, n.have(e), len(n.addrs), within)
+			return
 		}
 	}
 }
@@ -236,3 +237,27 @@
 		}
 	})
 }
+
+// Pulls of other entries that wait for their turn must not keep a configuration from being pulled.
+func TestAConfigurationIsPulledThoughManyOtherEntriesChangeAllTheTime(t *testing.T) {
+	const cores, all, others, rounds = 3, 32, 400, 4
+	spreadersBelow(t, cores, all, func(fleet *nodes) {
+		time.Sleep(300 * time.Millisecond)
+		churn := func(round uint64) {
+			for i := range others {
+				e := entry(fmt.Sprintf("replica/%d", i), 1, round+1)
+				e.Value = make([]byte, 2*smallBytes)
+				fleet.tables[i%cores].Put(e)
+			}
+			time.Sleep(interval)
+		}
+		for round := range uint64(rounds) {
+			churn(round)
+		}
+		e, _ := fleet.announce(1, routes(300))
+		for round := range uint64(10) {
+			churn(rounds + round)
+		}
+		fleet.awaited(t, e, 0)
+	})
+}
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -25,25 +25,28 @@
 
 // Spreader passes a table's news on.
 type Spreader struct {
-	t       *Table
-	g       *run.Group
-	log     *slog.Logger
-	post    *wire.Post
-	caller  *wire.Caller
-	self    func() string
-	peers   func() []string
-	tree    func() Tree          // nil is a fleet without one
-	known   atomic.Pointer[Tree] // the tree of the last round
-	pulling atomic.Int64         // pulls under way
-	pulls   pulls
-	packed  packedAnswer
+	t      *Table
+	g      *run.Group
+	log    *slog.Logger
+	post   *wire.Post
+	caller *wire.Caller
+	self   func() string
+	peers  func() []string
+	tree   func() Tree          // nil is a fleet without one
+	known  atomic.Pointer[Tree] // the tree of the last round
+	turns  chan struct{}        // one for each pull that may begin
+	pulls  pulls
+	packed packedAnswer
 }
 
 // NewSpreader starts to pass news on and to take it, until g stops. self and peers
 // give addresses as they are now, and tree whom this node tells in a large fleet; in is
 // this node's word on how long it has been out of touch.
 func NewSpreader(g *run.Group, t *Table, log *slog.Logger, post *wire.Post, caller *wire.Caller, mux *wire.Mux, self func() string, peers func() []string, tree func() Tree, in *touch.Keeper) *Spreader {
-	s := &Spreader{t: t, g: g, log: log, post: post, caller: caller, self: self, peers: peers, tree: tree}
+	s := &Spreader{t: t, g: g, log: log, post: post, caller: caller, self: self, peers: peers, tree: tree, turns: make(chan struct{}, mostPulls)}
+	for range mostPulls {
+		s.turns <- struct{}{}
+	}
 	post.On("news", func(body []byte) {
 		var b bundle
 		if wire.Unpack(body, &b) != nil {
