--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/bounds"
+	"drumstall.example/internal/kernel/load"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member"
@@ -121,6 +122,7 @@
 	a.reporting = run.NewActor(a.group, 32, s.Cadence.Report, a.report)
 	a.urgent = run.NewNudge(a.reporting, a.report)
 	a.group.Every(confirmInterval, a.confirm)
+	load.Watch(a.group, a.log, a.mux.Served, a.feedMux.Served, a.post.Served)
 	a.base.Go(a.post.Run)
 	for _, srv := range []*wire.Server{wire.NewServer(ln, a.mux), wire.NewServer(fl, a.feedMux)} {
 		a.servers = append(a.servers, srv)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,6 +19,7 @@
 	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/bounds"
+	"drumstall.example/internal/kernel/load"
 	"drumstall.example/internal/kernel/rest"
 	"drumstall.example/internal/kernel/ring"
 	"drumstall.example/internal/kernel/run"
@@ -218,6 +219,7 @@
 		disk := c.acc.Disk()
 		c.members.SetSelf(func(n *member.Node) { n.Phase, n.Disk = phase, disk })
 	})
+	load.Watch(c.group, c.log, c.mux.Served, c.post.Served)
 	c.base.Go(c.post.Run)
 	for _, srv := range append([]*wire.Server{wire.NewServer(ln, c.mux)}, servers...) {
 		c.servers = append(c.servers, srv)
--- a/internal/kernel/wire/coding.go
+++ b/internal/kernel/wire/coding.go
@@ -120,24 +120,23 @@
 // HandleLarge answers calls at path with f, compressed where the answer is large
 // and the caller reads that.
 func HandleLarge[Q, A any](m *Mux, path string, f func(context.Context, Q) (A, error)) {
-	handle(m, path, f, func(w http.ResponseWriter, r *http.Request, answer A) {
+	handle(m, path, f, func(w http.ResponseWriter, r *http.Request, answer A) int {
 		packed := Pack(answer)
 		if len(packed) >= codedFrom && accepts(r) {
 			w.Header().Set("Content-Encoding", gzipCoding)
 			packed = compress(packed)
 		}
-		_, _ = w.Write(packed)
+		return write(w, packed)
 	})
 }
 
 // HandlePrepared answers calls at path with messages that f may have prepared before.
 func HandlePrepared[Q any](m *Mux, path string, f func(context.Context, Q) (Large, error)) {
-	handle(m, path, f, func(w http.ResponseWriter, r *http.Request, answer Large) {
+	handle(m, path, f, func(w http.ResponseWriter, r *http.Request, answer Large) int {
 		if answer.coded == nil || !accepts(r) {
-			_, _ = w.Write(answer.plain)
-			return
+			return write(w, answer.plain)
 		}
 		w.Header().Set("Content-Encoding", gzipCoding)
-		_, _ = w.Write(answer.coded)
+		return write(w, answer.coded)
 	})
 }
--- a/internal/kernel/wire/post.go
+++ b/internal/kernel/wire/post.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 )
 
 // MaxGram bounds a datagram, so that none is cut up on the way.
@@ -21,11 +22,15 @@
 	kinds   map[string]func(body []byte)
 	garbled atomic.Int64
 	sent    atomic.Int64
+	served  servedCounts
 }
 
 // Sent counts datagrams let go.
 func (p *Post) Sent() int64 { return p.sent.Load() }
 
+// Served is what the datagrams of each kind have cost so far.
+func (p *Post) Served() map[string]Served { return p.served.now() }
+
 // NewPost works on an open packet conn. Kinds are named before Run.
 func NewPost(pc net.PacketConn) *Post { return &Post{pc: pc, kinds: map[string]func([]byte){}} }
 
@@ -74,7 +79,9 @@
 		p.garbled.Add(1)
 		return
 	}
+	began := time.Now()
 	f(m.Body)
+	p.served.at(m.Kind).add(len(b), 0, time.Since(began))
 }
 
 // Bad counts one body that its kind could not read.
--- a/internal/kernel/wire/wire.go
+++ b/internal/kernel/wire/wire.go
@@ -196,6 +196,7 @@
 type Mux struct {
 	mux     *http.ServeMux
 	garbled atomic.Int64
+	served  servedCounts
 }
 
 // NewMux serves nothing yet.
@@ -207,14 +208,26 @@
 // Garbled counts calls that could not be read.
 func (m *Mux) Garbled() int64 { return m.garbled.Load() }
 
+// Served is what the calls at each path have cost so far.
+func (m *Mux) Served() map[string]Served { return m.served.now() }
+
 // Handle answers calls at path with f.
 func Handle[Q, A any](m *Mux, path string, f func(context.Context, Q) (A, error)) {
-	handle(m, path, f, func(w http.ResponseWriter, _ *http.Request, answer A) { _, _ = w.Write(Pack(answer)) })
+	handle(m, path, f, func(w http.ResponseWriter, _ *http.Request, answer A) int { return write(w, Pack(answer)) })
+}
+
+// write writes an answer and gives how many bytes went.
+func write(w http.ResponseWriter, answer []byte) int {
+	n, _ := w.Write(answer)
+	return n
 }
 
-// handle reads a message, acts on it with f and hands the answer to write.
-func handle[Q, A any](m *Mux, path string, f func(context.Context, Q) (A, error), write func(http.ResponseWriter, *http.Request, A)) {
+// handle reads a message, acts on it with f and hands the answer to write, which gives how many bytes went.
+func handle[Q, A any](m *Mux, path string, f func(context.Context, Q) (A, error), write func(http.ResponseWriter, *http.Request, A) int) {
+	served := m.served.at(path)
 	m.mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		began, in, out := time.Now(), 0, 0
+		defer func() { served.add(in, out, time.Since(began)) }()
 		w.Header().Set("Drumstall-Speaks", Speaks)
 		// Why: a message of another version may mean something else; it is never half-applied.
 		if v := r.Header.Get("Drumstall-Speaks"); v != Speaks {
@@ -223,7 +236,9 @@
 			return
 		}
 		var q Q
-		if status := readQuestion(w, r, &q); status != http.StatusOK {
+		read, status := readQuestion(w, r, &q)
+		in = read
+		if status != http.StatusOK {
 			m.garbled.Add(1)
 			w.WriteHeader(status)
 			return
@@ -238,25 +253,25 @@
 			_, _ = w.Write(Pack(no))
 			return
 		}
-		write(w, r, a)
+		out = write(w, r, a)
 	})
 }
 
-// readQuestion reads a message into q and gives the status of what became of it.
-func readQuestion(w http.ResponseWriter, r *http.Request, q any) int {
+// readQuestion reads a message into q. It gives how many bytes came and the status of what became of them.
+func readQuestion(w http.ResponseWriter, r *http.Request, q any) (bytes, status int) {
 	sent, err := readBody(http.MaxBytesReader(w, r.Body, MaxMessage))
 	if err != nil {
-		return http.StatusRequestEntityTooLarge
+		return len(sent), http.StatusRequestEntityTooLarge
 	}
 	body, err := decode(sent, r.Header)
 	if errors.Is(err, errCoding) {
-		return http.StatusUnsupportedMediaType
+		return len(sent), http.StatusUnsupportedMediaType
 	}
 	if err != nil {
-		return http.StatusBadRequest
+		return len(sent), http.StatusBadRequest
 	}
 	if err := Unpack(body, q); err != nil {
-		return http.StatusBadRequest
+		return len(sent), http.StatusBadRequest
 	}
-	return http.StatusOK
+	return len(sent), http.StatusOK
 }
