An agent confirms its configuration by a stamp; the document comes by gossip

What callers saw: after all machines of a large site lost power, no operator could read the configuration back and edges began to serve late or never. Cause: a restarted agent asked a core for the newest configuration, which asked the owner, and both answers were the whole document. 89 agents at once, one second each, over all cores in turn: the owner sent 81 MB in five seconds, of 75 MB that its link carries, nearly all of it for callers who had given up. The fault feeds itself and does not end. Ruled out: whole tables of members (a second's work at the start, none later), the disk. Change: agents ask for the stamp alone and pull the document from the core that tells them their news; callers who ask a core at once share one question to the owner; one core is asked at a time, with growing pauses; operators are answered from the asked core's own copy where that has the owner's stamp.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,9 +26,8 @@
 )
 
 const (
-	confirmInterval = 100 * time.Millisecond
-	limit           = time.Second
-	maxPeers        = 16
+	limit    = time.Second
+	maxPeers = 16
 	// maxHold bounds how long a proxy may have its answer held back.
 	maxHold = 500 * time.Millisecond
 	// lingerGap is how long a stopping agent must not have been asked by its proxy before it goes.
@@ -66,6 +65,7 @@
 	post      *wire.Post
 	servers   []*wire.Server
 	confirmed atomic.Bool
+	confirms  confirmation
 	touch     *touch.Keeper
 	latest    atomic.Pointer[dated]
 	fed       atomic.Pointer[report.Report] // the last report that came with an exchange
@@ -181,29 +181,6 @@
 // Thaw ends a freeze.
 func (a *Agent) Thaw() { a.base.Thaw() }
 
-// confirm makes sure that the configuration here is no older than any that
-// was ever in force on this machine: the owner's word is the newest there is.
-func (a *Agent) confirm(ctx context.Context) {
-	if a.confirmed.Load() {
-		return
-	}
-	for _, n := range a.members.Live(member.RoleCore) {
-		one, cancel := context.WithTimeout(ctx, limit)
-		got, err := wire.Call[none, core.Newest](one, a.caller, n.Addr, "/conf/confirm", none{})
-		cancel()
-		if err != nil {
-			a.log.Info("configuration not confirmed", "by", n.Name, "error", err)
-			continue
-		}
-		if got.Found {
-			a.gossip.Put(got.Entry)
-		}
-		a.confirmed.Store(true)
-		a.log.Info("configuration confirmed", "by", n.Name)
-		return
-	}
-}
-
 // onGossip logs when a configuration has come.
 func (a *Agent) onGossip(e gossip.Entry) {
 	if e.Key == conf.Key {
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -113,12 +113,31 @@
 	return out, nil
 }
 
-func (c *Core) newest(ctx context.Context, _ none) (Newest, error) {
+// newest answers as the owner of the configuration.
+func (c *Core) newest(ctx context.Context, q NewestQuery) (Newest, error) {
 	rec, found, err := c.own.Get(ctx, conf.Key)
 	if err != nil || !found {
 		return Newest{}, err
 	}
-	return Newest{Found: true, Entry: gossip.Entry{Key: rec.Key, Stamp: rec.Stamp, Value: rec.Value}}, nil
+	entry := gossip.Entry{Key: rec.Key, Stamp: rec.Stamp, Value: rec.Value}
+	if q.StampOnly {
+		entry.Value, entry.Head = nil, true
+	}
+	return Newest{Found: true, Entry: entry}, nil
+}
+
+// askNewest asks the owner of the configuration, wherever that is.
+func (c *Core) askNewest(ctx context.Context, q NewestQuery) (Newest, error) {
+	return atOwner(ctx, c, conf.Key, newestPath, q, c.newest)
+}
+
+// confirm answers an agent. Why: after a loss of power all agents ask at once, and the
+// owner's link does not carry the document for each of them.
+func (c *Core) confirm(ctx context.Context, q NewestQuery) (Newest, error) {
+	if q.StampOnly {
+		return c.newestStamp.Ask(ctx)
+	}
+	return c.askNewest(ctx, q)
 }
 
 // Submit takes a configuration from an operator at whichever core.
@@ -139,7 +158,10 @@
 func (c *Core) Newest(ctx context.Context) (conf.Kept, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
-	n, err := atOwner(ctx, c, conf.Key, "/conf/newest", none{}, c.newest)
+	n, err := c.newestStamp.Ask(ctx)
+	if err == nil && n.Found && n.Entry.Head {
+		n, err = c.document(ctx, n)
+	}
 	if err != nil || !n.Found {
 		return conf.Kept{}, false, err
 	}
@@ -147,6 +169,15 @@
 	return k, err == nil, err
 }
 
+// document is the configuration of a stamp, or a newer one: from here if it has come, and
+// else from the owner.
+func (c *Core) document(ctx context.Context, named Newest) (Newest, error) {
+	if here, found := c.gossip.Get(conf.Key); found && here.Stamp == named.Entry.Stamp {
+		return Newest{Found: true, Entry: here}, nil
+	}
+	return c.askNewest(ctx, NewestQuery{})
+}
+
 // Rescue makes this core the only voter.
 func (c *Core) Rescue(ctx context.Context, lost []string, serial uint64) (any, error) {
 	return c.set.Rescue(ctx, lost, serial)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,6 +19,7 @@
 	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
 	"drumstall.example/internal/kernel/bounds"
+	"drumstall.example/internal/kernel/flight"
 	"drumstall.example/internal/kernel/load"
 	"drumstall.example/internal/kernel/rest"
 	"drumstall.example/internal/kernel/ring"
@@ -111,6 +112,7 @@
 	checked        atomic.Pointer[checkedConf]
 	confNews       atomic.Bool // a configuration has come that was not read yet
 	confSoon       *run.Nudge
+	newestStamp    *flight.Shared[Newest] // the owner's word on the newest configuration
 	reading        rest.Rest              // of configurations; owned by the actor of confSoon
 	controllers    map[string]*controlled // owned by the actor of tend
 	controllersNow atomic.Pointer[map[string]*order.Controller]
@@ -208,6 +210,11 @@
 	c.set = coremembers.New(coremembers.Deps{Self: c.self, Want: s.Cores, Founders: s.Founders, MayFound: s.MayFound, Target: 2*s.Bounds.Tolerated + 1, Replaces: s.Replaces, Group: c.group, Log: c.log, Caller: c.caller,
 		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf, Gone: c.goneFor, Heard: c.heardFor}, c.mux)
 	c.watch.Start(c.group, s.Cadence.List, func() bool { return true })
+	c.newestStamp = flight.New(c.group, func(ctx context.Context) (Newest, error) {
+		ctx, cancel := context.WithTimeout(ctx, ownerFor)
+		defer cancel()
+		return c.askNewest(ctx, NewestQuery{StampOnly: true})
+	})
 	c.serve()
 	tending := run.NewActor(c.group, 4, tendEvery, func() { c.tend(c.group.Context()) })
 	c.tendSoon = run.NewNudge(tending, func() { c.tend(c.group.Context()) })
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -26,7 +26,20 @@
 	}
 }
 
-// Newest is the newest configuration under the owner's lease.
+const (
+	// newestPath asks the owner of the configuration for the newest.
+	newestPath = "/conf/newest"
+	// ConfirmPath asks any core, which asks the owner.
+	ConfirmPath = "/conf/confirm"
+)
+
+// NewestQuery asks for the newest configuration.
+type NewestQuery struct {
+	// StampOnly asks for its stamp alone; the document comes by gossip.
+	StampOnly bool `cbor:"1,keyasint,omitempty"`
+}
+
+// Newest is the newest configuration under the owner's lease, or only its headline.
 type Newest struct {
 	Found bool         `cbor:"1,keyasint"`
 	Entry gossip.Entry `cbor:"2,keyasint"`
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -21,13 +21,12 @@
 		a, err := c.submit(ctx, s)
 		return a, coded(err)
 	})
-	wire.Handle(c.mux, "/conf/newest", func(ctx context.Context, q none) (Newest, error) {
+	wire.HandleLarge(c.mux, newestPath, func(ctx context.Context, q NewestQuery) (Newest, error) {
 		a, err := c.newest(ctx, q)
 		return a, coded(err)
 	})
-	// An edge asks any core, which asks the owner.
-	wire.Handle(c.mux, "/conf/confirm", func(ctx context.Context, q none) (Newest, error) {
-		a, err := atOwner(ctx, c, conf.Key, "/conf/newest", q, c.newest)
+	wire.HandleLarge(c.mux, ConfirmPath, func(ctx context.Context, q NewestQuery) (Newest, error) {
+		a, err := c.confirm(ctx, q)
 		return a, coded(err)
 	})
 	wire.Handle(c.mux, considerPath, c.considerHere)
--- a/internal/sim/fleet/helpers_test.go
+++ b/internal/sim/fleet/helpers_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -37,3 +38,10 @@
 		return n == copies
 	})
 }
+
+// newestWithin asks a core for the newest configuration and waits so long for it.
+func newestWithin(ctx context.Context, n *Node, within time.Duration) (conf.Kept, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	return n.Core.Newest(ctx)
+}
