Whole tables of members are asked of a peer one at a time, and packed ten times a second

What callers saw: on the large site the first configuration was acknowledged after 5.5 s and slots were lost at the start; after a loss of power the seeds of the duties site served 442 to 532 exchanges of tables in five seconds, 114 s of waiting in them. Cause: a node that starts asks a seed every 200 ms, whether or not it has answered; each exchange hashed and packed every node anew and told the whole table both ways. The seeds' work grows with the square of the fleet, and with their own slowness. Change: one exchange with a peer at a time; hashes are kept until a node changes; a table of more than 24 nodes is packed at most ten times a second; only what the peer lacks is returned.

--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -48,7 +48,7 @@
 		t.nodes[n.Name] = &entry{node: n, since: t.clock.Since(), tell: retell}
 		return true
 	}
-	if n.Inc < old.node.Inc || n.Inc == old.node.Inc && n.State <= old.node.State {
+	if !n.overrides(old.node) {
 		return false
 	}
 	if old.node.State != n.State {
@@ -59,6 +59,11 @@
 	return true
 }
 
+// overrides says that an opinion of a node takes the place of another.
+func (n Node) overrides(old Node) bool {
+	return n.Inc > old.Inc || n.Inc == old.Inc && n.State > old.State
+}
+
 // aboutSelf answers what others say of this node.
 func (t *Table) aboutSelf(n Node) {
 	if n.Inc < t.self.Inc || t.self.State == Left || n.Boot == t.self.Boot && n.State == Alive {
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -4,10 +4,25 @@
 	"context"
 	"hash/fnv"
 	"math/rand/v2"
+	"time"
 
 	"drumstall.example/internal/kernel/wire"
 )
 
+const (
+	// smallTable is up to how many nodes a table is packed anew for each who asks for it.
+	smallTable = 24
+	// packedFor is how long a larger one is told as it was packed. Why: when a large fleet starts, every
+	// node asks the seeds for the whole table again and again, while it changes all the time.
+	packedFor = 100 * time.Millisecond
+)
+
+// packedRoll is the whole table as it was told last.
+type packedRoll struct {
+	answer wire.Large
+	at     time.Duration // 0 is never
+}
+
 // sync exchanges whole tables with one peer, and with a seed now and then.
 func (t *Table) sync(seed bool) {
 	var addrs []string
@@ -25,14 +40,19 @@
 	}
 	sum := t.sum()
 	for _, addr := range addrs {
-		if addr == t.self.Addr {
+		// Why: a peer that has not answered yet is busy; asking it again makes it busier.
+		if addr == t.self.Addr || t.syncing[addr] {
 			continue
 		}
-		t.group.Go(func(ctx context.Context) { t.syncWith(ctx, addr, sum) })
+		t.syncing[addr] = true
+		t.group.Go(func(ctx context.Context) {
+			t.syncWith(ctx, addr, sum)
+			_ = t.actor.Ask(ctx, func() { delete(t.syncing, addr) })
+		})
 	}
 }
 
-// syncWith exchanges whole tables with one peer where they differ.
+// syncWith exchanges tables with one peer where they differ.
 func (t *Table) syncWith(ctx context.Context, addr string, sum uint64) {
 	ctx, cancel := context.WithTimeout(ctx, syncLimit)
 	defer cancel()
@@ -40,16 +60,50 @@
 	if err != nil || theirs.Sum == sum {
 		return
 	}
-	var ours Roll
+	var lacking Roll
 	if t.actor.Ask(ctx, func() {
-		ours = t.roll()
-		ours.Sum = sum
+		lacking = Roll{Nodes: t.lackedBy(theirs.Nodes), Sum: sum}
 		t.mergeAll(theirs.Nodes)
-	}) != nil {
+	}) != nil || len(lacking.Nodes) == 0 {
 		return
 	}
 	// Why: what the peer lacks is its own loss; what we lacked is here.
-	_, _ = wire.Call[Roll, Roll](ctx, t.caller, addr, syncPath, ours)
+	_, _ = wire.Call[Roll, Roll](ctx, t.caller, addr, syncPath, lacking)
+}
+
+// lackedBy is the nodes of this table that another does not know, or knows as they were before.
+func (t *Table) lackedBy(theirs []Node) []Node {
+	known := make(map[string]Node, len(theirs))
+	for _, n := range theirs {
+		known[n.Name] = n
+	}
+	var out []Node
+	for _, n := range t.roll().Nodes {
+		if other, found := known[n.Name]; !found || n.overrides(other) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// answerSync is the packed answer to a peer's table, or to the sum of it.
+func (t *Table) answerSync(q Roll) wire.Large {
+	now := t.clock.Since()
+	if t.toldAsPacked(q, now) {
+		t.mergeAll(q.Nodes)
+		return t.packed.answer
+	}
+	answer := t.onSync(q)
+	packed := wire.Prepare(answer)
+	if len(answer.Nodes) > smallTable {
+		t.packed = packedRoll{answer: packed, at: now}
+	}
+	return packed
+}
+
+// toldAsPacked says that who asks lacks the whole table and is told it as it was packed last.
+func (t *Table) toldAsPacked(q Roll, now time.Duration) bool {
+	return t.packed.at != 0 && now-t.packed.at < packedFor && !q.returned() && !q.same(t.sum())
 }
 
 // onSync answers a peer's table, or the sum of it.
@@ -66,14 +120,31 @@
 // remembered by some and were never known to others.
 func (t *Table) sum() uint64 {
 	total := uint64(1)
-	for _, n := range t.roll().Nodes {
-		if n.Thought() {
-			total ^= n.hash()
+	if !t.yielded && t.self.Thought() {
+		total ^= t.selfSum.of(t.self)
+	}
+	for _, e := range t.nodes {
+		if e.node.Thought() {
+			total ^= e.sum.of(e.node)
 		}
 	}
 	return max(total, 1)
 }
 
+// nodeSum keeps the hash of what is known of a node until that changes.
+type nodeSum struct {
+	node Node
+	hash uint64
+}
+
+// of is the hash of a node.
+func (s *nodeSum) of(n Node) uint64 {
+	if s.hash == 0 || s.node != n {
+		s.node, s.hash = n, n.hash()
+	}
+	return s.hash
+}
+
 // hash is of all that is known of a node.
 func (n Node) hash() uint64 {
 	h := fnv.New64a()
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -18,6 +18,7 @@
 	node  Node
 	since time.Duration // since when it has its state
 	tell  int           // times it is still to be told
+	sum   nodeSum
 }
 
 // Table is the one owner of what is known of nodes. Its methods may be called from
@@ -32,7 +33,10 @@
 	seeds   []string
 	met     []string // whom an earlier process of this node knew
 	self    Node
+	selfSum nodeSum
 	nodes   map[string]*entry
+	syncing map[string]bool // addresses with which tables are being exchanged
+	packed  packedRoll
 	probes  map[uint64]probe
 	seq     uint64
 	turn    []string
@@ -48,7 +52,7 @@
 // stops. in tells the others how long this node has been out of touch.
 func New(g *run.Group, clock tick.Clock, log *slog.Logger, post *wire.Post, caller *wire.Caller, mux *wire.Mux, self Node, seeds []string, in *touch.Keeper) *Table {
 	t := &Table{group: g, clock: clock, log: log, post: post, caller: caller, seeds: seeds, self: self,
-		nodes: map[string]*entry{}, probes: map[uint64]probe{}, seq: rand.Uint64N(1 << 40), touch: in}
+		nodes: map[string]*entry{}, syncing: map[string]bool{}, probes: map[uint64]probe{}, seq: rand.Uint64N(1 << 40), touch: in}
 	t.acked.Store(&map[string]time.Duration{})
 	t.publish()
 	for kind, f := range map[string]func(note){"ping": t.onPing, "ack": t.onAck, "ask": t.onAsk} {
@@ -64,9 +68,9 @@
 			})
 		})
 	}
-	wire.Handle(mux, syncPath, func(ctx context.Context, q Roll) (Roll, error) {
-		var answer Roll
-		err := t.actor.Ask(ctx, func() { answer = t.onSync(q) })
+	wire.HandlePrepared(mux, syncPath, func(ctx context.Context, q Roll) (wire.Large, error) {
+		var answer wire.Large
+		err := t.actor.Ask(ctx, func() { answer = t.answerSync(q) })
 		return answer, err
 	})
 	wire.Handle(mux, "/member/who", func(context.Context, none) (Who, error) {
