--- a/internal/place/report/report.go
+++ b/internal/place/report/report.go
@@ -83,9 +83,12 @@
 	sums    sums
 	present window
 	lately  window
+	forgot  time.Duration // when agents that were not heard for long were last let go of
 }
 
 const (
+	// forgetEvery is the time between two looks for agents that were not heard for long.
+	forgetEvery = time.Minute
 	// latelyFresh is how long what an edge that went silent had in flight counts.
 	latelyFresh = 5 * Fresh
 	// keptFor is how long an agent's report is kept that has sent no other.
@@ -143,6 +146,10 @@
 
 // forget lets go of agents that were not heard for long.
 func (t *Table) forget(now time.Duration) {
+	if now-t.forgot < forgetEvery {
+		return
+	}
+	t.forgot = now
 	for agent, d := range t.newest {
 		if now-d.At >= keptFor {
 			delete(t.newest, agent)
