What a replica holds takes room though the configuration no longer names it

Cause: sizes that reports leave out were taken from the configuration in force, 0 for what is not in it. Class: what the newest configuration no longer tells counted as nothing. Change: the size in the book lasts while the item is held; the larger of book and configuration counts; a size that nobody knows counts as the largest known, marked as guessed until it is told. Test fails on the code before (0 MiB of 44).

--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -53,6 +53,8 @@
 type Line struct {
 	State   string `cbor:"1,keyasint"`
 	SizeMib int    `cbor:"2,keyasint"`
+	// Guessed says that nobody has told the size, and that it counts as the largest known.
+	Guessed bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Book is kept in the control state before orders follow from it.
--- a/internal/place/order/look.go
+++ b/internal/place/order/look.go
@@ -16,8 +16,7 @@
 
 // complete adds what the report leaves to the configuration.
 func (c *Controller) complete(v *backend.Report) {
-	cfg := c.d.Conf()
-	if s, found := cfg.ServiceOf(c.listed.Labels); found {
+	if s, found := c.d.Conf().ServiceOf(c.listed.Labels); found {
 		if v.CapacityMib == 0 {
 			v.CapacityMib = s.CapacityMib
 		}
@@ -28,17 +27,37 @@
 			v.Slots = s.Slots
 		}
 	}
-	for item, seen := range v.Items {
-		m := cfg.Models[item.Model]
-		switch {
-		case seen.SizeMib > 0:
-		case item.Adapter == "":
-			seen.SizeMib = m.SizeMib
-		default:
-			seen.SizeMib = m.AdapterMib
+}
+
+// sizeOf is the size of an item that a replica holds and gives no size for, and whether it is guessed. Why:
+// what is held takes room for as long as it is held, whatever the newest configuration says of it, or nothing.
+func (c *Controller) sizeOf(item conf.Item, held Line) (mib int, guessed bool) {
+	models := c.d.Conf().Models
+	known := sizeIn(models[item.Model], item)
+	if !held.Guessed {
+		known = max(known, held.SizeMib)
+	}
+	if known > 0 {
+		return known, false
+	}
+	largest := 0
+	for _, m := range models {
+		largest = max(largest, sizeIn(m, item))
+	}
+	for other, l := range c.book {
+		if (other.Adapter == "") == (item.Adapter == "") && !l.Guessed {
+			largest = max(largest, l.SizeMib)
 		}
-		v.Items[item] = seen
 	}
+	return largest, true
+}
+
+// sizeIn is the size of a model, or of an adapter on it.
+func sizeIn(m conf.Model, item conf.Item) int {
+	if item.Adapter == "" {
+		return m.SizeMib
+	}
+	return m.AdapterMib
 }
 
 // doubtFor is for how long after its order a load that no report shows counts
@@ -83,7 +102,10 @@
 			l = &line{lastUsed: asked}
 			c.book[item] = l
 		}
-		l.SizeMib = seen.SizeMib
+		l.SizeMib, l.Guessed = c.sizeOf(item, l.Line)
+		if seen.SizeMib > 0 {
+			l.SizeMib, l.Guessed = seen.SizeMib, false
+		}
 		l.unsure = false
 		if seen.Inflight > 0 {
 			l.lastUsed = asked
--- /dev/null
+++ b/internal/place/order/room_test.go
@@ -0,0 +1,60 @@
+package order
+
+import (
+	"io"
+	"testing"
+	"testing/synctest"
+
+	"drumstall.example/internal/backend"
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
+	"drumstall.example/internal/inventory"
+	"drumstall.example/internal/kernel/ring"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/sim/simhost"
+)
+
+// looking is a controller that looks at a replica and orders nothing; cfg is the configuration in force.
+func looking(t *testing.T, replica *reporting, cfg *conf.Effective) *Controller {
+	return &Controller{d: Deps{Group: run.NewGroup(t.Context()), Clock: simhost.NewClock(), Log: ring.New(io.Discard, 10).Logger(), Replicas: replica,
+		Gossip: gossip.NewTable(), Conf: func() conf.Effective { return *cfg }}, listed: inventory.Listed{ID: "r", Addr: "10.0.0.1:1", Model: true},
+		book: map[conf.Item]*line{}, held: map[string]bool{}, traits: replica.Traits()}
+}
+
+// configured is a configuration with models of some sizes.
+func configured(sizes map[string]int) conf.Effective {
+	cfg := conf.Empty()
+	cfg.Models = map[string]conf.Model{}
+	for name, size := range sizes {
+		cfg.Models[name] = conf.Model{SizeMib: size, AdapterMib: size / 10}
+	}
+	return cfg
+}
+
+// A model leaves the configuration while a replica holds it.
+func TestWhatIsHeldTakesRoomThoughTheConfigurationNoLongerNamesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		both, one, smaller := configured(map[string]int{"a": 40, "b": 30}), configured(map[string]int{"b": 30}), configured(map[string]int{"a": 10, "b": 30})
+		held := map[conf.Item]backend.Line{model("a"): {State: backend.Loaded}, {Model: "a", Adapter: "x"}: {State: backend.Loaded}}
+		replica, cfg := &reporting{items: held}, both
+		ctl := looking(t, replica, &cfg)
+		expect := func(when string, wantMib, wantPlaces int) {
+			t.Helper()
+			ctl.look()
+			if mib, places := ctl.there(); mib != wantMib || places != wantPlaces {
+				t.Errorf("%s: %d MiB and %d places count as taken, not %d and %d", when, mib, places, wantMib, wantPlaces)
+			}
+		}
+		expect("while it is configured", 44, 1)
+		cfg = one
+		expect("when it has left the configuration", 44, 1)
+		cfg = smaller
+		expect("when it is said to be smaller", 44, 1)
+		// Another controller, whose book says nothing of it, takes it for as large as the largest.
+		cfg = one
+		ctl = looking(t, replica, &cfg)
+		expect("where nobody knows its size", 33, 1)
+		cfg = both
+		expect("when its size is told", 44, 1)
+	})
+}
--- a/internal/place/order/takeover_test.go
+++ b/internal/place/order/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,7 +25,7 @@
 }
 
 func (r *reporting) Report(_ context.Context, t backend.Target) (backend.Report, error) {
-	return backend.Report{ID: t.ID, Incarnation: t.ID, Model: true, CapacityMib: 100, Slots: 4, Busy: r.busy, Items: r.items}, nil
+	return backend.Report{ID: t.ID, Incarnation: t.ID, Model: true, CapacityMib: 100, Slots: 4, Busy: r.busy, Items: maps.Clone(r.items)}, nil
 }
 
 func (r *reporting) Traits() backend.Traits {
