An order that a cut holds up keeps its room until its replica has been heard for a while

Cause: an order inherited at a take-over was struck 3 s after the take-over, though the replica was not heard meanwhile; the order arrived when the cut healed, and reports lag besides. Change: an inherited or unanswered order is doubted from when the replica is heard again without a failed look, not from when it was given. Test fails on the code before: cuts of 1 to 30 s, inherited and own (0 MiB of 40).

--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -103,6 +103,7 @@
 	actor      *run.Actor
 	report     backend.Report
 	reportAt   time.Duration // when the report we have was asked for
+	heardSince time.Duration // since when reports have come without a long silence
 	known      bool          // a report came since we took over
 	book       map[conf.Item]*line
 	tasks      deque.Deque[*task]
--- a/internal/place/order/look.go
+++ b/internal/place/order/look.go
@@ -69,6 +69,18 @@
 	return doubt
 }
 
+// longSilence is from when on an order to a replica that was not heard may be held up on the way.
+const longSilence = time.Second
+
+// mayBegin is from when on a load that no report shows would show if it was carried out. Why: what an owner before
+// us ordered, or we with no answer, may lie on a way that is cut, and arrives when the replica is heard again.
+func (c *Controller) mayBegin(l *line) time.Duration {
+	if l.inherited || l.unsure {
+		return max(l.ordered, c.heardSince)
+	}
+	return l.ordered
+}
+
 // look asks the replica how it is and brings the book in line.
 func (c *Controller) look() {
 	ctx, cancel := context.WithTimeout(c.d.Group.Context(), askLimit)
@@ -85,6 +97,7 @@
 		}
 		return
 	}
+	silent := c.wrong > 0 || asked-c.reportAt >= longSilence
 	c.wrong = 0
 	c.complete(&v)
 	if c.known && v.Incarnation != c.report.Incarnation {
@@ -95,6 +108,9 @@
 	if v.Leaving {
 		inventory.Mark(c.d.Gossip, c.listed.ID)
 	}
+	if !c.known || silent {
+		c.heardSince = asked
+	}
 	c.report, c.reportAt, c.known = v, asked, true
 	for item, seen := range v.Items {
 		l := c.book[item]
@@ -127,7 +143,7 @@
 		}
 		// Why: an order whose outcome is not known counts as carried out until a later report denies it.
 		// Why: what an owner before us may have ordered stands in the book as room kept, and may be loading just now.
-		if asked-l.ordered < c.doubtFor(l) || v.Busy && (l.State == backend.Loading || l.inherited) {
+		if asked-c.mayBegin(l) < c.doubtFor(l) || v.Busy && (l.State == backend.Loading || l.inherited) {
 			continue
 		}
 		if item.Adapter == "" && (l.State == Leaving || l.State == backend.Loaded) {
--- a/internal/place/order/room_test.go
+++ b/internal/place/order/room_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
@@ -58,3 +59,36 @@
 		expect("when its size is told", 44, 1)
 	})
 }
+
+// An order of the owner before lies on a way that is cut; it arrives when the replica is heard again,
+// and shows in reports some time after that.
+func TestAnOrderHeldUpOnACutWayKeepsItsRoom(t *testing.T) {
+	for _, cut := range []time.Duration{0, time.Second, 3 * time.Second, 5 * time.Second, 30 * time.Second} {
+		for _, inherited := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				cfg := configured(map[string]int{"a": 40})
+				replica := &reporting{items: map[conf.Item]backend.Line{}}
+				ctl := looking(t, replica, &cfg)
+				if !inherited {
+					ctl.look()
+				}
+				ctl.book[model("a")] = &line{Line: Line{State: backend.Loading, SizeMib: 40}, ordered: ctl.d.Clock.Since(), inherited: inherited, unsure: !inherited}
+				time.Sleep(cut)
+				for range 25 {
+					ctl.look()
+					if mib, _ := ctl.there(); mib != 40 {
+						t.Fatalf("cut %v, inherited %v: %d MiB count as taken", cut, inherited, mib)
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				for range doubt / (100 * time.Millisecond) {
+					time.Sleep(100 * time.Millisecond)
+					ctl.look()
+				}
+				if mib, _ := ctl.there(); mib != 0 {
+					t.Errorf("cut %v, inherited %v: %d MiB count as taken though nothing came of the order", cut, inherited, mib)
+				}
+			})
+		}
+	}
+}
