The first set of voters forms though founders are started anew before there is one

Cause: only the lowest name offered the set, and only in its first life. Class: one named actor whom nobody replaces. Change: founders offer in turns by name, two seconds apart; a core keeps on disk, while it is empty, that it was there at the first start. Two sets still cannot both be formed: all founders agree on disk before any votes, and none agrees to another set once it votes. Test: each founder, and all, at six moments; fails on the code before.

--- a/internal/sim/fleet/unattended_test.go
+++ b/internal/sim/fleet/unattended_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"drumstall.example/internal/stand"
@@ -126,3 +127,45 @@
 		f.Until(5*time.Second, "the new member votes", func() bool { return extra.Core.Phase() == acceptor.Voter })
 	})
 }
+
+// Founders are started anew before there is a set: one of them, with its disk or without, or all at once with theirs.
+func TestTheFirstSetFormsThoughFoundersAreStartedAnew(t *testing.T) {
+	t.Parallel()
+	moments := []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond}
+	if testing.Short() {
+		moments = moments[2:3]
+	}
+	cases := []struct {
+		name     string
+		again    []int // which cores
+		loseDisk bool
+	}{{"first", []int{0}, false}, {"first without its disk", []int{0}, true}, {"second without its disk", []int{1}, true},
+		{"third without its disk", []int{2}, true}, {"all", []int{0, 1, 2}, false}}
+	for _, c := range cases {
+		for i, moment := range moments {
+			t.Run(fmt.Sprintf("%s after %v", c.name, moment), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					d := Small(3)
+					d.Unattended = true
+					f := NewAmid(t, uint64(i+1), d, func(f *Fleet) {
+						time.Sleep(moment)
+						f.Formed()
+						for _, n := range c.again {
+							f.KillCore(f.Cores[n], !c.loseDisk)
+							if c.loseDisk {
+								f.LoseDisk(f.Cores[n])
+							}
+						}
+						time.Sleep(500 * time.Millisecond)
+						for _, n := range c.again {
+							f.StartCore(f.Cores[n])
+						}
+					})
+					defer f.Stop()
+					f.Until(5*time.Second, "a change is taken", func() bool { _, taken := f.patchNow(1); return taken })
+					f.End()
+				})
+			})
+		}
+	}
+}
--- a/internal/state/acceptor/standing.go
+++ b/internal/state/acceptor/standing.go
@@ -26,6 +26,8 @@
 	Phase Phase             `cbor:"1,keyasint"`
 	Set   state.CoreMembers `cbor:"2,keyasint"`
 	Old   state.CoreMembers `cbor:"3,keyasint"` // while filling: whom to be filled from
+	// MayFound says, while nothing is known, that this disk was there at the very first start.
+	MayFound bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Standing is a copy of the phase and the core membership.
--- a/internal/state/coremembers/coremembers.go
+++ b/internal/state/coremembers/coremembers.go
@@ -59,6 +59,8 @@
 	d     Deps
 	actor *run.Actor
 	ticks int
+	// readyTicks is for how many intervals all founders have been there without a set.
+	readyTicks int
 
 	stopped atomic.Bool
 }
@@ -88,6 +90,12 @@
 		return Adoption{Set: st.Set, Old: st.Old, Phase: st.Phase}, nil
 	})
 	k.actor = run.NewActor(d.Group, 32, interval, k.onTick)
+	// Why: a core that is started anew before its first round must still know that it may found.
+	_ = k.actor.Tell(func() {
+		ctx, cancel := context.WithTimeout(d.Group.Context(), limit)
+		defer cancel()
+		_, _ = k.noteFirstStart(ctx, d.Acceptor.Standing())
+	})
 	return k
 }
 
@@ -136,7 +144,9 @@
 			return
 		}
 	}
-	k.found(ctx, st, live)
+	if st, noted := k.noteFirstStart(ctx, st); noted {
+		k.found(ctx, st, live)
+	}
 }
 
 // keep is a voter's round: it finishes what was decided, and where no operator
--- a/internal/state/coremembers/founding.go
+++ b/internal/state/coremembers/founding.go
@@ -22,8 +22,7 @@
 			return
 		}
 	}
-	// Why: one founder at a time; the others only agree.
-	if !cores[0].Is(k.d.Self()) {
+	if !k.turnToOffer(cores) {
 		return
 	}
 	set, ok := k.offer(ctx, cores)
@@ -36,6 +35,31 @@
 	}
 }
 
+// offerTicks is for how many intervals each of the founders, in the order of their names, is left to
+// offer the set before the next one does too.
+const offerTicks = 4
+
+// turnToOffer says whether this core is to offer the first set to all founders. Why: one at a time
+// is enough and the others only agree; but the one whose turn it is may have been started anew, and may not found any more.
+func (k *Keeper) turnToOffer(founders []state.Core) bool {
+	rank := slices.IndexFunc(founders, func(c state.Core) bool { return c.Is(k.d.Self()) })
+	k.readyTicks++
+	return rank >= 0 && k.readyTicks > rank*offerTicks
+}
+
+// noteFirstStart keeps on disk that this core may found the first set, so that it still
+// may when it is started again before there is one.
+func (k *Keeper) noteFirstStart(ctx context.Context, st acceptor.Standing) (acceptor.Standing, bool) {
+	if !k.d.MayFound || st.Phase != acceptor.Empty || st.MayFound {
+		return st, true
+	}
+	noted, err := k.d.Acceptor.SetStanding(ctx, func(now acceptor.Standing) (acceptor.Standing, bool) {
+		now.MayFound = true
+		return now, now.Phase == acceptor.Empty
+	})
+	return noted, err == nil
+}
+
 // propose sends a formation to its members, and says whether all agreed. The
 // first refusal ends an offer; what is firm goes to all in any case.
 func (k *Keeper) propose(ctx context.Context, f Formation) bool {
@@ -68,7 +92,7 @@
 		return cores, len(live) == k.d.Want
 	}
 	// Why: a core that starts empty later must never found a second fleet; one that had agreed to found goes on.
-	if !k.d.MayFound && st.Phase != acceptor.Pending {
+	if !st.MayFound && st.Phase != acceptor.Pending {
 		return nil, false
 	}
 	for c := range live {
