--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -83,8 +83,6 @@
 	order uint64
 }
 
-type none struct{}
-
 // Start begins to take part.
 func Start(s Settings, env core.Env) (*Agent, error) {
 	a := &Agent{s: s, env: env, log: env.Log.Logger().With("node", s.Name), boot: core.NewBoot(), base: run.NewGroup(context.Background()),
--- a/internal/kernel/heap/heap.go
+++ b/internal/kernel/heap/heap.go
@@ -1,5 +1,5 @@
 // Package heap says how far the heap of a process may grow between two collections.
-// The programs call it once, at their start; it does not limit memory.
+// The programs call it once, at their start.
 package heap
 
 import (
@@ -33,6 +33,17 @@
 	k.follow()
 }
 
+// belowParts of 100 of what a process may use are in use when it collects as often as it must. The rest is for what
+// the runtime does not count, and for what comes faster than it is collected.
+const belowParts = 70
+
+// Below has a process that may use so many bytes collect more often when it comes near them; 0 is no limit.
+func Below(bytes int) {
+	if bytes > 0 {
+		debug.SetMemoryLimit(int64(bytes) / 100 * belowParts)
+	}
+}
+
 // keeper sets the percentage anew after collections that left another part live.
 type keeper struct {
 	pace   Pace
--- a/internal/kernel/heap/heap_test.go
+++ b/internal/kernel/heap/heap_test.go
@@ -82,3 +82,16 @@
 		run(b)
 	})
 }
+
+func TestALimitHoldsForPartOfTheMemory(t *testing.T) {
+	before := debug.SetMemoryLimit(-1)
+	defer debug.SetMemoryLimit(before)
+	Below(0)
+	if got := debug.SetMemoryLimit(-1); got != before {
+		t.Errorf("without a limit: %d bytes", got)
+	}
+	Below(280 * mib)
+	if got, want := debug.SetMemoryLimit(-1), int64(280*mib/100*belowParts); got != want {
+		t.Errorf("%d bytes, not %d", got, want)
+	}
+}
