An answer that has begun has its final end by its route's time

Cause: the route's time bounded the wait for the first piece only. Class: a bound that is only on the beginning.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,15 +20,26 @@
 
 // Stream is the body of an answer to a client.
 type Stream struct {
-	from io.ReadCloser
-	done func()
-	cut  *atomic.Int64 // counts streams that broke off
-	once sync.Once
+	from  io.ReadCloser
+	until time.Time
+	done  func()
+	cut   *atomic.Int64 // counts streams that broke off
+	once  sync.Once
 }
 
-// New relays from a reply; done is called once, however it ends.
-func New(from io.ReadCloser, cut *atomic.Int64, done func()) *Stream {
-	return &Stream{from: from, done: done, cut: cut}
+// New relays from a reply to a client that may take it until a moment; done is called once,
+// however it ends.
+func New(from io.ReadCloser, cut *atomic.Int64, until time.Time, done func()) *Stream {
+	return &Stream{from: from, until: until, done: done, cut: cut}
+}
+
+// pieceBy is by when a piece that is written now must have been taken.
+func (s *Stream) pieceBy(now time.Time) time.Time {
+	by := now.Add(pieceLimit + limitEvery)
+	if s.until.Before(by) {
+		return s.until
+	}
+	return by
 }
 
 // Read is for completeness; goa prefers WriteTo.
@@ -59,7 +70,7 @@
 		n, err := s.from.Read(buf)
 		if n > 0 {
 			if now := time.Now(); rc != nil && now.Sub(limitedAt) >= limitEvery {
-				_ = rc.SetWriteDeadline(now.Add(pieceLimit + limitEvery))
+				_ = rc.SetWriteDeadline(s.pieceBy(now))
 				limitedAt = now
 			}
 			m, werr := w.Write(buf[:n])
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 type broken struct {
@@ -36,7 +37,7 @@
 		var cut atomic.Int64
 		done := 0
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			s := New(&broken{strings.Fields(c.pieces), c.err}, &cut, func() { done++ })
+			s := New(&broken{strings.Fields(c.pieces), c.err}, &cut, time.Now().Add(time.Minute), func() { done++ })
 			defer s.Close()
 			w.WriteHeader(http.StatusOK)
 			_, _ = s.WriteTo(w)
