A voter keeps a write that overtook the whole table its holder had sent before

Cause: a whole table replaced all that was there unless the table of its epoch was there already. Change: records that the same holder wrote after the table stay. Test fails on the code before (x=before, y missing).

--- a/internal/state/acceptor/acceptor_test.go
+++ b/internal/state/acceptor/acceptor_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -100,6 +101,33 @@
 	})
 }
 
+// A single write overtakes the whole table that its holder sent before it.
+func TestAWholeTableThatWasOvertakenTakesNoLaterWriteAway(t *testing.T) {
+	bubble(t, func(t *testing.T, as []*Acceptor) {
+		ctx, a := t.Context(), as[0]
+		time.Sleep(state.HoldFor)
+		r, err := a.Prepare(ctx, ask("a", 1, 0, false))
+		yes(t, r, err)
+		r, err = a.Accept(ctx, ask("a", 1, 4, false, rec("x", "later", 1, 3), rec("y", "later", 1, 4)))
+		yes(t, r, err)
+		r, err = a.Accept(ctx, ask("a", 1, 2, true, rec("x", "before", 1, 1), rec("z", "before", 1, 2)))
+		yes(t, r, err)
+		got, err := a.records(0)
+		values := map[string]string{}
+		for _, rec := range got {
+			values[rec.Key] = string(rec.Value)
+		}
+		if want := map[string]string{"x": "later", "y": "later", "z": "before"}; err != nil || !maps.Equal(values, want) {
+			t.Errorf("%v, %v", values, err)
+		}
+		if r := yes(t, must(a.Digest(ctx, ask("a", 1, 0, false))), nil); r.Full != 1 {
+			t.Errorf("the whole table counts as under epoch %d", r.Full)
+		}
+	})
+}
+
+func must(r state.Reply, _ error) state.Reply { return r }
+
 func TestAnOlderWholeTableTakesNothingAway(t *testing.T) {
 	bubble(t, func(t *testing.T, as []*Acceptor) {
 		ctx, a := t.Context(), as[0]
--- a/internal/state/acceptor/records.go
+++ b/internal/state/acceptor/records.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"slices"
 
 	"github.com/cockroachdb/pebble/v2"
 	"github.com/pkg/errors"
@@ -33,11 +34,7 @@
 			next.Full, next.FullBy = q.Epoch, q.From
 		}
 		err := a.commit(func(b *pebble.Batch) error {
-			write := a.addRecords
-			if q.Full {
-				write = replaceRecords
-			}
-			if err := write(b, q.Slot, q.Records); err != nil {
+			if err := a.write(b, q); err != nil {
 				return err
 			}
 			return b.Set(keyPromise(q.Slot), wire.Pack(next), nil)
@@ -51,6 +48,38 @@
 	})
 }
 
+// write writes what the holder of a slot sends: single records, or the whole table.
+func (a *Acceptor) write(b *pebble.Batch, q state.Ask) error {
+	if !q.Full {
+		return a.addRecords(b, q.Slot, q.Records)
+	}
+	later, err := a.writtenAfter(q)
+	if err != nil {
+		return err
+	}
+	return replaceRecords(b, q.Slot, append(slices.Clip(q.Records), later...))
+}
+
+// writtenAfter is the records here that the holder wrote after the whole table that it sends. Why: messages
+// overtake each other, and what was confirmed here may be on just a majority of disks.
+func (a *Acceptor) writtenAfter(table state.Ask) ([]state.Record, error) {
+	here, err := a.records(table.Slot)
+	if err != nil {
+		return nil, err
+	}
+	sent := make(map[string]state.Stamp, len(table.Records))
+	for _, rec := range table.Records {
+		sent[rec.Key] = rec.Stamp
+	}
+	var later []state.Record
+	for _, rec := range here {
+		if rec.Stamp.Epoch == table.Epoch && rec.Stamp.Version > table.At && rec.Stamp.Newer(sent[rec.Key]) {
+			later = append(later, rec)
+		}
+	}
+	return later, nil
+}
+
 // addRecords writes those records that are newer than what is there.
 func (a *Acceptor) addRecords(b *pebble.Batch, slot int, recs []state.Record) error {
 	for _, rec := range recs {
