A core that was killed while it made its first data folder starts again

Change: a mark, synced before anything else, says that the store is being made; a folder with it holds nothing acknowledged and is made anew; the mark goes, synced, before the first vote.

--- a/internal/state/acceptor/acceptor.go
+++ b/internal/state/acceptor/acceptor.go
@@ -44,8 +44,14 @@
 // ErrFolder says that it is damaged or another node's.
 func Open(g *run.Group, folder string, whose Whose, fs vfs.FS, clock tick.Clock, log *slog.Logger) (*Acceptor, error) {
 	a := &Acceptor{clock: clock, log: log, fs: fs, folder: folder, door: make(chan struct{}, 1)}
-	if err := looksRight(fs, folder); err != nil {
-		return nil, err
+	making, err := beginMaking(fs, folder)
+	if err != nil {
+		return nil, errors.Wrapf(ErrFolder, "%s: %v", folder, err)
+	}
+	if !making {
+		if err := looksRight(fs, folder); err != nil {
+			return nil, err
+		}
 	}
 	db, err := pebble.Open(folder, &pebble.Options{
 		FS: fs, Logger: pebbleLog{a}, MemTableSize: 4 << 20,
@@ -63,6 +69,12 @@
 		_ = db.Close()
 		return nil, errors.Wrapf(ErrFolder, "%s: %v", folder, err)
 	}
+	if making {
+		if err := endMaking(fs, folder); err != nil {
+			_ = db.Close()
+			return nil, errors.Wrapf(ErrFolder, "%s: %v", folder, err)
+		}
+	}
 	a.setActor = run.NewActor(g, 64, 0, nil)
 	for i := range a.slots {
 		a.slots[i].actor = run.NewActor(g, 256, 0, nil)
--- a/internal/state/acceptor/folder.go
+++ b/internal/state/acceptor/folder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/cockroachdb/pebble/v2"
 	"github.com/cockroachdb/pebble/v2/vfs"
@@ -44,6 +45,67 @@
 	return nil
 }
 
+// makingMark lies in a data folder from before anything else does until the store in it is whole. Why: a
+// process that is killed meanwhile leaves a folder that pebble cannot read and that holds nothing of worth.
+const makingMark = "making"
+
+// beginMaking marks an empty folder as one in which a store is being made, and empties one in which that was
+// broken off. A folder that is not marked is left as it is. It says whether a store is to be made.
+func beginMaking(fs vfs.FS, folder string) (bool, error) {
+	if err := fs.MkdirAll(folder, 0o755); err != nil {
+		return false, err
+	}
+	names, err := fs.List(folder)
+	if err != nil {
+		return false, err
+	}
+	if len(names) > 0 && !slices.Contains(names, makingMark) {
+		return false, nil
+	}
+	for _, name := range names {
+		// Why: the mark goes last of all, by endMaking.
+		if name == makingMark {
+			continue
+		}
+		if err := fs.RemoveAll(fs.PathJoin(folder, name)); err != nil {
+			return false, err
+		}
+	}
+	mark, err := fs.Create(fs.PathJoin(folder, makingMark), vfs.WriteCategoryUnspecified)
+	if err != nil {
+		return false, err
+	}
+	err = mark.Sync()
+	if closing := mark.Close(); err == nil {
+		err = closing
+	}
+	if err != nil {
+		return false, err
+	}
+	return true, syncFolder(fs, folder)
+}
+
+// endMaking takes the mark away for good. Nothing may be kept in the store before.
+func endMaking(fs vfs.FS, folder string) error {
+	if err := fs.Remove(fs.PathJoin(folder, makingMark)); err != nil {
+		return err
+	}
+	return syncFolder(fs, folder)
+}
+
+// syncFolder makes the names in a folder last.
+func syncFolder(fs vfs.FS, folder string) error {
+	dir, err := fs.OpenDir(folder)
+	if err != nil {
+		return err
+	}
+	err = dir.Sync()
+	if closing := dir.Close(); err == nil {
+		err = closing
+	}
+	return err
+}
+
 // claim makes sure that the folder is this node's, and takes one that is nobody's yet.
 func (a *Acceptor) claim(whose Whose) error {
 	whose.Format = format
--- a/internal/state/acceptor/folder_test.go
+++ b/internal/state/acceptor/folder_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -147,3 +149,38 @@
 		}
 	})
 }
+
+// A core is killed, or loses power, at each step of making its first folder; it starts again with what is there.
+func TestACoreThatWasKilledWhileItMadeItsFolderStartsAgain(t *testing.T) {
+	mine := Whose{Fleet: "f", Node: "n"}
+	start := func(fs vfs.FS) error {
+		g := run.NewGroup(t.Context())
+		a, err := Open(g, "d", mine, fs, simhost.NewClock(), ring.New(io.Discard, 9).Logger())
+		g.Stop()
+		if err == nil {
+			err = a.Close()
+		}
+		return err
+	}
+	for _, kept := range []int{0, 50, 100} {
+		mem := vfs.NewCrashableMem()
+		var left []*vfs.MemFS // the disk as a kill would leave it, before each step
+		var taking sync.Mutex
+		fs := errorfs.Wrap(mem, errorfs.InjectorFunc(func(op errorfs.Op) error {
+			if op.Kind.ReadOrWrite() == errorfs.OpIsWrite {
+				taking.Lock()
+				defer taking.Unlock()
+				left = append(left, mem.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: kept, RNG: rand.New(rand.NewPCG(uint64(len(left)), 1))}))
+			}
+			return nil
+		}))
+		if err := start(fs); err != nil {
+			t.Fatal(err)
+		}
+		for step, disk := range left {
+			if err := start(disk); err != nil {
+				t.Errorf("killed before step %d of %d, %d in 100 of what was not synced kept: %v", step, len(left), kept, err)
+			}
+		}
+	}
+}
