--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -64,6 +64,25 @@
 	return ages
 }
 
+// servedCalls is what the calls at one path have cost since this core started.
+type servedCalls struct {
+	Calls    int64 `json:"calls"`
+	BytesIn  int64 `json:"bytesIn"`
+	BytesOut int64 `json:"bytesOut"`
+	TookMs   int64 `json:"tookMs"`
+}
+
+// served is what calls and datagrams have cost this core, by path and kind.
+func (c *Core) served() map[string]servedCalls {
+	out := map[string]servedCalls{}
+	for _, source := range []map[string]wire.Served{c.mux.Served(), c.post.Served()} {
+		for name, s := range source {
+			out[name] = servedCalls{Calls: s.Calls, BytesIn: s.In, BytesOut: s.Out, TookMs: s.Took.Milliseconds()}
+		}
+	}
+	return out
+}
+
 // Status is what this core sees.
 func (c *Core) Status(ctx context.Context) any {
 	st := c.acc.Standing()
@@ -111,7 +130,7 @@
 	}
 	return map[string]any{
 		"core": c.s.Name, "phase": string(st.Phase), "coreSet": st.Set, "slots": held, "members": members,
-		"conf": serial, "laggards": laggards, "edges": edges, "tenants": tenants, "replicas": views,
+		"busy": c.lag.Busy(), "served": c.served(), "conf": serial, "laggards": laggards, "edges": edges, "tenants": tenants, "replicas": views,
 		"claimsUnmet": gather(ctx, c, "/place/unmet", c.planner.Unmet), "afloatS": gather(ctx, c, "/place/afloat", c.planner.Afloat), "inflight": inflight, "platformHeardMs": c.watch.HeardFor().Milliseconds(),
 		"counts": map[string]int64{"garbledCalls": c.mux.Garbled(), "garbledAnswers": c.caller.Garbled(), "garbledGrams": c.post.Garbled(),
 			"news": int64(known), "newsDropped": dropped, "handedOver": c.own.Owed(), "edgesRelayed": c.relay.Agents(),
