The end of an answer's time is looked at by the attempt's own timer

The bound by a route's time gave every request another context and another timer beside those that its attempt has. The timer that looks for silences knows the moment too now, for each attempt of a stream that goes from replica to replica. Behaviour is the same: 0.1 s after the deadline.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -128,6 +128,7 @@
 	Whole       bool          // the answer is read to its end before it is passed on
 	Stall       time.Duration // longest silence within the answer; 0 is the sender's own
 	FirstBy     time.Time     // the first byte of the answer must have come by then
+	Until       time.Time     // an answer that has begun is broken off then; zero is never
 	// Alive says that the replica has been heard of late, on whatever request.
 	// While it is, a silence before FirstAtLast or within the answer is borne; nil bears none.
 	Alive       func() bool
@@ -154,6 +155,7 @@
 	body        io.Reader
 	raw         io.ReadCloser
 	cancel      context.CancelFunc
+	until       time.Time // it is broken off then; zero is never
 	stall       time.Duration
 	alive       func() bool
 	goneOn      func() bool
@@ -181,30 +183,46 @@
 	return n, err
 }
 
-// watch has silences looked for from now on.
+// watch has silences, and the end of the answer's time, looked for from now on.
 func (r *Reply) watch() {
 	r.begunAt = time.Now()
 	// Why: the timer is in its place before it can go off.
-	r.silence = time.AfterFunc(time.Hour, r.stalled)
-	r.silence.Reset(r.stall)
+	r.silence = time.AfterFunc(time.Hour, r.look)
+	r.lookIn(r.stall)
+}
+
+// lookIn has the answer looked at after a while, or when its time is over.
+func (r *Reply) lookIn(while time.Duration) {
+	if !r.until.IsZero() {
+		while = min(while, time.Until(r.until))
+	}
+	r.silence.Reset(while)
+}
+
+// look ends an answer whose time is over, and one that brings nothing.
+func (r *Reply) look() {
+	switch {
+	case r.closed.Load():
+	case !r.until.IsZero() && !time.Now().Before(r.until):
+		r.cancel()
+	default:
+		r.stalled()
+	}
 }
 
 // stalled ends an answer that brings nothing, unless its replica is heard on others, or
 // nobody has gone on with it.
 func (r *Reply) stalled() {
-	if r.closed.Load() {
-		return
-	}
 	if !r.reading.Load() {
-		r.silence.Reset(r.stall)
+		r.lookIn(r.stall)
 		return
 	}
 	if left := r.stall - time.Since(r.begunAt) + time.Duration(r.readAt.Load()); left > 0 {
-		r.silence.Reset(left)
+		r.lookIn(left)
 		return
 	}
 	if r.alive != nil && r.alive() || r.goneOn != nil && !r.goneOn() {
-		r.silence.Reset(patienceStep)
+		r.lookIn(patienceStep)
 		return
 	}
 	r.cancel()
@@ -264,7 +282,7 @@
 		return fail(Failure{Outcome: Ran, Why: "replica's answer has no end that can be told"})
 	}
 	r := &Reply{Status: res.StatusCode, Header: d.Header, ContentType: res.Header.Get("Content-Type"), Length: res.ContentLength, Load: d.Load,
-		raw: res.Body, cancel: cancel, stall: s.stall, alive: q.Alive, goneOn: q.GoneOn, heard: q.Heard}
+		raw: res.Body, cancel: cancel, until: q.Until, stall: s.stall, alive: q.Alive, goneOn: q.GoneOn, heard: q.Heard}
 	if q.Stall > 0 {
 		r.stall = q.Stall
 	}
--- a/internal/proxy/passage.go
+++ b/internal/proxy/passage.go
@@ -167,7 +167,7 @@
 	cfg := w.p.Conf()
 	class := cfg.Classes[c.Target.Route.Class]
 	q := attempt.Request{ID: id, Addr: r.Listed.Addr, Identity: c.Identity, Item: c.Target.Item, Ticket: c.Ticket, ContentType: c.ContentType, Method: c.Method, Path: c.Path,
-		Host: c.Host, Header: c.Header, Body: c.Body, Number: w.arrived + 1, Rank: class.Rank, Left: time.Until(c.Deadline),
+		Host: c.Host, Header: c.Header, Body: c.Body, Number: w.arrived + 1, Rank: class.Rank, Left: time.Until(c.Deadline), Until: c.until(),
 		LastEvent: c.LastEvent, FirstBy: firstBy, Sendable: func() bool { return w.p.routes.Sendable(id) }}
 	if cfg.HasTenants() {
 		q.Tenant, q.Urgency = cfg.TenantOf(c.Target.Route.Class), class.Urgency()
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -161,11 +161,9 @@
 		c.FirstBy = c.Deadline
 	}
 	w := &passage{p: p, call: c, began: time.Now(), outcome: attempt.NotRun}
-	ctx, end := boundedBy(ctx, c.Deadline.Add(overrun))
 	got, refusal := w.begin(ctx)
 	w.giveBack()
 	if refusal != nil {
-		end()
 		p.serving.Add(-1)
 		p.log.Debug("refused", "item", c.Target.Item.String(), "reason", string(refusal.Reason), "outcome", string(refusal.Outcome),
 			"attempts", w.number, "detail", refusal.Detail, "afterMs", time.Since(w.began).Milliseconds())
@@ -176,26 +174,15 @@
 	if c.Target.Route.Resumable && c.Target.Route.Streaming && got.reply.Status == http.StatusOK {
 		from, a.Length = newEventStream(ctx, w, got), -1
 	}
-	a.Body = relay.New(from, &p.cut, c.Deadline.Add(overrun), func() {
-		end()
-		p.serving.Add(-1)
-	})
+	a.Body = relay.New(from, &p.cut, c.until(), func() { p.serving.Add(-1) })
 	return a, nil
 }
 
 // overrun is how long after its deadline an answer that has begun may still end by itself.
 const overrun = 100 * time.Millisecond
 
-// boundedBy is a context that is cancelled at a moment, or by what it is given with. Why: what is cancelled
-// counts against no replica, as what came too late would.
-func boundedBy(ctx context.Context, until time.Time) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(time.Until(until), cancel)
-	return ctx, func() {
-		timer.Stop()
-		cancel()
-	}
-}
+// until is when an answer that has begun is broken off.
+func (c Call) until() time.Time { return c.Deadline.Add(overrun) }
 
 // gaveUp is the final answer of a request that is not sent again.
 func gaveUp(why string, sofar attempt.Outcome) *Refusal {
