--- a/internal/kernel/wire/post.go
+++ b/internal/kernel/wire/post.go
@@ -19,12 +19,18 @@
 // Post sends and takes datagrams by kind.
 type Post struct {
 	pc      net.PacketConn
-	kinds   map[string]func(body []byte)
+	kinds   map[string]kind
 	garbled atomic.Int64
 	sent    atomic.Int64
 	served  servedCounts
 }
 
+// kind is what is done with datagrams of one kind, and what that has cost.
+type kind struct {
+	take   func(body []byte)
+	served *servedCount
+}
+
 // Sent counts datagrams let go.
 func (p *Post) Sent() int64 { return p.sent.Load() }
 
@@ -32,10 +38,10 @@
 func (p *Post) Served() map[string]Served { return p.served.now() }
 
 // NewPost works on an open packet conn. Kinds are named before Run.
-func NewPost(pc net.PacketConn) *Post { return &Post{pc: pc, kinds: map[string]func([]byte){}} }
+func NewPost(pc net.PacketConn) *Post { return &Post{pc: pc, kinds: map[string]kind{}} }
 
 // On names what is done with datagrams of a kind.
-func (p *Post) On(kind string, f func(body []byte)) { p.kinds[kind] = f }
+func (p *Post) On(name string, f func(body []byte)) { p.kinds[name] = kind{f, p.served.at(name)} }
 
 // Send lets one datagram go; one too large, or to nowhere, is lost like any other.
 func (p *Post) Send(addr, kind string, body []byte) bool {
@@ -74,14 +80,14 @@
 		p.garbled.Add(1)
 		return
 	}
-	f := p.kinds[m.Kind]
-	if f == nil {
+	k, found := p.kinds[m.Kind]
+	if !found {
 		p.garbled.Add(1)
 		return
 	}
 	began := time.Now()
-	f(m.Body)
-	p.served.at(m.Kind).add(len(b), 0, time.Since(began))
+	k.take(m.Body)
+	k.served.add(len(b), 0, time.Since(began))
 }
 
 // Bad counts one body that its kind could not read.
