--- a/internal/state/acceptor/records.go
+++ b/internal/state/acceptor/records.go
@@ -34,7 +34,7 @@
 			next.Full, next.FullBy = q.Epoch, q.From
 		}
 		err := a.commit(func(b *pebble.Batch) error {
-			if err := a.write(b, q); err != nil {
+			if err := a.write(b, q, t.pr); err != nil {
 				return err
 			}
 			return b.Set(keyPromise(q.Slot), wire.Pack(next), nil)
@@ -49,9 +49,12 @@
 }
 
 // write writes what the holder of a slot sends: single records, or the whole table.
-func (a *Acceptor) write(b *pebble.Batch, q state.Ask) error {
-	if !q.Full {
+func (a *Acceptor) write(b *pebble.Batch, q state.Ask, here promise) error {
+	switch {
+	case !q.Full:
 		return a.addRecords(b, q.Slot, q.Records)
+	case q.Epoch != here.Epoch || q.At >= here.Version:
+		return replaceRecords(b, q.Slot, q.Records)
 	}
 	later, err := a.writtenAfter(q)
 	if err != nil {
