--- a/internal/place/order/look.go
+++ b/internal/place/order/look.go
@@ -29,9 +29,13 @@
 	}
 }
 
-// sizeOf is the size of an item that a replica holds and gives no size for, and whether it is guessed. Why:
-// what is held takes room for as long as it is held, whatever the newest configuration says of it, or nothing.
-func (c *Controller) sizeOf(item conf.Item, held Line) (mib int, guessed bool) {
+// sizeOf is the size of an item that a replica holds, by what its report tells or else by what is known, and whether
+// it is guessed. Why: what is held takes room for as long as it is held, whatever the newest configuration says
+// of it, or nothing.
+func (c *Controller) sizeOf(item conf.Item, told int, held Line) (mib int, guessed bool) {
+	if told > 0 {
+		return told, false
+	}
 	models := c.d.Conf().Models
 	known := sizeIn(models[item.Model], item)
 	if !held.Guessed {
@@ -118,10 +122,7 @@
 			l = &line{lastUsed: asked}
 			c.book[item] = l
 		}
-		l.SizeMib, l.Guessed = c.sizeOf(item, l.Line)
-		if seen.SizeMib > 0 {
-			l.SizeMib, l.Guessed = seen.SizeMib, false
-		}
+		l.SizeMib, l.Guessed = c.sizeOf(item, seen.SizeMib, l.Line)
 		l.unsure = false
 		if seen.Inflight > 0 {
 			l.lastUsed = asked
