--- a/.ci/race.sh
+++ b/.ci/race.sh
@@ -25,7 +25,7 @@
   log=$(mktemp)
   for try in 1 2 3; do
     status=0
-    go test -count=1 -race -short ${race_only:+-cpu 1 -run "$race_only"} ${passed_over:+-skip "$passed_over"} "${packages[@]}" 2>&1 | tee "$log" || status=$?
+    go test -count=1 -race -short ${race_only:+-cpu 1 -parallel 1 -run "$race_only"} ${passed_over:+-skip "$passed_over"} "${packages[@]}" 2>&1 | tee "$log" || status=$?
     if [ "$status" -eq 0 ]; then
       rm -f "$log"
       return 0
@@ -43,7 +43,8 @@
   return "$status"
 }
 
-# race_parts runs the tests of one package with race_tests in so many parts, side by side, each on one processor. The
+# race_parts runs the tests of one package with race_tests in so many parts, side by side, each on one processor and one
+# test at a time: simulations that share one processor keep each other from going on. The
 # detector's runtime breaks off within a minute or two where goroutines of large tests run on several; what it finds
 # goes by the order in which they synchronize, and not by whether they run at the same time.
 race_parts() {
--- a/internal/ci/race_test.go
+++ b/internal/ci/race_test.go
@@ -95,7 +95,7 @@
 			if (err == nil) != c.passes {
 				t.Errorf("it ended with %v", err)
 			}
-			if want := []string{"test -list ^Test a/b", "-cpu 1 -run ^(TestA|TestB)$ a/b"}; !slices.Equal(asked, want) {
+			if want := []string{"test -list ^Test a/b", "-cpu 1 -parallel 1 -run ^(TestA|TestB)$ a/b"}; !slices.Equal(asked, want) {
 				t.Errorf("asked for %q", asked)
 			}
 		})
