--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -10,7 +10,9 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
+	"drumstall.example/internal/kernel/rest"
 	"drumstall.example/internal/kernel/wire"
 )
 
@@ -57,6 +59,27 @@
 	return k, err
 }
 
+// Read is what a configuration means that Pack wrote.
+func Read(packed []byte) (Kept, Effective, error) {
+	kept, err := Unpack(packed)
+	if err != nil {
+		return kept, Effective{}, err
+	}
+	effective, err := Effect(kept)
+	return kept, effective, err
+}
+
+const (
+	// readingRest times what it took to read a configuration is how long the next one waits, so that
+	// changes in quick succession leave most of the processor to other work; readingRestMost bounds it, since
+	// what was acknowledged must be in force soon on a machine that is slow, too.
+	readingRest     = 4
+	readingRestMost = 500 * time.Millisecond
+)
+
+// ReadingRest is the rest that who follows the newest configuration takes between two readings.
+func ReadingRest() rest.Rest { return rest.Rest{Times: readingRest, Most: readingRestMost} }
+
 // Rendered is the effective configuration as one JSON document.
 func Rendered(k Kept) []byte {
 	doc := map[string]map[string]json.RawMessage{}
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -57,12 +57,8 @@
 	if own := c.checked.Load(); own != nil && own.stamp == e.Stamp {
 		return *own, nil
 	}
-	k, err := conf.Unpack(e.Value)
-	if err != nil {
-		return checkedConf{}, err
-	}
-	effective, err := conf.Effect(k)
-	return checkedConf{stamp: e.Stamp, serial: k.Serial, effective: effective}, err
+	kept, effective, err := conf.Read(e.Value)
+	return checkedConf{stamp: e.Stamp, serial: kept.Serial, effective: effective}, err
 }
 
 // submit keeps a configuration as the owner of its key, and tells everyone
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -129,9 +129,6 @@
 	stopFor   = 1500 * time.Millisecond // for the calls that are under way when this core stops
 	tendEvery = 300 * time.Millisecond  // between two looks at which replicas are controlled here
 	readEvery = 100 * time.Millisecond  // between two looks whether a configuration is to be read
-	// readingRest times what it took to read a configuration is how long the next one waits, readingRestMost at most.
-	readingRest     = 4
-	readingRestMost = 500 * time.Millisecond
 )
 
 // NewBoot is a fresh identity for a process.
@@ -190,7 +187,7 @@
 	self := member.Node{Name: s.Name, Role: member.RoleCore, Zone: s.Zone, Addr: s.Addr, Boot: c.boot, Disk: c.acc.Disk(),
 		Phase: string(c.acc.Standing().Phase), Inc: uint64(max(env.Clock.Wall().UnixMilli(), 1)), API: s.Operator, Build: env.BuildName()}
 	c.members = member.New(c.group, env.Clock, c.log, c.post, c.caller, c.mux, self, s.Seeds, c.touch)
-	c.reading = rest.Rest{Times: readingRest, Most: readingRestMost}
+	c.reading = conf.ReadingRest()
 	c.confSoon = run.NewNudge(run.NewActor(c.group, 4, readEvery, c.takeConf), c.takeConf)
 	c.gossip.OnNew(c.onGossip)
 	c.views = plan.NewViewCache(c.gossip)
--- a/internal/route/reading_test.go
+++ b/internal/route/reading_test.go
@@ -40,7 +40,7 @@
 	inForce("while the keeper rests", 1)
 	come(3)
 	inForce("while the keeper rests", 1)
-	clock.now += readingRest * slowStep
+	clock.now += time.Duration(conf.ReadingRest().Times) * slowStep
 	k.renew()
 	inForce("after the rest", 3)
 	clock.now += time.Second
@@ -52,7 +52,7 @@
 func TestAKeeperOnASlowMachineRestsNoLongerThanTheBound(t *testing.T) {
 	r := NewKeeper(Deps{Group: stoppedGroup(), Gossip: gossip.NewTable(), Clock: &handClock{}, Zone: func() string { return "z" }}).reading
 	r.Worked(0, time.Second)
-	if left := r.Left(time.Second); left != readingRestMost {
+	if left := r.Left(time.Second); left != conf.ReadingRest().Most {
 		t.Errorf("a rest of %v after reading for a second", left)
 	}
 }
--- a/internal/route/renew.go
+++ b/internal/route/renew.go
@@ -101,11 +101,7 @@
 		return false
 	}
 	began := k.clock.Since()
-	kept, err := conf.Unpack(e.Value)
-	if err != nil {
-		return false
-	}
-	effective, err := conf.Effect(kept)
+	kept, effective, err := conf.Read(e.Value)
 	if err != nil {
 		return false
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -25,11 +25,6 @@
 	interval     = 100 * time.Millisecond
 	lookInterval = 500 * time.Millisecond
 	lookFor      = 450 * time.Millisecond
-	// readingRest times what it took to read a configuration is how long the next one waits, so that
-	// changes in quick succession leave most of the processor to requests; readingRestMost bounds it, since
-	// what was acknowledged must be in force soon on a machine that is slow, too.
-	readingRest     = 4
-	readingRestMost = 500 * time.Millisecond
 	// dark is how old a replica's own report may be while it is still routed to.
 	dark = 2 * time.Second
 	// deaf is how long this proxy may hear nothing that could tell of a leaving
@@ -133,7 +128,7 @@
 		d.Deaf = deaf
 	}
 	k := &Keeper{d: d, gossip: d.Gossip, clock: d.Clock, group: d.Group, lives: map[string]*Live{}, heard: map[string]report{},
-		told: map[string]*told{}, bringing: map[string]*told{}, reading: rest.Rest{Times: readingRest, Most: readingRestMost},
+		told: map[string]*told{}, bringing: map[string]*told{}, reading: conf.ReadingRest(),
 		gone:   map[string]struct{}{},
 		full:   map[bool]time.Duration{true: -1 << 61, false: -1 << 61},
 		warmth: newMemory(), bulk: newBulk(d.Log), pressing: map[string]pressing{}, work: map[string]time.Duration{}}
