--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"drumstall.example/internal/kernel/load"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/place/plan"
 )
@@ -75,10 +76,8 @@
 // served is what calls and datagrams have cost this core, by path and kind.
 func (c *Core) served() map[string]servedCalls {
 	out := map[string]servedCalls{}
-	for _, source := range []map[string]wire.Served{c.mux.Served(), c.post.Served()} {
-		for name, s := range source {
-			out[name] = servedCalls{Calls: s.Calls, BytesIn: s.In, BytesOut: s.Out, TookMs: s.Took.Milliseconds()}
-		}
+	for name, s := range load.Served(c.mux.Served, c.post.Served) {
+		out[name] = servedCalls{Calls: s.Calls, BytesIn: s.In, BytesOut: s.Out, TookMs: s.Took.Milliseconds()}
 	}
 	return out
 }
--- a/internal/kernel/load/load.go
+++ b/internal/kernel/load/load.go
@@ -47,17 +47,17 @@
 
 // tell logs what was added since it was last called.
 func (w *watch) tell() {
-	now, before := w.count(), w.served
+	now, before := Served(w.sources...), w.served
 	usedNow, usedBefore := used(), w.used
 	w.served, w.used = now, usedNow
 	w.log.Info("calls served", "forMs", interval.Milliseconds(), "processorMs", (usedNow.all - usedBefore.all).Milliseconds(),
 		"collectorMs", (usedNow.collector - usedBefore.collector).Milliseconds(), "by", most(now, before))
 }
 
-// count is what all sources tell.
-func (w *watch) count() map[string]wire.Served {
+// Served is what all sources tell.
+func Served(sources ...Source) map[string]wire.Served {
 	all := map[string]wire.Served{}
-	for _, source := range w.sources {
+	for _, source := range sources {
 		maps.Copy(all, source())
 	}
 	return all
