--- a/internal/state/coremembers/coremembers.go
+++ b/internal/state/coremembers/coremembers.go
@@ -94,7 +94,7 @@
 	_ = k.actor.Tell(func() {
 		ctx, cancel := context.WithTimeout(d.Group.Context(), limit)
 		defer cancel()
-		_, _ = k.noteFirstStart(ctx, d.Acceptor.Standing())
+		k.noteFirstStart(ctx)
 	})
 	return k
 }
@@ -113,6 +113,7 @@
 	}
 	ctx, cancel := context.WithTimeout(k.d.Group.Context(), limit)
 	defer cancel()
+	k.noteFirstStart(ctx)
 	st := k.d.Acceptor.Standing()
 	k.ticks++
 	switch st.Phase {
@@ -144,9 +145,7 @@
 			return
 		}
 	}
-	if st, noted := k.noteFirstStart(ctx, st); noted {
-		k.found(ctx, st, live)
-	}
+	k.found(ctx, st, live)
 }
 
 // keep is a voter's round: it finishes what was decided, and where no operator
--- a/internal/state/coremembers/founding.go
+++ b/internal/state/coremembers/founding.go
@@ -48,16 +48,15 @@
 }
 
 // noteFirstStart keeps on disk that this core may found the first set, so that it still
-// may when it is started again before there is one.
-func (k *Keeper) noteFirstStart(ctx context.Context, st acceptor.Standing) (acceptor.Standing, bool) {
-	if !k.d.MayFound || st.Phase != acceptor.Empty || st.MayFound {
-		return st, true
+// may when it is started again before there is one. What is not kept now is kept in a later round.
+func (k *Keeper) noteFirstStart(ctx context.Context) {
+	if st := k.d.Acceptor.Standing(); !k.d.MayFound || st.Phase != acceptor.Empty || st.MayFound {
+		return
 	}
-	noted, err := k.d.Acceptor.SetStanding(ctx, func(now acceptor.Standing) (acceptor.Standing, bool) {
+	_, _ = k.d.Acceptor.SetStanding(ctx, func(now acceptor.Standing) (acceptor.Standing, bool) {
 		now.MayFound = true
 		return now, now.Phase == acceptor.Empty
 	})
-	return noted, err == nil
 }
 
 // propose sends a formation to its members, and says whether all agreed. The
