--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -34,7 +34,7 @@
 	taken  map[string]takenReport
 	asked  map[string]bool // cores that are being told: whether there was more to tell since
 	relays relays
-	toldAt time.Duration // when that was last told
+	toldAt time.Duration // when the cores that are told first were told last
 }
 
 // takenReport is the newest report that a core has taken.
@@ -81,7 +81,7 @@
 	a.reports.keep(cores)
 	relays := &a.reports.relays
 	first, others := relays.split(cores, relays.choose(a.members.Self(), a.members.Nodes(), now))
-	if relays.core != "" && relays.isBusy() && now-a.reports.toldAt < busyGap {
+	if relays.isBusy() && now-a.reports.toldAt < busyGap {
 		return
 	}
 	a.reports.toldAt = now
