A restarted agent asks again within some 150 ms for the first six times

After six questions in vain, as while all cores return, pauses grow as before. The log names the core, not its address.

--- a/internal/agent/confirm.go
+++ b/internal/agent/confirm.go
@@ -17,10 +17,12 @@
 const (
 	// confirmInterval is the time between two looks whether the configuration is confirmed.
 	confirmInterval = 100 * time.Millisecond
-	// confirmPause is how long the first question that brought nothing is rested from, and
-	// confirmPauseMost how long any. Why: after a loss of power all agents ask while the cores return.
+	// confirmPause is how long a question that brought nothing is rested from; it doubles with every
+	// confirmTries of them, up to confirmPauseMost. Why: at a start cores are ready within some hundred ms, and
+	// after a loss of power all agents ask for seconds while the cores return.
 	confirmPause     = 100 * time.Millisecond
 	confirmPauseMost = 400 * time.Millisecond
+	confirmTries     = 6
 	// fetchGap is the time between two pulls of the document that was named.
 	fetchGap = 500 * time.Millisecond
 )
@@ -31,7 +33,7 @@
 type confirmation struct {
 	told   bool        // a core has said since the start which is the newest
 	newest state.Stamp // that one
-	at     string      // the address of the core that said so
+	by     member.Node // the core that said so
 	tries  int         // questions that brought nothing
 	next   time.Duration
 }
@@ -46,14 +48,14 @@
 	c := &a.confirms
 	if c.told && !c.newest.Newer(a.gossip.StampOf(conf.Key)) {
 		a.confirmed.Store(true)
-		a.log.Info("configuration confirmed", "by", c.at)
+		a.log.Info("configuration confirmed", "by", c.by.Name)
 		return
 	}
 	now := a.env.Clock.Since()
 	switch {
 	case now < c.next:
 	case c.told:
-		a.spread.Fetch(c.at, conf.Key, c.newest)
+		a.spread.Fetch(c.by.Addr, conf.Key, c.newest)
 		c.next = now + fetchGap
 	default:
 		a.askNewest(ctx)
@@ -77,7 +79,7 @@
 		c.tries++
 		return
 	}
-	c.told, c.newest, c.at = true, got.Entry.Stamp, asked.Addr
+	c.told, c.newest, c.by = true, got.Entry.Stamp, asked
 	// Why: a core of an earlier version answers with the document.
 	if got.Found && !got.Entry.Head {
 		a.gossip.Put(got.Entry)
@@ -86,7 +88,7 @@
 
 // pauseAfter is how long nobody is asked after so many questions that brought nothing.
 func pauseAfter(tries int) time.Duration {
-	pause := min(confirmPause<<min(tries, 8), confirmPauseMost)
+	pause := min(confirmPause<<min(tries/confirmTries, 8), confirmPauseMost)
 	return pause/2 + rand.N(pause)
 }
 
