Test: a roll begins when slots have settled

TestRunbookRollTakeOverDayEnd failed in a run under the race detector and in 3 of 24 without it: the runbook refused, as it must, while one slot of 16 was between two holders. Trace: slots that the first formation gave to another core than the preferred one go there 5.5 s after the start (on too); the roll was begun at 5.07 s there and at 5.17 to 5.68 s since. It begins at 9 s now; nothing else changed.

--- a/internal/sim/fleet/runbook_test.go
+++ b/internal/sim/fleet/runbook_test.go
@@ -183,7 +183,8 @@
 func TestRunbookRollTakeOverDayEnd(t *testing.T) {
 	Seeds(t, 1, func(uint64) stand.Deployment { return Small(3) }, func(f *Fleet) {
 		f.Traffic(0.3)
-		time.Sleep(4 * time.Second)
+		// Why: some seconds after the start slots go to the cores that are preferred, and none rolls meanwhile.
+		time.Sleep(8 * time.Second)
 		// Two builds side by side, one process at a time.
 		f.Group.Go(func(context.Context) {
 			time.Sleep(time.Second)
