--- a/internal/kernel/flight/flight_test.go
+++ b/internal/kernel/flight/flight_test.go
@@ -21,12 +21,18 @@
 	return value, nil
 }
 
-func TestManyWhoAskAtOnceShareTwoQuestions(t *testing.T) {
+// sharing plays a test with a question whose answers are shared.
+func sharing(t *testing.T, play func(t *testing.T, n *newest, s *Shared[int64])) {
 	synctest.Test(t, func(t *testing.T) {
 		group := run.NewGroup(t.Context())
 		defer group.Stop()
 		var n newest
-		s := New(group, n.ask)
+		play(t, &n, New(group, n.ask))
+	})
+}
+
+func TestManyWhoAskAtOnceShareTwoQuestions(t *testing.T) {
+	sharing(t, func(t *testing.T, n *newest, s *Shared[int64]) {
 		var all sync.WaitGroup
 		for range 100 {
 			all.Go(func() {
@@ -43,11 +49,7 @@
 }
 
 func TestNoAnswerIsOlderThanItsCall(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		group := run.NewGroup(t.Context())
-		defer group.Stop()
-		var n newest
-		s := New(group, n.ask)
+	sharing(t, func(t *testing.T, n *newest, s *Shared[int64]) {
 		go func() { _, _ = s.Ask(t.Context()) }()
 		synctest.Wait()
 		// Why: the question under way was put before this change.
@@ -59,11 +61,7 @@
 }
 
 func TestWhoGivesUpLeavesTheQuestionToTheOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		group := run.NewGroup(t.Context())
-		defer group.Stop()
-		var n newest
-		s := New(group, n.ask)
+	sharing(t, func(t *testing.T, _ *newest, s *Shared[int64]) {
 		hasty, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 		defer cancel()
 		var patient sync.WaitGroup
--- a/internal/member/fanout/fleet_test.go
+++ b/internal/member/fanout/fleet_test.go
@@ -1,22 +1,17 @@
 package fanout
 
 import (
-	"context"
 	"fmt"
-	"io"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"drumstall.example/internal/gossip"
-	"drumstall.example/internal/kernel/ring"
 	"drumstall.example/internal/kernel/run"
-	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/member"
-	"drumstall.example/internal/member/touch"
-	"drumstall.example/internal/sim/simhost"
 	"drumstall.example/internal/sim/simnet"
+	"drumstall.example/internal/sim/simnode"
 	"drumstall.example/internal/state"
 )
 
@@ -29,14 +24,11 @@
 
 // node is a core or an agent without anything but members and gossip.
 type node struct {
-	name   string
-	ip     string
-	role   string
-	group  *run.Group
-	post   *wire.Post
-	table  *gossip.Table
-	caller *wire.Caller
-	stop   func()
+	*simnode.Node
+	name  string
+	ip    string
+	role  string
+	table *gossip.Table
 }
 
 // simulated is a fleet of such nodes on a simulated network.
@@ -61,40 +53,24 @@
 }
 
 func (s *simulated) startNode(name, ip, role string, number int, seeds []string) {
-	host := s.fabric.Host(ip)
 	addr := ip + gossipPort
-	listener, err := host.Listen(addr)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	packets, err := host.ListenPacket(addr)
+	self := member.Node{Name: name, Role: role, Zone: fmt.Sprintf("zone-%d", number%zoneCount), Addr: addr, Boot: name, Inc: 1}
+	on, err := simnode.New(s.group, s.fabric.Host(ip), self, seeds)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	clock := simhost.NewClock()
-	n := &node{name: name, ip: ip, role: role, group: s.group.Child(), post: wire.NewPost(packets), table: gossip.NewTable(), caller: wire.NewCaller(host)}
-	log, mux, in := ring.New(io.Discard, 10).Logger(), wire.NewMux(), touch.New(clock)
-	self := member.Node{Name: name, Role: role, Zone: fmt.Sprintf("zone-%d", number%zoneCount), Addr: addr, Boot: name, Inc: 1}
-	members := member.New(n.group, clock, log, n.post, n.caller, mux, self, seeds, in)
+	n := &node{Node: on, name: name, ip: ip, role: role, table: gossip.NewTable()}
 	tree := func() gossip.Tree {
-		return View{Self: members.Self(), Nodes: members.Nodes(), HeardFor: members.HeardFor}.Tree()
-	}
-	gossip.NewSpreader(n.group, n.table, log, n.post, n.caller, mux, func() string { return addr }, members.Peers, tree, in)
-	server := wire.NewServer(listener, mux)
-	n.group.Go(func(ctx context.Context) { n.post.Run(ctx) })
-	n.group.Go(server.Run)
-	n.stop = func() {
-		n.post.Close()
-		server.Close()
-		n.group.Stop()
-		n.caller.Close()
+		return View{Self: n.Members.Self(), Nodes: n.Members.Nodes(), HeardFor: n.Members.HeardFor}.Tree()
 	}
+	gossip.NewSpreader(n.Group, n.table, n.Log, n.Post, n.Caller, n.Mux, func() string { return addr }, n.Members.Peers, tree, n.Touch)
+	n.Serve()
 	s.nodes = append(s.nodes, n)
 }
 
 func (s *simulated) stop() {
 	for _, n := range s.nodes {
-		n.stop()
+		n.Stop()
 	}
 	s.group.Stop()
 }
@@ -102,14 +78,14 @@
 // kill ends a node without a word.
 func (s *simulated) kill(name string) {
 	i := slices.IndexFunc(s.nodes, func(n *node) bool { return n.name == name })
-	s.nodes[i].stop()
+	s.nodes[i].Stop()
 	s.nodes = slices.Delete(s.nodes, i, i+1)
 }
 
 // sent counts the datagrams of all nodes.
 func (s *simulated) sent() (count int64) {
 	for _, n := range s.nodes {
-		count += n.post.Sent()
+		count += n.Post.Sent()
 	}
 	return count
 }
@@ -193,7 +169,7 @@
 		time.Sleep(settled)
 		called := func() (bytes int64) {
 			for _, n := range s.nodes {
-				_, b := n.caller.Sent()
+				_, b := n.Caller.Sent()
 				bytes += b
 			}
 			return bytes
--- a/internal/place/order/takeover_test.go
+++ b/internal/place/order/takeover_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"maps"
 	"testing"
 	"testing/synctest"
@@ -10,11 +9,6 @@
 
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/gossip"
-	"drumstall.example/internal/inventory"
-	"drumstall.example/internal/kernel/ring"
-	"drumstall.example/internal/kernel/run"
-	"drumstall.example/internal/sim/simhost"
 )
 
 // reporting is a replica that says what it is told to say.
@@ -37,12 +31,10 @@
 func TestRoomForALoadOfTheOwnerBeforeIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		replica := &reporting{busy: true, items: map[conf.Item]backend.Line{}}
-		clk := simhost.NewClock()
-		ctl := &Controller{d: Deps{Group: run.NewGroup(t.Context()), Clock: clk, Log: ring.New(io.Discard, 10).Logger(), Replicas: replica,
-			Gossip: gossip.NewTable(), Conf: conf.Empty}, listed: inventory.Listed{ID: "r", Addr: "10.0.0.1:1", Model: true},
-			book: map[conf.Item]*line{}, held: map[string]bool{}, traits: replica.Traits()}
+		cfg := conf.Empty()
+		ctl := looking(t, replica, &cfg)
 		coming := conf.Item{Model: "m"}
-		ctl.book[coming] = &line{Line: Line{State: Reserved, SizeMib: 80}, ordered: clk.Since(), inherited: true}
+		ctl.book[coming] = &line{Line: Line{State: Reserved, SizeMib: 80}, ordered: ctl.d.Clock.Since(), inherited: true}
 		for range 40 {
 			time.Sleep(100 * time.Millisecond)
 			ctl.look()
