--- a/internal/sim/fleet/confirm_test.go
+++ b/internal/sim/fleet/confirm_test.go
@@ -14,8 +14,7 @@
 // loseAllPower ends every process at once and starts all of them a little later.
 func (f *Fleet) loseAllPower(off time.Duration) {
 	for _, n := range f.Edges {
-		f.KillProxy(n)
-		f.KillAgent(n)
+		f.KillEdge(n)
 	}
 	for _, n := range f.Cores {
 		f.KillCore(n, true)
--- a/internal/sim/fleet/faults_test.go
+++ b/internal/sim/fleet/faults_test.go
@@ -30,7 +30,7 @@
 		x.edge(func(n *Node) { x.f.Freeze(n); x.wait(8000); x.f.Thaw(n) })
 	}},
 	{"an edge is killed", false, func(x *nemesis) {
-		x.edge(func(n *Node) { x.f.KillProxy(n); x.f.KillAgent(n); x.wait(4000); x.f.StartEdge(n) })
+		x.edge(func(n *Node) { x.f.KillEdge(n); x.wait(4000); x.f.StartEdge(n) })
 	}},
 	{"an agent is killed", false, func(x *nemesis) {
 		x.edge(func(n *Node) { x.f.KillAgent(n); x.wait(4000); x.f.StartAgent(n) })
@@ -79,8 +79,7 @@
 	{"everything loses power", false, func(x *nemesis) {
 		x.all(append(append([]*Node{}, x.f.Cores...), x.f.Edges...), func() {
 			for _, n := range x.f.Edges {
-				x.f.KillProxy(n)
-				x.f.KillAgent(n)
+				x.f.KillEdge(n)
 			}
 			for _, n := range x.f.Cores {
 				x.f.KillCore(n, true)
@@ -186,8 +185,7 @@
 				if n.FS != nil {
 					x.f.KillCore(n, true)
 				} else {
-					x.f.KillProxy(n)
-					x.f.KillAgent(n)
+					x.f.KillEdge(n)
 				}
 				x.f.MoveCore(n, ip)
 				x.f.seeds[i] = ip + ":7000"
--- a/internal/sim/fleet/fleet.go
+++ b/internal/sim/fleet/fleet.go
@@ -188,8 +188,7 @@
 	f.Group.Stop()
 	f.Clients.Close()
 	for _, n := range f.Edges {
-		f.KillProxy(n)
-		f.KillAgent(n)
+		f.KillEdge(n)
 	}
 	for _, n := range f.Cores {
 		f.KillCore(n, false)
--- a/internal/sim/fleet/nemesis_acts_test.go
+++ b/internal/sim/fleet/nemesis_acts_test.go
@@ -21,8 +21,7 @@
 
 func (x *nemesis) edgesGone(ms int) {
 	for _, n := range x.f.Edges {
-		x.f.KillProxy(n)
-		x.f.KillAgent(n)
+		x.f.KillEdge(n)
 	}
 	x.wait(ms)
 	for _, n := range x.f.Edges {
--- a/internal/sim/fleet/power_test.go
+++ b/internal/sim/fleet/power_test.go
@@ -98,8 +98,7 @@
 		time.Sleep(5 * time.Second)
 		f.patchNow(0)
 		for _, n := range f.Edges {
-			f.KillProxy(n)
-			f.KillAgent(n)
+			f.KillEdge(n)
 		}
 		time.Sleep(3 * time.Second)
 		for _, n := range f.Edges {
--- a/internal/sim/fleet/process.go
+++ b/internal/sim/fleet/process.go
@@ -138,6 +138,12 @@
 	}
 }
 
+// KillEdge ends proxy and agent at once.
+func (f *Fleet) KillEdge(n *Node) {
+	f.KillProxy(n)
+	f.KillAgent(n)
+}
+
 // Freeze stops a machine; Thaw wakes it.
 func (f *Fleet) Freeze(n *Node) {
 	f.Net.Freeze(n.IP)
--- a/internal/sim/fleet/return_test.go
+++ b/internal/sim/fleet/return_test.go
@@ -31,8 +31,7 @@
 		}
 		for _, n := range f.Edges {
 			if n.Zone == zone {
-				f.KillProxy(n)
-				f.KillAgent(n)
+				f.KillEdge(n)
 			}
 		}
 		for _, id := range ids {
@@ -118,8 +117,7 @@
 					f.patchNow(0)
 					if way.edges {
 						for _, n := range f.Edges {
-							f.KillProxy(n)
-							f.KillAgent(n)
+							f.KillEdge(n)
 						}
 					}
 					if way.cores {
--- a/internal/sim/fleet/seeds_test.go
+++ b/internal/sim/fleet/seeds_test.go
@@ -18,8 +18,7 @@
 				f.seeds[i] = ip + ":7000"
 				f.StartCore(n)
 			} else {
-				f.KillProxy(n)
-				f.KillAgent(n)
+				f.KillEdge(n)
 				f.MoveCore(n, ip)
 				f.seeds[i] = ip + ":7000"
 				f.StartEdge(n)
