Decisions: a log line and status tell how many, how long rounds take, who waits, slots held

`decisions made`, every five seconds where there is something to decide, and `decisions` in status tell the slots held, the items that wait and for how long, rounds of decisions and the longest, decisions, and those that led to a load. Changes no decision.

--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -129,7 +129,7 @@
 	}
 	return map[string]any{
 		"core": c.s.Name, "phase": string(st.Phase), "coreSet": st.Set, "slots": held, "members": members,
-		"busy": c.lag.Busy(), "served": c.served(), "conf": serial, "laggards": laggards, "edges": edges, "tenants": tenants, "replicas": views,
+		"busy": c.lag.Busy(), "served": c.served(), "decisions": c.planner.Progress(), "conf": serial, "laggards": laggards, "edges": edges, "tenants": tenants, "replicas": views,
 		"claimsUnmet": gather(ctx, c, "/place/unmet", c.planner.Unmet), "afloatS": gather(ctx, c, "/place/afloat", c.planner.Afloat), "inflight": inflight, "platformHeardMs": c.watch.HeardFor().Milliseconds(),
 		"counts": map[string]int64{"garbledCalls": c.mux.Garbled(), "garbledAnswers": c.caller.Garbled(), "garbledGrams": c.post.Garbled(),
 			"news": int64(known), "newsDropped": dropped, "handedOver": c.own.Owed(), "edgesRelayed": c.relay.Agents(),
--- a/internal/place/plan/decide.go
+++ b/internal/place/plan/decide.go
@@ -58,6 +58,7 @@
 		d.Tried = append(d.Tried, Tried{names[i], a})
 		undecided = undecided || a.Silent
 	}
+	p.progress.decided(d.Taken != "")
 	p.d.Log.Info("decision", "item", d.Item, "cause", d.Cause, "penalty", d.Penalty, "alone", d.Alone, "taken", d.Taken, "why", d.reasons())
 	e := Expect{ReadyMs: ready}
 	if d.Taken == "" {
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -79,6 +79,7 @@
 	pacer     pacer
 	paceActor *run.Actor
 	expSer    uint64
+	progress  progress
 }
 
 // New starts to plan.
@@ -92,6 +93,7 @@
 	d.Group.Every(d.Cadence.Share, p.share)
 	d.Group.Every(d.Cadence.Keep, p.keep)
 	d.Group.Every(grantsEvery, p.refreshGrants)
+	d.Group.Every(progressEvery, p.tellProgress)
 	return p
 }
 
@@ -140,9 +142,11 @@
 	sort.Slice(work, func(i, j int) bool { return work[i].before(work[j]) })
 	if !p.d.Group.Go(func(ctx context.Context) {
 		defer p.busy.Store(false)
+		began := p.d.Clock.Since()
 		for _, d := range work {
 			p.decide(ctx, cfg, d, views)
 		}
+		p.progress.round(p.d.Clock.Since() - began)
 	}) {
 		p.busy.Store(false)
 	}
