A runbook waits for a slot that is between two owners before it refuses

A handover without trouble leaves a slot without an owner for up to half a second, and one look at the status was all that a precondition had.

Change: what is missing is looked for again for 3 s.

--- a/internal/runbook/runbook.go
+++ b/internal/runbook/runbook.go
@@ -67,7 +67,7 @@
 		return errors.Wrapf(ErrPrecondition, "no core answers: %v; give --cores the operator address of a running core", err)
 	}
 	fmt.Fprintf(out, "runbook %s\n", b.Name)
-	if missing := b.Check(s); len(missing) > 0 {
+	if missing := stillMissing(ctx, c, b, s); len(missing) > 0 {
 		return errors.Wrap(ErrPrecondition, "nothing was changed\n  "+strings.Join(missing, "\n  "))
 	}
 	fmt.Fprintln(out, "  precondition holds")
@@ -81,6 +81,27 @@
 	return nil
 }
 
+const (
+	// checkFor is how long a precondition may be missed before a runbook refuses: a slot that goes from one core to
+	// another is held by nobody for a moment.
+	checkFor = 3 * time.Second
+	// lookEvery is the time between two looks at the status.
+	lookEvery = 500 * time.Millisecond
+)
+
+// stillMissing is what a book's precondition lacks, by a status and by those of the next few seconds.
+func stillMissing(ctx context.Context, c Control, b Book, s Status) []string {
+	ctx, cancel := context.WithTimeout(ctx, checkFor)
+	defer cancel()
+	missing := b.Check(s)
+	for len(missing) > 0 && run.Wait(ctx, lookEvery) {
+		if now, err := c.Status(ctx); err == nil {
+			missing = b.Check(now)
+		}
+	}
+	return missing
+}
+
 // step does one step and waits until its aim is reached.
 func step(ctx context.Context, c Control, st Step, limit time.Duration, out io.Writer) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -119,7 +140,7 @@
 				did = true
 			}
 		}
-		if !run.Wait(ctx, 500*time.Millisecond) {
+		if !run.Wait(ctx, lookEvery) {
 			return errors.Errorf("gave up: %s", what)
 		}
 	}
