No core holds more than its part of the slots; a quiet slot is handed over at once

So one core of seven decided, controlled 263 replicas and kept the configuration, with the processor time of one. Rendezvous draws alone would still give one core up to twice its part.

Change: share.Spread prefers a core for at most an equal part of the slots. A holder counts the orders it sends; a slot under which none was sent for a lease is quiet: it goes to the preferred core after 3 s, its holder says so when it releases it, and the next owner may order at once if every voter that answers knows of no later lease. A busy slot stays as before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -118,6 +118,7 @@
 	controllers    map[string]*controlled // owned by the actor of tend
 	controllersNow atomic.Pointer[map[string]*order.Controller]
 	absent         map[string]time.Duration
+	preferred      preference
 	// tendSoon looks at once at which replicas are to be controlled here.
 	tendSoon *run.Nudge
 	holders  [state.Slots]atomic.Pointer[string] // who held each slot when last asked
--- /dev/null
+++ b/internal/core/preference.go
@@ -0,0 +1,69 @@
+package core
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"drumstall.example/internal/kernel/share"
+	"drumstall.example/internal/state"
+	"drumstall.example/internal/state/acceptor"
+)
+
+// preference is which voter is preferred for each slot, kept as long as the voters are the same.
+type preference struct {
+	mu     sync.Mutex
+	voters string // names, sorted and joined
+	ranked [state.Slots][]string
+}
+
+// of is the voters by how much each is preferred for a slot. First comes the one that is to hold it, so that no voter
+// is to hold more than an equal part; the others follow by their draws. Nobody may change it.
+func (p *preference) of(slot int, names []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	slices.Sort(names)
+	if joined := strings.Join(names, "\n"); joined != p.voters {
+		p.voters = joined
+		p.rank(names)
+	}
+	return p.ranked[slot]
+}
+
+// rank ranks the voters for every slot.
+func (p *preference) rank(names []string) {
+	keys := make([][]byte, state.Slots)
+	for slot := range keys {
+		keys[slot] = []byte{byte(slot)}
+	}
+	first := share.Spread(keys, names)
+	for slot := range p.ranked {
+		ranked := share.Ranked(keys[slot], names)
+		at := slices.Index(ranked, first[slot])
+		if at > 0 {
+			ranked = slices.Insert(slices.Delete(ranked, at, at+1), 0, first[slot])
+		}
+		p.ranked[slot] = ranked
+	}
+}
+
+// voters are the live members of the core membership, most preferred for the slot first.
+func (c *Core) voters(slot int) []state.Core {
+	set := c.acc.Standing().Set
+	byName := map[string]state.Core{}
+	var names []string
+	for v, phase := range c.liveCores() {
+		if phase != acceptor.Voter || !set.Has(v) || c.unheard(v) {
+			continue
+		}
+		if _, twice := byName[v.Name]; !twice {
+			names = append(names, v.Name)
+		}
+		byName[v.Name] = v
+	}
+	var out []state.Core
+	for _, name := range c.preferred.of(slot, names) {
+		out = append(out, byName[name])
+	}
+	return out
+}
--- a/internal/core/roll.go
+++ b/internal/core/roll.go
@@ -1,11 +1,9 @@
 package core
 
 import (
-	"sort"
 	"time"
 
 	"drumstall.example/internal/gossip"
-	"drumstall.example/internal/kernel/share"
 	"drumstall.example/internal/member"
 	"drumstall.example/internal/member/fanout"
 	"drumstall.example/internal/member/touch"
@@ -101,30 +99,6 @@
 	return touch.Most(st.Set.Quorum(), ago)
 }
 
-// voters are the live members of the core membership, most preferred for the slot first.
-func (c *Core) voters(slot int) []state.Core {
-	set := c.acc.Standing().Set
-	type scored struct {
-		c state.Core
-		s uint64
-	}
-	var all []scored
-	for v, phase := range c.liveCores() {
-		if phase != acceptor.Voter || !set.Has(v) || c.unheard(v) {
-			continue
-		}
-		all = append(all, scored{v, share.Draw([]byte{byte(slot)}, v.Name)})
-	}
-	sort.Slice(all, func(i, j int) bool {
-		return all[i].s > all[j].s || all[i].s == all[j].s && all[i].c.Name < all[j].c.Name
-	})
-	out := make([]state.Core, len(all))
-	for i, a := range all {
-		out[i] = a.c
-	}
-	return out
-}
-
 func (c *Core) agents() map[string]bool {
 	out := map[string]bool{}
 	for _, n := range c.members.Live(member.RoleAgent) {
--- /dev/null
+++ b/internal/kernel/share/spread.go
@@ -0,0 +1,44 @@
+package share
+
+import "slices"
+
+// Spread gives each key one of some names, so that no name has more keys than an equal part, rounded up. A key goes to
+// the name with the highest draw that has room left. Why: with few keys, draws alone leave one name with
+// several times as many as another.
+func Spread(keys [][]byte, names []string) []string {
+	if len(names) == 0 {
+		return make([]string, len(keys))
+	}
+	most := (len(keys) + len(names) - 1) / len(names)
+	has := make(map[string]int, len(names))
+	out := make([]string, len(keys))
+	for i, key := range keys {
+		for _, name := range Ranked(key, names) {
+			if has[name] < most {
+				has[name]++
+				out[i] = name
+				break
+			}
+		}
+	}
+	return out
+}
+
+// Ranked is the names by their draws for a key, the highest first.
+func Ranked(key []byte, names []string) []string {
+	draws := make(map[string]uint64, len(names))
+	for _, name := range names {
+		draws[name] = Draw(key, name)
+	}
+	out := slices.Clone(names)
+	slices.SortFunc(out, func(a, b string) int {
+		switch {
+		case draws[a] > draws[b] || draws[a] == draws[b] && a < b:
+			return -1
+		case a == b:
+			return 0
+		}
+		return 1
+	})
+	return out
+}
--- a/internal/stand/deploy.go
+++ b/internal/stand/deploy.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"drumstall.example/internal/conf"
+	"drumstall.example/internal/kernel/bounds"
 )
 
 // Deployment is the shape and traffic of one of the two fleets.
@@ -29,6 +30,8 @@
 	Allowance  int
 	// Unattended says that the core membership forms from its first three cores and changes by itself.
 	Unattended bool
+	// Cadence is how often the parts look at one another; the zero value is the default.
+	Cadence bounds.Cadence
 	classes    string
 	routes     string
 }
--- a/internal/state/acceptor/grant.go
+++ b/internal/state/acceptor/grant.go
@@ -43,7 +43,7 @@
 			r.Why = state.WhySick
 			return
 		}
-		r.FullBy = t.pr.FullBy
+		r.FullBy, r.QuietMs = t.pr.FullBy, t.quietMs(now)
 		r.FreeMs = max(0, (now - time.Duration(t.until.Load())).Milliseconds())
 		t.keep(next)
 		t.anew = false
@@ -97,7 +97,11 @@
 			t.freed = bid{q.Epoch, q.From}
 		}
 		if q.Epoch == t.pr.Epoch && t.pr.Holder.Is(q.From) && !t.anew {
-			t.grant(a.clock.Since())
+			now := a.clock.Since()
+			t.grant(now)
+			if q.QuietMs > 0 {
+				t.quiet = quiet{q.Epoch, now - time.Duration(q.QuietMs)*time.Millisecond}
+			}
 		}
 		r.OK = true
 	})
--- /dev/null
+++ b/internal/state/acceptor/quiet_test.go
@@ -0,0 +1,64 @@
+package acceptor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/state"
+)
+
+// What a holder says when it lets go of a slot holds for the lease that it had, and for no later one.
+func TestASlotIsQuietOnlyByTheWordOfItsLastHolder(t *testing.T) {
+	bubble(t, func(t *testing.T, as []*Acceptor) {
+		ctx, a := t.Context(), as[0]
+		time.Sleep(state.HoldFor)
+		r, err := a.Prepare(ctx, ask("a", 1, 0, false))
+		yes(t, r, err)
+		release := ask("a", 1, 0, false)
+		release.QuietMs = 4000
+		r, err = a.Release(ctx, release)
+		yes(t, r, err)
+		time.Sleep(time.Second)
+		r, err = a.Prepare(ctx, ask("b", 2, 0, false))
+		yes(t, r, err)
+		if r.QuietMs != 5000 {
+			t.Errorf("quiet for %d ms, not 5000", r.QuietMs)
+		}
+		r, err = a.Release(ctx, ask("b", 2, 0, false))
+		yes(t, r, err)
+		r, err = a.Prepare(ctx, ask("c", 3, 0, false))
+		yes(t, r, err)
+		if r.QuietMs != 0 {
+			t.Errorf("quiet for %d ms though the last holder has not said so", r.QuietMs)
+		}
+	})
+}
+
+func TestAVoterThatWasRestartedKnowsOfNoQuietSlot(t *testing.T) {
+	bubble(t, func(t *testing.T, _ []*Acceptor) {
+		ctx, fs := t.Context(), vfs.NewMem()
+		g := run.NewGroup(ctx)
+		a := open(t, g, fs)
+		r, err := a.Prepare(ctx, ask("a", 1, 0, false))
+		yes(t, r, err)
+		release := ask("a", 1, 0, false)
+		release.QuietMs = 4000
+		r, err = a.Release(ctx, release)
+		yes(t, r, err)
+		g.Stop()
+		_ = a.Close()
+		g = run.NewGroup(ctx)
+		a = open(t, g, fs)
+		time.Sleep(state.HoldFor)
+		r, err = a.Prepare(ctx, ask("b", 2, 0, false))
+		yes(t, r, err)
+		if r.QuietMs != 0 {
+			t.Errorf("quiet for %d ms by the word of nobody", r.QuietMs)
+		}
+		g.Stop()
+		_ = a.Close()
+	})
+}
--- a/internal/state/acceptor/slot.go
+++ b/internal/state/acceptor/slot.go
@@ -27,6 +27,7 @@
 	until atomic.Int64               // lease granted until, on our clock
 	anew  bool                       // since start nobody has been granted: wait a whole lease
 	freed bid                        // let go of last
+	quiet quiet                      // by the word of who let go of it
 	last  atomic.Pointer[state.Core] // pr.Holder, for readers outside the actor
 }
 
@@ -36,6 +37,20 @@
 	by    state.Core
 }
 
+// quiet is since when, on our clock, no order has been sent under a lease that was let go of.
+type quiet struct {
+	epoch uint64
+	since time.Duration
+}
+
+// quietMs is for how long no order has been sent under the lease that was promised last; 0 is not known.
+func (t *table) quietMs(now time.Duration) int64 {
+	if t.quiet.epoch != t.pr.Epoch {
+		return 0
+	}
+	return (now - t.quiet.since).Milliseconds()
+}
+
 // keep takes a promise as it is on the disk now.
 func (t *table) keep(pr promise) {
 	t.pr = pr
@@ -63,7 +78,7 @@
 // forget makes the slot one of which nothing is known.
 func (t *table) forget() {
 	t.keep(promise{})
-	t.anew, t.freed = true, bid{}
+	t.anew, t.freed, t.quiet = true, bid{}, quiet{}
 }
 
 // vote checks what every vote needs: to be a voter, under the same core membership.
--- a/internal/state/owner/owner.go
+++ b/internal/state/owner/owner.go
@@ -29,6 +29,8 @@
 	callTimeout = 900 * time.Millisecond
 	// lapse is how long, times its rank, a core lets a slot go unheld before it takes it out of turn.
 	lapse = time.Second
+	// quietHandback is how long a slot is kept that another core is preferred for, where handing it over costs no orders.
+	quietHandback = 3 * time.Second
 	// repairEvery is how many intervals lie between two looks for missed writes in one slot.
 	repairEvery = 8
 )
@@ -54,7 +56,8 @@
 	// OwnQuarantine is how long after its start a core gives no orders for slots that
 	// its earlier life held; 0 where replicas know a controller by its name alone.
 	OwnQuarantine time.Duration
-	// Handback is how long a slot is kept that another core is preferred for.
+	// Handback is how long a slot is kept that another core is preferred for. One under which no order was sent
+	// for Quarantine is kept for quietHandback at most: its next holder may send orders at once.
 	Handback time.Duration
 	// OnTake is called in the slot's actor when a slot has been taken.
 	OnTake func(slot int, records []state.Record)
--- a/internal/state/owner/slot.go
+++ b/internal/state/owner/slot.go
@@ -21,6 +21,7 @@
 	until     atomic.Int64            // lease good until, on our clock; 0 when not held
 	orderFrom atomic.Int64            // from when on orders may be sent, on our clock
 	freeFor   atomic.Int64            // how long nobody had held the slot for sure when it was taken
+	orders    orders                  // that are sent under the lease
 	version   uint64                  // of the newest write in the slot
 	table     map[string]state.Record // nil when not held
 	seen      uint64                  // highest epoch heard of
@@ -46,7 +47,7 @@
 	s.tryAgainIn(200, 400)
 	if release {
 		set := o.d.Acceptor.Standing().Set
-		q := state.Ask{Set: set.Version, From: o.d.Self(), Slot: s.n, Epoch: s.epoch.Load()}
+		q := state.Ask{Set: set.Version, From: o.d.Self(), Slot: s.n, Epoch: s.epoch.Load(), QuietMs: s.orders.quietFor(o.d.Clock.Since()).Milliseconds()}
 		o.poll(set, "/state/release", q, o.d.Acceptor.Release, false)
 	}
 }
@@ -95,7 +96,7 @@
 		// core that grants us our own leases.
 		if s.strayed == 0 {
 			s.strayed = now
-		} else if now-s.strayed > o.d.Handback {
+		} else if now-s.strayed > s.handback(now) {
 			s.giveUp("another core is preferred", true)
 		}
 	default:
@@ -103,6 +104,14 @@
 	}
 }
 
+// handback is how long the slot is kept that another core is preferred for.
+func (s *slot) handback(now time.Duration) time.Duration {
+	if s.orders.quietFor(now) >= s.o.d.Quarantine {
+		return min(quietHandback, s.o.d.Handback)
+	}
+	return s.o.d.Handback
+}
+
 // inTurn says whether the core at this place of the rank may take the slot now.
 // Why: who should hold it may be alive for some and cut off from the other cores;
 // a slot that nobody holds goes to the next in rank.
--- a/internal/state/owner/take.go
+++ b/internal/state/owner/take.go
@@ -1,7 +1,9 @@
 package owner
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"drumstall.example/internal/state"
@@ -33,6 +35,7 @@
 	for i := range recs {
 		recs[i].Stamp = state.Stamp{Epoch: q.Epoch, Version: recs[i].Stamp.Version}
 	}
+	s.orders.begin(o.d.Clock.Since())
 	// Why: MayOrder must not find the slot held while it still goes by the quarantine of the time before.
 	s.quarantine(q.Epoch, yes, firstTime)
 	s.until.Store(int64(before + state.HoldFor - state.HoldMargin))
@@ -81,7 +84,7 @@
 	o := s.o
 	// Why: whoever held the slot before may have orders on the way; a first owner has none to wait out.
 	wonAt := o.d.Clock.Since()
-	orderFrom, free := wonAt+o.d.Quarantine-freeFor(yes), freeFor(yes)
+	orderFrom, free := wonAt+o.d.Quarantine-max(freeFor(yes), quietFor(yes)), freeFor(yes)
 	switch {
 	case epoch == 1:
 		orderFrom = wonAt
@@ -120,6 +123,17 @@
 	return max(0, free)
 }
 
+// quietFor is for how long no order has been sent under the slot's latest lease; 0 is not known. Why: a lease that
+// allowed orders was promised by a majority, one of which has answered. Each that has answered must therefore know
+// of no later lease than the one whose holder has said so.
+func quietFor(yes []state.Reply) time.Duration {
+	if len(yes) == 0 {
+		return 0
+	}
+	least := slices.MinFunc(yes, func(a, b state.Reply) int { return cmp.Compare(a.QuietMs, b.QuietMs) })
+	return time.Duration(least.QuietMs) * time.Millisecond
+}
+
 // ownBefore says that this core was the last to hold the slot. Why: whoever holds
 // one has first written the whole table to a majority, one of which has answered; a
 // promise alone may have been given in vain. What this life ordered need not be waited out, and what an
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -100,6 +100,7 @@
 	At      uint64   `cbor:"5,keyasint,omitempty"`
 	Full    bool     `cbor:"6,keyasint,omitempty"`
 	Records []Record `cbor:"7,keyasint,omitempty"`
+	QuietMs int64    `cbor:"8,keyasint,omitempty"` // in a release: for how long the holder had sent no order under the lease
 }
 
 // Reply is an acceptor's answer.
@@ -115,6 +116,9 @@
 	Sum     []byte   `cbor:"9,keyasint,omitempty"`
 	FullBy  Core     `cbor:"10,keyasint,omitempty"` // who wrote the whole table under Full
 	FreeMs  int64    `cbor:"11,keyasint,omitempty"` // to a prepare: for how long no hold had been granted here
+	// QuietMs is, to a prepare, for how long no order has been sent under the lease that was promised last, by the
+	// word of its holder when it let go of it; 0 is not known.
+	QuietMs int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Renewal asks for several slots at once.
