Edges acknowledge a replica's status only where a controller waits for it

Cause: an edge told the cores which status of each replica it has in force, also on platforms whose replicas let runs end by themselves (WaitsForRuns), where no controller ever looks at it.

Change: where replicas wait for runs, an edge acknowledges nothing. TestStatusIsNotAcknowledgedWhereReplicasLetRunsEnd holds it (there was no such choice before).

--- a/internal/proxy/feed.go
+++ b/internal/proxy/feed.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/feed"
 	"drumstall.example/internal/gossip"
@@ -16,6 +17,7 @@
 	"drumstall.example/internal/member/touch"
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/route"
+	"drumstall.example/internal/state"
 )
 
 // feedState is owned by the feed's loop.
@@ -178,10 +180,20 @@
 	snap := p.routes.Now()
 	tenants, version := p.tenants()
 	return report.Report{Boot: p.boot, Version: p.reports.Add(1), Conf: snap.Serial, Demand: p.demands(), Inflight: p.routes.Inflight(),
-		Waiting: p.admission.Waiting(), Pressed: p.routes.Pressed(), WorkMs: p.routes.Work(), Acked: snap.Acked, Zone: p.s.Zone, Serving: p.confirmed.Load(),
+		Waiting: p.admission.Waiting(), Pressed: p.routes.Pressed(), WorkMs: p.routes.Work(), Acked: acknowledged(p.replicas.Traits(), snap.Acked), Zone: p.s.Zone, Serving: p.confirmed.Load(),
 		Tenants: tenants, TenantsVersion: version}
 }
 
+// acknowledged is what controllers are told of the replicas' status that is in force here. Why: they wait for it
+// only where a replica does not itself let runs end before it unloads; told for nothing, each change at a
+// replica made a change in every edge's report.
+func acknowledged(traits backend.Traits, inForce map[string]state.Stamp) map[string]state.Stamp {
+	if traits.WaitsForRuns {
+		return nil
+	}
+	return inForce
+}
+
 // tellMiss passes the report on at once. Why: a load can only begin when a
 // controller has heard that somebody waits for it.
 func (p *Proxy) tellMiss() {
--- a/internal/proxy/feed_test.go
+++ b/internal/proxy/feed_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"drumstall.example/internal/backend"
 	"drumstall.example/internal/feed"
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/route"
@@ -76,3 +77,15 @@
 		}
 	}
 }
+
+// Edges once told the status of every replica that they had in force where no controller waits for it: in a large fleet
+// that was most of what cores were told.
+func TestStatusIsNotAcknowledgedWhereReplicasLetRunsEnd(t *testing.T) {
+	inForce := map[string]state.Stamp{"m-1": {Epoch: 1, Version: 2}}
+	if got := acknowledged(backend.Traits{WaitsForRuns: true}, inForce); len(got) > 0 {
+		t.Errorf("told for nothing: %v", got)
+	}
+	if got := acknowledged(backend.Traits{}, inForce); len(got) != 1 {
+		t.Errorf("controllers that wait for it are told %v", got)
+	}
+}
