Who holds an item is found by an index, not by going through all replicas

Cause: a decision asks for the cheapest holder of the item and of each that might go, and for their copies; each of these went through all replicas' status.

Change: order.Statuses is the list with an index by item, made once for each list that is asked.

--- a/internal/core/controllers.go
+++ b/internal/core/controllers.go
@@ -50,7 +50,7 @@
 	}
 	// Why: with the platform dark the replicas go on, so those known from the gossip stay controlled.
 	heard := c.watch.HeardFor() < 5*time.Second
-	for _, v := range c.views.Views() {
+	for _, v := range c.views.Views().All {
 		id := v.Listed.ID
 		if _, there := listed[id]; there {
 			delete(c.absent, id)
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -122,14 +122,14 @@
 	calls, bytes := c.caller.Sent()
 	inflight := map[string]int{}
 	views := c.views.Views()
-	for _, v := range views {
+	for _, v := range views.All {
 		if n := c.reports.InflightOn(v.Listed.ID, now); n > 0 {
 			inflight[v.Listed.ID] = n
 		}
 	}
 	return map[string]any{
 		"core": c.s.Name, "phase": string(st.Phase), "coreSet": st.Set, "slots": held, "members": members,
-		"busy": c.lag.Busy(), "served": c.served(), "decisions": c.planner.Progress(), "conf": serial, "laggards": laggards, "edges": edges, "tenants": tenants, "replicas": views,
+		"busy": c.lag.Busy(), "served": c.served(), "decisions": c.planner.Progress(), "conf": serial, "laggards": laggards, "edges": edges, "tenants": tenants, "replicas": views.All,
 		"claimsUnmet": gather(ctx, c, "/place/unmet", c.planner.Unmet), "afloatS": gather(ctx, c, "/place/afloat", c.planner.Afloat), "inflight": inflight, "platformHeardMs": c.watch.HeardFor().Milliseconds(),
 		"counts": map[string]int64{"garbledCalls": c.mux.Garbled(), "garbledAnswers": c.caller.Garbled(), "garbledGrams": c.post.Garbled(),
 			"news": int64(known), "newsDropped": dropped, "handedOver": c.own.Owed(), "edgesRelayed": c.relay.Agents(),
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -77,7 +77,7 @@
 	Reports  *report.Table
 	Conf     func() conf.Effective
 	Requests func(item string) float64 // predicted over the horizon
-	Others   func() []Status           // all replicas' status; nobody changes them
+	Others   func() Statuses
 	Agents   func() map[string]bool    // agents thought alive
 	Platform func() time.Duration      // how long ago the platform was heard
 	Grant    func(ctx context.Context, who string, worth float64) (wait time.Duration, ok bool)
--- a/internal/place/order/victims.go
+++ b/internal/place/order/victims.go
@@ -79,10 +79,11 @@
 	return l.loadedAt > 0 && l.lastUsed <= l.loadedAt && now-l.loadedAt < awaitedFor
 }
 
-func copies(others []Status, not string, item conf.Item) int {
-	n := 0
-	for _, o := range others {
-		if o.Listed.ID != not && !o.Dark && !o.Listed.Leaving && o.Items[item.String()] == backend.Loaded {
+func copies(others Statuses, not string, item conf.Item) int {
+	n, name := 0, item.String()
+	for _, i := range others.Having(name) {
+		o := &others.All[i]
+		if o.Listed.ID != not && !o.Dark && !o.Listed.Leaving && o.Items[name] == backend.Loaded {
 			n++
 		}
 	}
@@ -92,7 +93,7 @@
 // penaltyOf is what it would cost not to hold an item here: its predicted
 // requests times the time to serve one from the cheapest other holder, or,
 // where there is none, the time to load it again and serve it (ours).
-func (c *Controller) penaltyOf(cfg conf.Effective, item conf.Item, others []Status, now time.Duration) float64 {
+func (c *Controller) penaltyOf(cfg conf.Effective, item conf.Item, others Statuses, now time.Duration) float64 {
 	cheapest := Cheapest(others, c.listed.ID, item, c.d.Reports, now, cfg)
 	if cheapest == 0 {
 		m := cfg.Models[item.Model]
@@ -103,10 +104,12 @@
 
 // Cheapest is the predicted time to serve from the cheapest holder other than
 // not, or 0 when there is none.
-func Cheapest(others []Status, not string, item conf.Item, reports *report.Table, now time.Duration, cfg conf.Effective) time.Duration {
+func Cheapest(others Statuses, not string, item conf.Item, reports *report.Table, now time.Duration, cfg conf.Effective) time.Duration {
 	var best time.Duration
-	for _, o := range others {
-		if o.Listed.ID == not || o.Dark || o.Listed.Leaving || o.Items[item.String()] != backend.Loaded {
+	name := item.String()
+	for _, i := range others.Having(name) {
+		o := &others.All[i]
+		if o.Listed.ID == not || o.Dark || o.Listed.Leaving || o.Items[name] != backend.Loaded {
 			continue
 		}
 		serve := time.Duration(o.ServeMs) * time.Millisecond
@@ -122,14 +125,16 @@
 	return best
 }
 
-func (c *Controller) pinned(cfg conf.Effective, item conf.Item, others []Status) bool {
+func (c *Controller) pinned(cfg conf.Effective, item conf.Item, others Statuses) bool {
 	for _, want := range cfg.Claimed() {
 		if !item.Covers(want.Item) || !want.Group.Matches(labels.Set(c.listed.Labels)) {
 			continue
 		}
 		n := 0
-		for _, o := range others {
-			if o.Listed.ID != c.listed.ID && !o.Dark && !o.Listed.Leaving && want.Group.Matches(labels.Set(o.Listed.Labels)) && o.Items[want.Item.String()] == backend.Loaded {
+		name := want.Item.String()
+		for _, i := range others.Having(name) {
+			o := &others.All[i]
+			if o.Listed.ID != c.listed.ID && !o.Dark && !o.Listed.Leaving && want.Group.Matches(labels.Set(o.Listed.Labels)) && o.Items[name] == backend.Loaded {
 				n++
 			}
 		}
--- a/internal/place/order/victims_test.go
+++ b/internal/place/order/victims_test.go
@@ -28,7 +28,7 @@
 	cfg.Models = map[string]conf.Model{"fresh": {}, "pressed": {}, "used": {}, "old": {}}
 	c := &clock{time.Minute}
 	reports := report.NewTable()
-	ctl := &Controller{d: Deps{Clock: c, Reports: reports, Others: func() []Status { return nil }, Requests: func(string) float64 { return 0 }}, book: map[conf.Item]*line{}}
+	ctl := &Controller{d: Deps{Clock: c, Reports: reports, Others: func() Statuses { return Statuses{} }, Requests: func(string) float64 { return 0 }}, book: map[conf.Item]*line{}}
 	for name := range cfg.Models {
 		ctl.book[conf.Item{Model: name}] = &line{Line: Line{State: backend.Loaded, SizeMib: 10}, lastUsed: 10 * time.Second}
 	}
--- a/internal/place/plan/ask_test.go
+++ b/internal/place/plan/ask_test.go
@@ -56,7 +56,7 @@
 	for _, replica := range []string{"a", "b", "c", "d", "e"} {
 		d.Candidates = append(d.Candidates, judge.Ranked{Name: replica})
 	}
-	p.decide(t.Context(), conf.Effective{}, d, views)
+	p.decide(t.Context(), conf.Effective{}, d, order.NewStatuses(views))
 	slices.Sort(batches)
 	if want := []string{"core-1 a", "core-1 c", "core-2 b", "core-2 e"}; !slices.Equal(batches, want) {
 		t.Errorf("asked at once: %v, want %v", batches, want)
--- a/internal/place/plan/claims.go
+++ b/internal/place/plan/claims.go
@@ -15,7 +15,7 @@
 )
 
 // claims prepares decisions about copies that claims want and that are missing.
-func (p *Planner) claims(cfg conf.Effective, views []order.Status, now time.Duration) []Decision {
+func (p *Planner) claims(cfg conf.Effective, views order.Statuses, now time.Duration) []Decision {
 	var out []Decision
 	unmet := map[string]string{}
 	for _, want := range cfg.Claimed() {
@@ -23,7 +23,7 @@
 			continue
 		}
 		have, ready := 0, 0
-		for _, v := range views {
+		for _, v := range views.All {
 			s := v.Items[want.Item.String()]
 			if v.Dark || v.Listed.Leaving || !want.Group.Matches(labels.Set(v.Listed.Labels)) {
 				continue
--- a/internal/place/plan/decide.go
+++ b/internal/place/plan/decide.go
@@ -18,10 +18,10 @@
 )
 
 // decide asks the best candidates in turn and keeps the decision.
-func (p *Planner) decide(ctx context.Context, cfg conf.Effective, d Decision, views []order.Status) {
+func (p *Planner) decide(ctx context.Context, cfg conf.Effective, d Decision, views order.Statuses) {
 	d.weights = cfg.Weights
 	by := map[string]order.Status{}
-	for _, v := range views {
+	for _, v := range views.All {
 		by[v.Listed.ID] = v
 	}
 	ready, undecided := 0, false
@@ -106,8 +106,8 @@
 }
 
 // heardOfAny says whether any replica of models is known that answers its controller.
-func heardOfAny(views []order.Status) bool {
-	return slices.ContainsFunc(views, func(v order.Status) bool { return v.Listed.Model && !v.Dark })
+func heardOfAny(views order.Statuses) bool {
+	return slices.ContainsFunc(views.All, func(v order.Status) bool { return v.Listed.Model && !v.Dark })
 }
 
 // reasons counts why candidates did not take an item.
--- a/internal/place/plan/explain_test.go
+++ b/internal/place/plan/explain_test.go
@@ -26,7 +26,7 @@
 		}}, items: map[conf.Item]*item{}}
 	p.actor = run.NewActor(g, 8, 0, nil)
 	facts := []judge.Replica{{Name: "a", Fits: true, FreeMib: 1, NeedMib: 2}, {Name: "b", Fits: true}}
-	p.decide(t.Context(), conf.Effective{Weights: weights}, Decision{Item: "m", Candidates: judge.RankLoad(weights, facts)}, nil)
+	p.decide(t.Context(), conf.Effective{Weights: weights}, Decision{Item: "m", Candidates: judge.RankLoad(weights, facts)}, order.Statuses{})
 	for range 2 {
 		got := p.Explain(t.Context(), "m")
 		if len(got) != 1 || len(got[0].Candidates) != 2 || len(got[0].Tried) != 2 {
--- a/internal/place/plan/miss.go
+++ b/internal/place/plan/miss.go
@@ -16,7 +16,7 @@
 )
 
 // miss prepares a decision about an item that requests wait for.
-func (p *Planner) miss(cfg conf.Effective, it conf.Item, waiting int, pressed bool, wanted int, views []order.Status, now time.Duration) (Decision, bool) {
+func (p *Planner) miss(cfg conf.Effective, it conf.Item, waiting int, pressed bool, wanted int, views order.Statuses, now time.Duration) (Decision, bool) {
 	m, known := cfg.Models[it.Model]
 	if !known || !p.holds(it) {
 		return Decision{}, false
@@ -67,12 +67,14 @@
 }
 
 // copiesOf counts the replicas that hold an item or will; coming says that one of them does not hold it yet.
-func copiesOf(it conf.Item, views []order.Status) (copies int, coming bool) {
-	for _, v := range views {
+func copiesOf(it conf.Item, views order.Statuses) (copies int, coming bool) {
+	name := it.String()
+	for _, i := range views.Having(name) {
+		v := &views.All[i]
 		if v.Dark || v.Listed.Leaving {
 			continue
 		}
-		switch v.Items[it.String()] {
+		switch v.Items[name] {
 		case order.Reserved, backend.Loading:
 			coming = true
 			copies++
@@ -83,16 +85,17 @@
 	return copies, coming
 }
 
-func (p *Planner) candidates(cfg conf.Effective, it conf.Item, m conf.Model, views []order.Status, now time.Duration, in labels.Selector) []judge.Ranked {
+func (p *Planner) candidates(cfg conf.Effective, it conf.Item, m conf.Model, views order.Statuses, now time.Duration, in labels.Selector) []judge.Ranked {
 	zones := map[string]int{}
-	for _, v := range views {
-		if v.Items[it.String()] == backend.Loaded {
+	name := it.String()
+	for _, i := range views.Having(name) {
+		if v := &views.All[i]; v.Items[name] == backend.Loaded {
 			zones[v.Listed.Zone]++
 		}
 	}
 	var facts []judge.Replica
-	for _, v := range views {
-		if !v.Listed.Model || v.Dark || v.Items[it.String()] != "" || !cfg.Allowed(it.Model, v.Listed.Labels) || !in.Matches(labels.Set(v.Listed.Labels)) {
+	for _, v := range views.All {
+		if !v.Listed.Model || v.Dark || v.Items[name] != "" || !cfg.Allowed(it.Model, v.Listed.Labels) || !in.Matches(labels.Set(v.Listed.Labels)) {
 			continue
 		}
 		need := m.SizeMib
@@ -111,7 +114,7 @@
 		// Why: an adapter goes in with one start of the store where its model is, and with two elsewhere; the store is
 		// what everybody waits for.
 		has := map[string]bool{}
-		for _, v := range views {
+		for _, v := range views.All {
 			has[v.Listed.ID] = v.Items[it.Model] == backend.Loaded
 		}
 		slices.SortStableFunc(ranked, func(a, b judge.Ranked) int { return starts(a, has) - starts(b, has) })
@@ -120,9 +123,9 @@
 }
 
 // pending is how many loads of models each replica has before it.
-func pending(views []order.Status) map[string]int {
+func pending(views order.Statuses) map[string]int {
 	out := map[string]int{}
-	for _, v := range views {
+	for _, v := range views.All {
 		for item, state := range v.Items {
 			if (state == order.Reserved || state == backend.Loading) && conf.ParseItem(item).Adapter == "" {
 				out[v.Listed.ID]++
--- a/internal/place/plan/miss_test.go
+++ b/internal/place/plan/miss_test.go
@@ -28,7 +28,7 @@
 		"dark or leaving": {[]order.Status{view("a", backend.Loaded, true, false), view("b", backend.Loading, false, true)}, 0, false},
 		"being unloaded":  {[]order.Status{view("a", backend.Unloading, false, false)}, 0, false},
 	} {
-		if copies, coming := copiesOf(it, c.views); copies != c.copies || coming != c.coming {
+		if copies, coming := copiesOf(it, order.NewStatuses(c.views)); copies != c.copies || coming != c.coming {
 			t.Errorf("%s: %d, %v", name, copies, coming)
 		}
 	}
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -47,8 +47,7 @@
 	Gossip  *gossip.Table
 	Reports *report.Table
 	Conf    func() conf.Effective
-	// Views are all replicas' newest status, by name; nobody changes them.
-	Views func() []order.Status
+	Views func() order.Statuses
 	// Ask reaches the controller of a replica, on whichever core it is.
 	Ask func(ctx context.Context, controller string, q order.Consider) (order.Considered, error)
 	// AskAll asks the controller of several replicas at once, dry; order.Unheard stands for an answer that did not
--- a/internal/place/plan/plan_test.go
+++ b/internal/place/plan/plan_test.go
@@ -31,7 +31,7 @@
 			return order.Considered{}, errors.New("no answer")
 		}}, items: map[conf.Item]*item{}}
 	p.actor = run.NewActor(g, 8, 0, nil)
-	p.decide(t.Context(), conf.Effective{}, Decision{Item: "m", Alone: true, Candidates: []judge.Ranked{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "d"}}}, nil)
+	p.decide(t.Context(), conf.Effective{}, Decision{Item: "m", Alone: true, Candidates: []judge.Ranked{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "d"}}}, order.Statuses{})
 	// Why: telling of a refusal would need an owner, and there is none here to ask.
 	got := p.Explain(t.Context(), "m")
 	if len(got) != 1 || got[0].Taken != "" || len(got[0].Tried) != 4 {
@@ -55,7 +55,7 @@
 		g := run.NewGroup(context.Background())
 		p := &Planner{d: Deps{Group: g, Clock: tick.Machine(), Log: slog.New(slog.NewTextHandler(io.Discard, nil))}, items: map[conf.Item]*item{}}
 		p.actor = run.NewActor(g, 8, 0, nil)
-		p.decide(t.Context(), conf.Effective{}, Decision{Item: "m", Alone: true}, views)
+		p.decide(t.Context(), conf.Effective{}, Decision{Item: "m", Alone: true}, order.NewStatuses(views))
 		if got := p.Explain(t.Context(), "m"); len(got) != 1 || got[0].Taken != "" {
 			t.Errorf("%s: %+v", name, got)
 		}
@@ -80,7 +80,7 @@
 	}
 	views[6].CapacityMib = 10
 	p := &Planner{d: Deps{Reports: report.NewTable()}}
-	got := p.candidates(conf.Effective{Weights: map[string]float64{"room": 1}}, conf.Item{Model: "m"}, conf.Model{SizeMib: 100}, views, 0, labels.Everything())
+	got := p.candidates(conf.Effective{Weights: map[string]float64{"room": 1}}, conf.Item{Model: "m"}, conf.Model{SizeMib: 100}, order.NewStatuses(views), 0, labels.Everything())
 	var names []string
 	for _, r := range got {
 		names = append(names, r.Name)
--- a/internal/place/plan/views.go
+++ b/internal/place/plan/views.go
@@ -14,7 +14,7 @@
 var replicaPrefix = order.Key("")
 
 // Views are all replicas' newest status, by name, decoded anew.
-func Views(t *gossip.Table) []order.Status {
+func Views(t *gossip.Table) order.Statuses {
 	var out []order.Status
 	for _, e := range t.List(replicaPrefix) {
 		if n, ok := decodeView(e); ok {
@@ -22,7 +22,7 @@
 		}
 	}
 	slices.SortFunc(out, byID)
-	return out
+	return order.NewStatuses(out)
 }
 
 func decodeView(e gossip.Entry) (order.Status, bool) {
@@ -40,6 +40,7 @@
 	changed map[string]bool // keys of the entries that are newer than what is decoded
 	keys    []string        // of the list, sorted
 	list    []order.Status  // what is decoded, in the order of keys; never changed once it was handed out
+	views   order.Statuses  // the list, as it is handed out
 }
 
 // NewViewCache follows a table; it must be made before the table is in use.
@@ -58,19 +59,20 @@
 	c.changed[e.Key] = true
 }
 
-// Views are all replicas' newest status, by name. The list is shared: nobody may change it.
-func (c *ViewCache) Views() []order.Status {
+// Views are all replicas' newest status. They are shared: nobody may change them.
+func (c *ViewCache) Views() order.Statuses {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.changed) == 0 {
-		return c.list
+		return c.views
 	}
 	c.list = slices.Clone(c.list)
 	for key := range c.changed {
 		c.refresh(key)
 	}
 	clear(c.changed)
-	return c.list
+	c.views = order.NewStatuses(c.list)
+	return c.views
 }
 
 // refresh takes in the entry of a key as the table has it now. Why: entries of one
--- a/internal/place/plan/views_test.go
+++ b/internal/place/plan/views_test.go
@@ -40,10 +40,10 @@
 			case 2:
 				e.Key = "expect/" + id
 			}
-			before := cache.Views()
+			before := cache.Views().All
 			kept := append([]order.Status(nil), before...)
 			table.Put(e)
-			if got, want := cache.Views(), Views(table); len(got)+len(want) > 0 && !reflect.DeepEqual(got, want) {
+			if got, want := cache.Views().All, Views(table).All; len(got)+len(want) > 0 && !reflect.DeepEqual(got, want) {
 				t.Fatalf("seed %d, entry %d: got %+v, want %+v", seed, version, got, want)
 			}
 			if !reflect.DeepEqual(kept, append([]order.Status(nil), before...)) {
@@ -71,7 +71,7 @@
 	for name, cached := range map[string]bool{"anew": false, "cached": true} {
 		b.Run(name, func(b *testing.B) {
 			table := gossip.NewTable()
-			views := func() []order.Status { return Views(table) }
+			views := func() order.Statuses { return Views(table) }
 			if cached {
 				views = NewViewCache(table).Views
 			}
--- a/internal/sim/capacity/processor_test.go
+++ b/internal/sim/capacity/processor_test.go
@@ -69,7 +69,7 @@
 	costs("order.Cheapest, 417 nodes, 1 holder in 100", "replica", reps, func(x int) func() {
 		views := plan.Views(gossipTable(x, 10, 0, nil))
 		for i := 0; i < x; i += 100 {
-			views[i].Items["model-0001"] = "loaded"
+			views.All[i].Items["model-0001"] = "loaded"
 		}
 		t := report.NewTable()
 		for i := range 417 {
@@ -86,7 +86,7 @@
 		}
 		return func() {
 			var facts []judge.Replica
-			for _, v := range views {
+			for _, v := range views.All {
 				if cfg.Allowed("model-0001", v.Listed.Labels) {
 					facts = append(facts, judge.Replica{Name: v.Listed.ID, Inflight: t.InflightOn(v.Listed.ID, 0), Slots: v.Slots, FreeMib: v.FreeMib, NeedMib: 140000, Fits: true})
 				}
