--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -78,8 +78,8 @@
 	Conf     func() conf.Effective
 	Requests func(item string) float64 // predicted over the horizon
 	Others   func() Statuses
-	Agents   func() map[string]bool    // agents thought alive
-	Platform func() time.Duration      // how long ago the platform was heard
+	Agents   func() map[string]bool // agents thought alive
+	Platform func() time.Duration   // how long ago the platform was heard
 	Grant    func(ctx context.Context, who string, worth float64) (wait time.Duration, ok bool)
 	Afloat   func(ctx context.Context, who string) // tells the store's keeper of a load that may still start
 }
--- a/internal/place/plan/messages.go
+++ b/internal/place/plan/messages.go
@@ -13,9 +13,12 @@
 // PaceKey is where the store's pace is owned.
 const PaceKey = "pace/store"
 
+// demandPrefix begins the key of each hour of an item's history; with its model it tells the slot.
+const demandPrefix = "demand/"
+
 // DemandKey names an hour of an item's history in a ring of hours.
 func DemandKey(item conf.Item, hour int64) string {
-	return fmt.Sprintf("demand/%s/%d/%s", item.Model, hour%demand.KeptHours, item.Adapter)
+	return fmt.Sprintf(demandPrefix+"%s/%d/%s", item.Model, hour%demand.KeptHours, item.Adapter)
 }
 
 // ExpectKey names what proxies are told about an item they hold requests for.
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -47,7 +47,7 @@
 	Gossip  *gossip.Table
 	Reports *report.Table
 	Conf    func() conf.Effective
-	Views func() order.Statuses
+	Views   func() order.Statuses
 	// Ask reaches the controller of a replica, on whichever core it is.
 	Ask func(ctx context.Context, controller string, q order.Consider) (order.Considered, error)
 	// AskAll asks the controller of several replicas at once, dry; order.Unheard stands for an answer that did not
@@ -98,7 +98,7 @@
 
 // holds says whether this core plans for an item now, its history being read.
 func (p *Planner) holds(it conf.Item) bool {
-	key := DemandKey(it, 0)
+	key := demandPrefix + it.Model
 	epoch, _, _ := p.d.Owner.MayOrder(key)
 	return p.d.Owner.Holds(key) && p.loaded[state.SlotOf(key)] == epoch
 }
--- a/internal/stand/deploy.go
+++ b/internal/stand/deploy.go
@@ -32,8 +32,8 @@
 	Unattended bool
 	// Cadence is how often the parts look at one another; the zero value is the default.
 	Cadence bounds.Cadence
-	classes    string
-	routes     string
+	classes string
+	routes  string
 }
 
 // Zone is the name of the n-th machine's zone.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -4,8 +4,6 @@
 
 import (
 	"fmt"
-	"hash/fnv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,15 +51,31 @@
 // SlotOf maps a key to its slot. Only the first two parts of a key count, so
 // that all hours of one model's demand lie together.
 func SlotOf(key string) int {
-	parts := strings.SplitN(key, "/", 3)
-	h := fnv.New32a()
-	for _, p := range parts[:min(2, len(parts))] {
-		_, _ = h.Write([]byte(p))
-		_, _ = h.Write([]byte{0})
+	hash := uint32(fnvOffset)
+	add := func(b byte) { hash = (hash ^ uint32(b)) * fnvPrime }
+	parts := 1
+	for i := range len(key) {
+		switch {
+		case key[i] != '/':
+			add(key[i])
+		case parts == slotParts:
+			return int((hash * fnvPrime) % Slots)
+		default:
+			add(0)
+			parts++
+		}
 	}
-	return int(h.Sum32() % Slots)
+	return int((hash * fnvPrime) % Slots)
 }
 
+const (
+	// slotParts is how many parts of a key tell its slot.
+	slotParts = 2
+	// fnvOffset and fnvPrime are those of the 32-bit FNV-1a hash; a part ends with a zero byte.
+	fnvOffset = 2166136261
+	fnvPrime  = 16777619
+)
+
 // Core is one voter: a machine's name, the identity of its disk, its address.
 type Core struct {
 	Name string `cbor:"1,keyasint" json:"name"`
