A wait that has ended is forgotten also when nobody waits for anything

An item that was missed again later counted as waited for since its first miss: its decision went before dearer ones, and its first report called for no look out of turn (up to 50 ms later).

TestAWaitThatHasEndedIsForgottenWhenNobodyWaits failed before ("waited for since 1s").

--- a/internal/place/plan/nudge_test.go
+++ b/internal/place/plan/nudge_test.go
@@ -87,3 +87,17 @@
 		}
 	})
 }
+
+// A miss counts from its own beginning, also where nobody waited for anything in between.
+func TestAWaitThatHasEndedIsForgottenWhenNobodyWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		it := conf.Item{Model: "m"}
+		p := &Planner{d: Deps{Clock: simhost.NewClock(), Reports: report.NewTable(), Conf: conf.Empty}, items: map[conf.Item]*item{}}
+		p.item(it)
+		p.noteWaiting(map[conf.Item]int{it: 1}, time.Second)
+		p.onTick()
+		if since := p.items[it].since; since >= 0 {
+			t.Errorf("waited for since %v, though nobody waits", since)
+		}
+	})
+}
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -124,6 +124,7 @@
 	for it := range crowded {
 		waits[it] = max(waits[it], 1)
 	}
+	p.noteWaiting(waits, now)
 	if len(waits) == 0 && len(cfg.Claims) == 0 {
 		p.unmet = map[string]string{}
 		p.busy.Store(false)
@@ -131,7 +132,6 @@
 	}
 	views := p.d.Views()
 	var work []Decision
-	p.noteWaiting(waits, now)
 	for it, n := range waits {
 		if d, ok := p.miss(cfg, it, n, pressed[it] > 0, crowded[it], views, now); ok {
 			work = append(work, d)
