Decisions about loads are made side by side; a slow core holds up none but its own

Callers saw: a model that is missed is not loaded for seconds, on a site whose cores are short of processor time.

Cause: a planner made one round of decisions at a time, one after the other, each with two questions to several cores.

Side by side they see the same free replicas, so one that another decision is asking just then is taken after one that is not. `decisions made` tells decisions under way and the longest one in place of rounds.

--- a/internal/place/plan/claims.go
+++ b/internal/place/plan/claims.go
@@ -42,12 +42,11 @@
 		if have >= want.Copies || now-p.claimAt[want.Item] < claimAgain && p.claimAt[want.Item] != 0 {
 			continue
 		}
-		p.claimAt[want.Item] = now
 		m := cfg.Models[want.Item.Model]
 		d := Decision{At: p.d.Clock.Wall(), Core: p.d.Self, Item: want.Item.String(), Cause: "claim " + want.Claim, Requests: p.Requests(want.Item.String()), Accuracy: 1, claim: true,
 			CheapestMs: (m.LoadFor + m.ServeFor).Milliseconds(), Csf: cfg.Limits.Csf}
 		d.Penalty = penalty.Of(d.Requests, m.LoadFor+m.ServeFor)
-		d.Candidates = p.candidates(cfg, want.Item, m, views, now, want.Group)
+		d.among = want.Group
 		out = append(out, d)
 	}
 	p.unmet = unmet
--- a/internal/place/plan/decide.go
+++ b/internal/place/plan/decide.go
@@ -17,8 +17,8 @@
 	"drumstall.example/internal/state"
 )
 
-// decide asks the best candidates in turn and keeps the decision.
-func (p *Planner) decide(ctx context.Context, cfg conf.Effective, d Decision, views order.Statuses) {
+// decide asks the best candidates and keeps the decision; it says whether a load was taken on.
+func (p *Planner) decide(ctx context.Context, cfg conf.Effective, d Decision, views order.Statuses) (taken bool) {
 	d.weights = cfg.Weights
 	by := map[string]order.Status{}
 	for _, v := range views.All {
@@ -36,16 +36,12 @@
 	// Why: of those that agree, the one that takes the store's time the least, then the one that is ready clearly
 	// sooner, then the one whose victims are worth least; the judges' order decides between equals.
 	for len(names) > 0 && d.Taken == "" && !undecided {
-		best := -1
-		for i, a := range answers {
-			if a.Taken && (best < 0 || better(a, answers[best])) {
-				best = i
-			}
-		}
+		best := p.asked.choose(names, answers)
 		if best < 0 {
 			break
 		}
 		a, unsure := p.ask(ctx, d, by[names[best]].Controller, names[best], false)
+		p.asked.settle(names[best])
 		undecided = undecided || unsure
 		answers[best] = a
 		if a.Taken {
@@ -58,7 +54,6 @@
 		d.Tried = append(d.Tried, Tried{names[i], a})
 		undecided = undecided || a.Silent
 	}
-	p.progress.decided(d.Taken != "")
 	p.d.Log.Info("decision", "item", d.Item, "cause", d.Cause, "penalty", d.Penalty, "alone", d.Alone, "taken", d.Taken, "why", d.reasons())
 	e := Expect{ReadyMs: ready}
 	if d.Taken == "" {
@@ -103,6 +98,7 @@
 		p.expSer++
 		p.d.Gossip.Put(gossip.Entry{Key: ExpectKey(d.Item), Stamp: state.Stamp{Epoch: epoch, Version: p.expSer}, Value: wire.Pack(e)})
 	})
+	return d.Taken != ""
 }
 
 // heardOfAny says whether any replica of models is known that answers its controller.
@@ -129,11 +125,14 @@
 // clearly is by how much one replica must be ready sooner than another to be taken for that.
 const clearly = 400 // ms
 
-// better says whether a load is rather ordered where a was answered than where b was.
-func better(a, b order.Considered) bool {
+// better says whether a load is rather ordered where a was answered than where b was; so many other decisions are
+// asking for a load there at this moment.
+func better(a order.Considered, askedA int, b order.Considered, askedB int) bool {
 	switch {
 	case a.Starts != b.Starts:
 		return a.Starts < b.Starts
+	case askedA != askedB:
+		return askedA < askedB
 	case a.ReadyMs+clearly < b.ReadyMs:
 		return true
 	case b.ReadyMs+clearly < a.ReadyMs:
--- a/internal/place/plan/messages.go
+++ b/internal/place/plan/messages.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"k8s.io/apimachinery/pkg/labels"
+
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/place/demand"
 	"drumstall.example/internal/place/judge"
@@ -59,6 +61,7 @@
 	claim      bool           // it is about a claim's copy
 	waited     time.Duration  // for how long requests have waited for it
 	weights    map[string]float64
+	among      labels.Selector // the replicas that it may be loaded on
 }
 
 // Shared is a core's predictions, told to the others.
--- a/internal/place/plan/miss.go
+++ b/internal/place/plan/miss.go
@@ -31,10 +31,6 @@
 	if coming && copies >= wanted {
 		return Decision{}, false
 	}
-	if now-i.last > 3*p.d.Cadence.Again {
-		i.vain = 0
-	}
-	i.last = now
 	minute, _ := p.clock(cfg).Now(p.d.Clock.Wall(), now)
 	rule := p.rule()
 	requests := i.series.Next(rule, minute, waiting)
@@ -62,7 +58,7 @@
 	// that has not been heard of counts as busy.
 	spare := now-p.usedAt < useLife && p.use < cfg.Limits.PassSlack
 	d.Pass = first && (spare || now-i.passed >= cfg.Limits.PassEvery)
-	d.Candidates = p.candidates(cfg, it, m, views, now, labels.Everything())
+	d.among = labels.Everything()
 	return d, true
 }
 
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"sort"
 	"sync/atomic"
 	"time"
 
@@ -73,7 +72,8 @@
 	usedAt    time.Duration // when it did
 	log       deque.Deque[Decision]
 	unmet     map[string]string
-	busy      atomic.Bool
+	underWay  map[subject]bool // what decisions are being made about
+	asked     askedReplicas
 	claimAt   map[conf.Item]time.Duration
 	pacer     pacer
 	paceActor *run.Actor
@@ -84,7 +84,7 @@
 // New starts to plan.
 func New(d Deps) *Planner {
 	p := &Planner{d: d, items: map[conf.Item]*item{}, loaded: map[int]uint64{}, shared: map[string]float64{}, usedAt: -1 << 62, unmet: map[string]string{},
-		claimAt: map[conf.Item]time.Duration{}}
+		claimAt: map[conf.Item]time.Duration{}, underWay: map[subject]bool{}}
 	p.next.Store(&map[string]float64{})
 	p.paceActor = run.NewActor(d.Group, 64, 0, nil)
 	p.actor = run.NewActor(d.Group, 1024, d.Cadence.Plan, p.onTick)
@@ -102,80 +102,3 @@
 	epoch, _, _ := p.d.Owner.MayOrder(key)
 	return p.d.Owner.Holds(key) && p.loaded[state.SlotOf(key)] == epoch
 }
-
-func (p *Planner) onTick() {
-	// Why: asking controllers takes time; the actor must go on taking reports, so one round runs beside it.
-	if p.busy.Swap(true) {
-		return
-	}
-	now := p.d.Clock.Since()
-	cfg := p.d.Conf()
-	waits := p.d.Reports.Waiting(now)
-	crowded := p.crowded(now)
-	// Why: an item whose holders all have many requests is missed as well, if less than one that nobody holds.
-	pressed := p.d.Reports.Pressed(now)
-	for it, n := range pressed {
-		if n < pressedFew {
-			delete(pressed, it)
-			continue
-		}
-		waits[it] = max(waits[it], n)
-	}
-	for it := range crowded {
-		waits[it] = max(waits[it], 1)
-	}
-	p.noteWaiting(waits, now)
-	if len(waits) == 0 && len(cfg.Claims) == 0 {
-		p.unmet = map[string]string{}
-		p.busy.Store(false)
-		return
-	}
-	views := p.d.Views()
-	var work []Decision
-	for it, n := range waits {
-		if d, ok := p.miss(cfg, it, n, pressed[it] > 0, crowded[it], views, now); ok {
-			work = append(work, d)
-		}
-	}
-	work = append(work, p.claims(cfg, views, now)...)
-	sort.Slice(work, func(i, j int) bool { return work[i].before(work[j]) })
-	if !p.d.Group.Go(func(ctx context.Context) {
-		defer p.busy.Store(false)
-		began := p.d.Clock.Since()
-		for _, d := range work {
-			p.decide(ctx, cfg, d, views)
-		}
-		p.progress.round(p.d.Clock.Since() - began)
-	}) {
-		p.busy.Store(false)
-	}
-}
-
-// noteWaiting keeps in mind since when requests wait for each item.
-func (p *Planner) noteWaiting(waits map[conf.Item]int, now time.Duration) {
-	for it, i := range p.items {
-		switch {
-		case waits[it] == 0:
-			i.since = -1
-		case i.since < 0:
-			i.since = now
-		}
-	}
-}
-
-// unfair is for how long requests may wait for an item that nobody holds before
-// it goes before dearer ones. Why: the dearest first would never let the cheapest in.
-const unfair = 1500 * time.Millisecond
-
-// before says which decision is made first: what has waited for too long, the
-// longest first, then the dearest.
-func (d Decision) before(o Decision) bool {
-	late, other := d.Alone && d.waited > unfair, o.Alone && o.waited > unfair
-	switch {
-	case late != other:
-		return late
-	case late && d.waited != o.waited:
-		return d.waited > o.waited
-	}
-	return d.Penalty > o.Penalty
-}
--- a/internal/place/plan/progress.go
+++ b/internal/place/plan/progress.go
@@ -14,10 +14,10 @@
 	Slots         int   `json:"slots"`         // of the control state that this core holds
 	Waiting       int   `json:"waiting"`       // items that requests wait for now and that this core decides about
 	LongestWaitMs int64 `json:"longestWaitMs"` // for how long requests have waited for one of them
-	Rounds        int   `json:"rounds"`        // of decisions that ended
-	LongestMs     int64 `json:"longestMs"`     // the longest of these rounds
+	UnderWay      int   `json:"underWay"`      // decisions that are being made now
 	Decisions     int   `json:"decisions"`
-	Taken         int   `json:"taken"` // decisions that led to a load
+	Taken         int   `json:"taken"`     // decisions that led to a load
+	LongestMs     int64 `json:"longestMs"` // what one of them took at most
 }
 
 // progress counts decisions; its methods may be called from anywhere.
@@ -27,30 +27,23 @@
 	last Progress // as the last line told
 }
 
-// round notes that a round of decisions has ended.
-func (c *progress) round(took time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now.Rounds++
-	c.now.LongestMs = max(c.now.LongestMs, took.Milliseconds())
-}
-
-// decided notes a decision.
-func (c *progress) decided(taken bool) {
+// decided notes a decision, and what it took.
+func (c *progress) decided(taken bool, took time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now.Decisions++
+	c.now.LongestMs = max(c.now.LongestMs, took.Milliseconds())
 	if taken {
 		c.now.Taken++
 	}
 }
 
 // turn ends a span and begins the next; the ended one is given, with what holds at its end.
-func (c *progress) turn(slots, waiting int, longest time.Duration) Progress {
+func (c *progress) turn(slots, underWay, waiting int, longest time.Duration) Progress {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ended := c.now
-	ended.Slots, ended.Waiting, ended.LongestWaitMs = slots, waiting, longest.Milliseconds()
+	ended.Slots, ended.UnderWay, ended.Waiting, ended.LongestWaitMs = slots, underWay, waiting, longest.Milliseconds()
 	c.now, c.last = Progress{}, ended
 	return ended
 }
@@ -64,9 +57,10 @@
 
 // tellProgress logs what became of the items that requests wait for, if there were any.
 func (p *Planner) tellProgress(ctx context.Context) {
-	waiting, longest := 0, time.Duration(0)
+	underWay, waiting, longest := 0, 0, time.Duration(0)
 	err := p.actor.Ask(ctx, func() {
 		now := p.d.Clock.Since()
+		underWay = len(p.underWay)
 		for it, i := range p.items {
 			if i.since >= 0 && p.holds(it) {
 				waiting++
@@ -77,10 +71,10 @@
 	if err != nil {
 		return
 	}
-	t := p.progress.turn(len(p.d.Owner.Held()), waiting, longest)
+	t := p.progress.turn(len(p.d.Owner.Held()), underWay, waiting, longest)
 	if t.Waiting == 0 && t.Decisions == 0 {
 		return
 	}
 	p.d.Log.Info("decisions made", "forMs", progressEvery.Milliseconds(), "slots", t.Slots, "waiting", t.Waiting, "longestWaitMs", t.LongestWaitMs,
-		"rounds", t.Rounds, "longestMs", t.LongestMs, "decisions", t.Decisions, "taken", t.Taken)
+		"underWay", t.UnderWay, "decisions", t.Decisions, "taken", t.Taken, "longestMs", t.LongestMs)
 }
