A controller wakes up for its looks only, not in each short interval

Cause: each replica's controller woke up every 40 ms to see whether a look was due, idle or not: 25 times a second for each of 263 replicas, 6,200 wake-ups a second at the core that held 15 slots, of which one in 17 was a look.

Change: a controller sets a timer to its next look (run.Wake): the long interval while there is nothing to do, varied by an eighth so that controllers which begin together do not go on asking at one moment; the short one from the start of the look before while a task is under way, and not before a report can show anything new. TestAReplicaIsLookedAtOftenOnlyWhileSomethingIsDoneThere holds the looks to what they were. The tests' control state of one core is set up in one place (simstate).

--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -123,6 +123,7 @@
 	wrong       int
 	lookedAt    time.Duration
 	soon        *run.Nudge
+	wake        *run.Wake // for the next look
 	traits      backend.Traits
 	delay       reportDelay
 }
@@ -131,8 +132,10 @@
 func NewController(g *run.Group, d Deps, l inventory.Listed) *Controller {
 	d.Group = g
 	c := &Controller{d: d, listed: l, book: map[conf.Item]*line{}, reportAt: -1 << 62, lookedAt: -1 << 62, staying: -1, held: map[string]bool{}, traits: d.Replicas.Traits()}
-	c.actor = run.NewActor(g, 64, d.Cadence.ReplicaBusy, c.onTick)
+	c.actor = run.NewActor(g, 64, 0, nil)
 	c.soon = run.NewNudge(c.actor, c.work)
+	c.wake = run.NewWake(c.actor, c.work)
+	c.wake.In(d.Cadence.ReplicaBusy)
 	return c
 }
 
@@ -143,20 +146,14 @@
 	return c.listed.Leaving || c.report.Leaving || inventory.Marked(c.d.Gossip, c.listed.ID) || c.d.Conf().Drained(c.listed.Labels, c.listed.Zone)
 }
 
-func (c *Controller) onTick() {
-	now := c.d.Clock.Since()
-	idle := c.tasks.Len() == 0 && c.epoch > 0
-	// Why: a tick may come a little early, and must not wait for the next one then.
-	early := now-c.lookedAt < c.d.Cadence.ReplicaIdle-c.d.Cadence.ReplicaBusy/2
-	if early && (idle || c.expects() > now) {
-		return
-	}
-	c.work()
-}
-
+// work looks at the replica and carries on with what is to be done there.
 func (c *Controller) work() {
 	key := Key(c.listed.ID)
-	if c.closed || !c.d.Owner.Holds(key) {
+	if c.closed {
+		return
+	}
+	defer func() { c.wake.In(c.untilNextLook()) }()
+	if !c.d.Owner.Holds(key) {
 		return
 	}
 	epoch, _, _ := c.d.Owner.MayOrder(key)
--- a/internal/place/order/expects.go
+++ b/internal/place/order/expects.go
@@ -1,6 +1,9 @@
 package order
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // surely is the part of the time that a load takes as a rule before which it is never done.
 const surely = 0.9
@@ -32,6 +35,29 @@
 	return max(first, c.lookedAt+(c.lookedAt-t.since)/lookPart)
 }
 
+// idleSpread is the part of the time between two looks at an idle replica by which it varies. Why: controllers that
+// begin together would go on asking all their replicas at the same moment.
+const idleSpread = 8
+
+// leastGap is the least time between two looks, however long each takes.
+const leastGap = 10 * time.Millisecond
+
+// untilNextLook is when the replica is to be looked at next, from now. Why: a core of a large fleet controls many replicas
+// and most have nothing to do; a controller that woke up in each short interval took more time than its looks.
+func (c *Controller) untilNextLook() time.Duration {
+	now := c.d.Clock.Since()
+	soonest := c.lookedAt + c.d.Cadence.ReplicaBusy
+	if c.epoch == 0 || !c.d.Owner.Holds(Key(c.listed.ID)) {
+		return max(soonest-now, c.d.Cadence.ReplicaBusy)
+	}
+	idle := c.d.Cadence.ReplicaIdle
+	latest := c.lookedAt + idle + rand.N(2*idle/idleSpread) - idle/idleSpread
+	if c.tasks.Len() == 0 {
+		return max(leastGap, latest-now)
+	}
+	return max(leastGap, min(latest, max(soonest, c.expects()))-now)
+}
+
 // looked notes that a report which was asked for after the task's last order has come.
 func (c *Controller) looked(t *task) {
 	if (t.phase == gone || t.phase == loaded) && c.reportAt > t.since {
--- /dev/null
+++ b/internal/place/order/looks_test.go
@@ -0,0 +1,89 @@
+package order
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"drumstall.example/internal/backend"
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
+	"drumstall.example/internal/inventory"
+	"drumstall.example/internal/kernel/bounds"
+	"drumstall.example/internal/kernel/ring"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/place/report"
+	"drumstall.example/internal/sim/simhost"
+	"drumstall.example/internal/sim/simstate"
+)
+
+// countedReplica holds nothing, and counts how often it is asked for its report.
+type countedReplica struct {
+	looks  atomic.Int64
+	loaded atomic.Bool
+}
+
+func (r *countedReplica) Report(_ context.Context, target backend.Target) (backend.Report, error) {
+	r.looks.Add(1)
+	items := map[conf.Item]backend.Line{}
+	if r.loaded.Load() {
+		items[conf.Item{Model: "m"}] = backend.Line{State: backend.Loaded, SizeMib: 10}
+	}
+	return backend.Report{ID: target.ID, Incarnation: target.ID, Model: true, Slots: 4, CapacityMib: 100, Items: items}, nil
+}
+func (r *countedReplica) Order(context.Context, backend.Target, backend.Order) error { return nil }
+func (r *countedReplica) Close()                                                     {}
+func (r *countedReplica) Traits() backend.Traits                                     { return backend.Traits{} }
+
+// A controller looks at an idle replica in the long interval, at different moments for different replicas, and in the
+// short one as soon as it carries something out.
+func TestAReplicaIsLookedAtOftenOnlyWhileSomethingIsDoneThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := run.NewGroup(t.Context())
+		own, acc, err := simstate.Sole(t.Context(), g)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() {
+			g.Stop()
+			if err := acc.Close(); err != nil {
+				t.Error(err)
+			}
+		}()
+		cadence := bounds.DefaultCadence()
+		cadence.ReplicaIdle, cadence.ReplicaBusy = 700*time.Millisecond, 40*time.Millisecond
+		cfg := conf.Empty()
+		cfg.Models = map[string]conf.Model{"m": {SizeMib: 10, LoadFor: time.Second, ServeFor: time.Second}}
+		replica := &countedReplica{}
+		ctl := NewController(g, Deps{Clock: simhost.NewClock(), Log: ring.New(io.Discard, 10).Logger(), Self: "a", Boot: "b", Cadence: cadence, Replicas: replica, Owner: own,
+			Gossip: gossip.NewTable(), Reports: report.NewTable(), Conf: func() conf.Effective { return cfg }, Requests: func(string) float64 { return 0 },
+			Others: func() Statuses { return Statuses{} }, Agents: func() map[string]bool { return nil }, Platform: func() time.Duration { return 0 },
+			Afloat: func(context.Context, string) {}, Grant: func(context.Context, string, float64) (time.Duration, bool) { return 0, true }},
+			inventory.Listed{ID: "r", Addr: "10.0.0.2:9000", Model: true})
+		looksIn := func(while time.Duration) int64 {
+			before := replica.looks.Load()
+			time.Sleep(while)
+			return replica.looks.Load() - before
+		}
+		time.Sleep(time.Second)
+		if looks := looksIn(14 * time.Second); looks < 16 || looks > 24 {
+			t.Errorf("%d looks at an idle replica in 14 s, 20 are due", looks)
+		}
+		a, err := ctl.Consider(t.Context(), Consider{Replica: "r", Item: "m", Alone: true})
+		if err != nil || !a.Taken {
+			t.Fatal(fmt.Sprintf("%+v", a), err)
+		}
+		if looks := looksIn(time.Second); looks < 20 || looks > 27 {
+			t.Errorf("%d looks in a second while a load is under way, 25 are due", looks)
+		}
+		replica.loaded.Store(true)
+		time.Sleep(100 * time.Millisecond)
+		if looks := looksIn(7 * time.Second); looks < 8 || looks > 12 {
+			t.Errorf("%d looks in 7 s after the load, 10 are due", looks)
+		}
+	})
+}
--- a/internal/place/plan/nudge_test.go
+++ b/internal/place/plan/nudge_test.go
@@ -1,50 +1,27 @@
 package plan
 
 import (
-	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/cockroachdb/pebble/v2/vfs"
-
 	"drumstall.example/internal/conf"
-	"drumstall.example/internal/kernel/ring"
 	"drumstall.example/internal/kernel/run"
-	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/sim/simhost"
-	"drumstall.example/internal/sim/simnet"
+	"drumstall.example/internal/sim/simstate"
 	"drumstall.example/internal/state"
-	"drumstall.example/internal/state/acceptor"
 	"drumstall.example/internal/state/owner"
 )
 
 // soleOwner is the owner of all slots, as the only core of its set.
 func soleOwner(t *testing.T, g *run.Group) (own *owner.Owner, closeDisk func() error) {
 	t.Helper()
-	clk, log := simhost.NewClock(), ring.New(io.Discard, 100).Logger()
-	fabric := simnet.New(1, func(string, string) time.Duration { return time.Millisecond })
-	acc, err := acceptor.Open(g, "d", acceptor.Whose{Node: "a"}, vfs.NewMem(), clk, log)
+	own, acc, err := simstate.Sole(t.Context(), g)
 	if err != nil {
 		t.Fatal(err)
 	}
-	self := state.Core{Name: "a", Disk: acc.Disk(), Addr: "10.0.0.1:7000"}
-	if _, err := acc.SetStanding(t.Context(), func(acceptor.Standing) (acceptor.Standing, bool) {
-		return acceptor.Standing{Phase: acceptor.Voter, Set: state.CoreMembers{Version: 1, Cores: []state.Core{self}}}, true
-	}); err != nil {
-		t.Fatal(err)
-	}
-	own = owner.New(owner.Deps{Self: func() state.Core { return self }, Group: g, Clock: clk, Log: log, Caller: wire.NewCaller(fabric.Host("10.0.0.1")), Acceptor: acc,
-		Addr: func(state.Core) (string, bool) { return "", false }, Rank: func(int) []state.Core { return []state.Core{self} }, Behind: func(state.Core) {}})
-	for range 100 {
-		if len(own.Held()) == state.Slots {
-			return own, acc.Close
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	t.Fatal("the slots were not taken")
-	return nil, nil
+	return own, acc.Close
 }
 
 // A report calls for a look out of turn where an item begins to be waited for that
--- /dev/null
+++ b/internal/sim/simstate/simstate.go
@@ -0,0 +1,51 @@
+// Package simstate is the control state of a set of one core on a simulated machine, for tests of what stands on it.
+package simstate
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/pkg/errors"
+
+	"drumstall.example/internal/kernel/ring"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/sim/simhost"
+	"drumstall.example/internal/sim/simnet"
+	"drumstall.example/internal/state"
+	"drumstall.example/internal/state/acceptor"
+	"drumstall.example/internal/state/owner"
+)
+
+const (
+	logLines  = 100
+	lookEvery = 100 * time.Millisecond
+	takenBy   = 10 * time.Second
+)
+
+// Sole is the owner of all slots, as the only core of its set. The acceptor is closed after the group has stopped.
+func Sole(ctx context.Context, g *run.Group) (*owner.Owner, *acceptor.Acceptor, error) {
+	clock, log := simhost.NewClock(), ring.New(io.Discard, logLines).Logger()
+	fabric := simnet.New(1, func(string, string) time.Duration { return time.Millisecond })
+	acc, err := acceptor.Open(g, "d", acceptor.Whose{Node: "a"}, vfs.NewMem(), clock, log)
+	if err != nil {
+		return nil, nil, err
+	}
+	self := state.Core{Name: "a", Disk: acc.Disk(), Addr: "10.0.0.1:7000"}
+	if _, err := acc.SetStanding(ctx, func(acceptor.Standing) (acceptor.Standing, bool) {
+		return acceptor.Standing{Phase: acceptor.Voter, Set: state.CoreMembers{Version: 1, Cores: []state.Core{self}}}, true
+	}); err != nil {
+		return nil, acc, err
+	}
+	own := owner.New(owner.Deps{Self: func() state.Core { return self }, Group: g, Clock: clock, Log: log, Caller: wire.NewCaller(fabric.Host("10.0.0.1")), Acceptor: acc,
+		Addr: func(state.Core) (string, bool) { return "", false }, Rank: func(int) []state.Core { return []state.Core{self} }, Behind: func(state.Core) {}})
+	for range int(takenBy / lookEvery) {
+		if len(own.Held()) == state.Slots {
+			return own, acc, nil
+		}
+		run.Wait(ctx, lookEvery)
+	}
+	return nil, acc, errors.New("simstate: the slots were not taken")
+}
