--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -82,6 +82,9 @@
 	return out
 }
 
+// Busy says that this core has no processor time to spare.
+func (c *Core) Busy() bool { return c.lag.Busy() }
+
 // Status is what this core sees.
 func (c *Core) Status(ctx context.Context) any {
 	st := c.acc.Standing()
--- a/internal/kernel/heap/heap.go
+++ b/internal/kernel/heap/heap.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
+	"sync/atomic"
 )
 
 const liveHeap = "/gc/heap/live:bytes"
@@ -15,10 +16,15 @@
 	Percent int    // of what was live, for a large heap
 	Most    int    // the percentage that is never exceeded
 	Least   uint64 // bytes that a small heap may grow by, if Most allows it
+	Busy    int    // the percentage while the process has no processor time to spare; 0 is as at other times
 }
 
-// percent is the collector's percentage while so many bytes are live.
-func (p Pace) percent(live uint64) int {
+// percent is the collector's percentage while so many bytes are live. Why: memory is cheaper than the time of a process
+// that has none to spare.
+func (p Pace) percent(live uint64, busy bool) int {
+	if busy && p.Busy > 0 {
+		return p.Busy
+	}
 	if live == 0 {
 		return p.Most
 	}
@@ -27,10 +33,20 @@
 }
 
 // Keep holds the process to a pace from now on.
-func Keep(p Pace) {
-	k := &keeper{pace: p, sample: [1]metrics.Sample{{Name: liveHeap}}}
+func Keep(p Pace) *Keeper {
+	k := &Keeper{pace: p, sample: [1]metrics.Sample{{Name: liveHeap}}}
 	k.adjust()
 	k.follow()
+	return k
+}
+
+// WhenBusy tells the keeper how to know that the process has no processor time to spare.
+func (k *Keeper) WhenBusy(busy func() bool) { k.busy.Store(&busy) }
+
+// isBusy says whether the process has no processor time to spare, as far as is known.
+func (k *Keeper) isBusy() bool {
+	busy := k.busy.Load()
+	return busy != nil && (*busy)()
 }
 
 // belowParts of 100 of what a process may use are in use when it collects as often as it must. The rest is for what
@@ -44,18 +60,19 @@
 	}
 }
 
-// keeper sets the percentage anew after collections that left another part live.
-type keeper struct {
+// Keeper sets the percentage anew after collections that left another part live, or that found the process busy.
+type Keeper struct {
 	pace   Pace
+	busy   atomic.Pointer[func() bool]
 	set    int // the percentage in force
 	sample [1]metrics.Sample
 }
 
 // collected is an object that nothing refers to, so that each collection finalizes it.
-type collected struct{ keeper *keeper }
+type collected struct{ keeper *Keeper }
 
 // follow has the percentage looked at after the next collection.
-func (k *keeper) follow() {
+func (k *Keeper) follow() {
 	runtime.SetFinalizer(&collected{k}, func(c *collected) {
 		c.keeper.adjust()
 		c.keeper.follow()
@@ -67,9 +84,9 @@
 const changesBy = 10 // of 100
 
 // adjust sets the percentage by what is live now.
-func (k *keeper) adjust() {
+func (k *Keeper) adjust() {
 	metrics.Read(k.sample[:])
-	want := k.pace.percent(k.sample[0].Value.Uint64())
+	want := k.pace.percent(k.sample[0].Value.Uint64(), k.isBusy())
 	if off := max(want-k.set, k.set-want); off*100 < changesBy*k.set {
 		return
 	}
--- a/internal/kernel/heap/heap_test.go
+++ b/internal/kernel/heap/heap_test.go
@@ -3,6 +3,7 @@
 import (
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"testing"
 )
 
@@ -22,7 +23,7 @@
 		{4 * mib, 50},
 		{40 * mib, 50},
 	} {
-		if got := pace.percent(c.live); got != c.want {
+		if got := pace.percent(c.live, false); got != c.want {
 			t.Errorf("%d bytes live: %d %%, not %d", c.live, got, c.want)
 		}
 	}
@@ -48,6 +49,27 @@
 	return false
 }
 
+func TestABusyProcessCollectsLessOften(t *testing.T) {
+	defer debug.SetGCPercent(debug.SetGCPercent(pace.Percent))
+	spare := Pace{Percent: 50, Most: 100, Busy: 400}
+	var busy atomic.Bool
+	Keep(spare).WhenBusy(busy.Load)
+	if !settles(40*mib, spare.Percent) {
+		t.Errorf("a process with time to spare is not held to %d %%", spare.Percent)
+	}
+	busy.Store(true)
+	if !settles(40*mib, spare.Busy) {
+		t.Errorf("a busy process is not given %d %%", spare.Busy)
+	}
+	busy.Store(false)
+	if !settles(40*mib, spare.Percent) {
+		t.Errorf("a process that is busy no more is not held to %d %%", spare.Percent)
+	}
+	if got := pace.percent(40*mib, true); got != pace.Percent {
+		t.Errorf("%d %% while busy, where nothing is said of it", got)
+	}
+}
+
 func TestAProcessIsHeldToItsPace(t *testing.T) {
 	defer debug.SetGCPercent(debug.SetGCPercent(pace.Percent))
 	Keep(pace)
