The index of who holds what follows single changes

Statuses.Replaced takes it over but for the items that a changed replica has or had; a list in which replicas come or go is made anew as before. TestTheIndexFollowsWhatIsReplaced compares it with one made anew, and that nothing handed out changes.

--- a/internal/place/order/statuses.go
+++ b/internal/place/order/statuses.go
@@ -1,6 +1,10 @@
 package order
 
-import "sync"
+import (
+	"maps"
+	"slices"
+	"sync"
+)
 
 // Statuses is all replicas' newest status, by name. Nobody changes it.
 type Statuses struct {
@@ -8,7 +12,7 @@
 	index *itemIndex
 }
 
-// itemIndex is which replicas have each item in any state; it is made when it is first asked for.
+// itemIndex is which replicas have each item in any state, by their places; it is made when it is first asked for.
 type itemIndex struct {
 	once   sync.Once
 	having map[string][]int
@@ -23,13 +27,60 @@
 	if s.index == nil {
 		return nil
 	}
-	s.index.once.Do(func() {
-		s.index.having = make(map[string][]int, len(s.All))
-		for i, one := range s.All {
-			for name := range one.Items {
-				s.index.having[name] = append(s.index.having[name], i)
+	return s.index.of(s.All)[item]
+}
+
+// of is the index of a list.
+func (x *itemIndex) of(all []Status) map[string][]int {
+	x.once.Do(func() {
+		x.having = make(map[string][]int, len(all))
+		for at := range all {
+			for item := range all[at].Items {
+				x.having[item] = append(x.having[item], at)
 			}
 		}
 	})
-	return s.index.having[item]
+	return x.having
+}
+
+// Replaced is the same with the status of some replicas replaced, by their places. The index is taken over but for what
+// these have or had.
+func (s Statuses) Replaced(changes map[int]Status) Statuses {
+	all, having := slices.Clone(s.All), maps.Clone(s.index.of(s.All))
+	for at, now := range changes {
+		for item := range all[at].Items {
+			if _, still := now.Items[item]; !still {
+				having[item] = without(having[item], at)
+				if len(having[item]) == 0 {
+					delete(having, item)
+				}
+			}
+		}
+		for item := range now.Items {
+			if _, had := all[at].Items[item]; !had {
+				having[item] = with(having[item], at)
+			}
+		}
+		all[at] = now
+	}
+	x := &itemIndex{having: having}
+	x.once.Do(func() {})
+	return Statuses{All: all, index: x}
+}
+
+// without is a list of places without one of them; the list itself is not changed.
+func without(places []int, at int) []int {
+	out := make([]int, 0, len(places))
+	for _, p := range places {
+		if p != at {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// with is a sorted list of places with one more; the list itself is not changed.
+func with(places []int, at int) []int {
+	i, _ := slices.BinarySearch(places, at)
+	return slices.Insert(slices.Clone(places), i, at)
 }
--- a/internal/place/order/statuses_test.go
+++ b/internal/place/order/statuses_test.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -22,3 +23,31 @@
 		t.Errorf("of no replicas: %v", got)
 	}
 }
+
+// An index that was taken over from the list before tells the same as one that is made anew.
+func TestTheIndexFollowsWhatIsReplaced(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	status := func() Status {
+		s := Status{Items: map[string]string{}}
+		for range rnd.IntN(4) {
+			s.Items[string(rune('a'+rnd.IntN(6)))] = backend.Loaded
+		}
+		return s
+	}
+	s := NewStatuses([]Status{status(), status(), status(), status(), status()})
+	for round := range 200 {
+		before := NewStatuses(slices.Clone(s.All))
+		changes := map[int]Status{rnd.IntN(5): status(), rnd.IntN(5): status()}
+		next := s.Replaced(changes)
+		anew := NewStatuses(next.All)
+		for item := 'a'; item < 'g'; item++ {
+			if got, want := next.Having(string(item)), anew.Having(string(item)); !slices.Equal(got, want) {
+				t.Fatalf("round %d, %c: %v, not %v", round, item, got, want)
+			}
+			if got, want := s.Having(string(item)), before.Having(string(item)); !slices.Equal(got, want) {
+				t.Fatalf("round %d, %c: what was handed out has changed from %v to %v", round, item, want, got)
+			}
+		}
+		s = next
+	}
+}
--- a/internal/place/plan/views.go
+++ b/internal/place/plan/views.go
@@ -38,14 +38,13 @@
 	table   *gossip.Table
 	mu      sync.Mutex
 	changed map[string]bool // keys of the entries that are newer than what is decoded
-	keys    []string        // of the list, sorted
-	list    []order.Status  // what is decoded, in the order of keys; never changed once it was handed out
-	views   order.Statuses  // the list, as it is handed out
+	keys    []string        // of the views, sorted
+	views   order.Statuses  // what is decoded, in the order of keys
 }
 
 // NewViewCache follows a table; it must be made before the table is in use.
 func NewViewCache(t *gossip.Table) *ViewCache {
-	c := &ViewCache{table: t, changed: map[string]bool{}}
+	c := &ViewCache{table: t, changed: map[string]bool{}, views: order.NewStatuses(nil)}
 	t.OnNew(c.note)
 	return c
 }
@@ -66,32 +65,48 @@
 	if len(c.changed) == 0 {
 		return c.views
 	}
-	c.list = slices.Clone(c.list)
+	replaced := map[int]order.Status{}
 	for key := range c.changed {
-		c.refresh(key)
+		at, known := slices.BinarySearch(c.keys, key)
+		n, there := c.read(key)
+		if !there || !known {
+			c.makeAnew()
+			return c.views
+		}
+		replaced[at] = n
 	}
 	clear(c.changed)
-	c.views = order.NewStatuses(c.list)
+	c.views = c.views.Replaced(replaced)
 	return c.views
 }
 
-// refresh takes in the entry of a key as the table has it now. Why: entries of one
+// read decodes the entry of a key as the table has it now. Why: entries of one
 // key may be told of in another order than the table took them.
-func (c *ViewCache) refresh(key string) {
-	var n order.Status
-	e, there := c.table.Get(key)
-	if there {
-		n, there = decodeView(e)
+func (c *ViewCache) read(key string) (n order.Status, there bool) {
+	e, found := c.table.Get(key)
+	if !found {
+		return n, false
 	}
-	at, known := slices.BinarySearch(c.keys, key)
-	switch {
-	case there && known:
-		c.list[at] = n
-	case there:
-		c.keys = slices.Insert(c.keys, at, key)
-		c.list = slices.Insert(c.list, at, n)
-	case known:
-		c.keys = slices.Delete(c.keys, at, at+1)
-		c.list = slices.Delete(c.list, at, at+1)
+	return decodeView(e)
+}
+
+// makeAnew takes in all changes where replicas have come or gone.
+func (c *ViewCache) makeAnew() {
+	list := slices.Clone(c.views.All)
+	for key := range c.changed {
+		at, known := slices.BinarySearch(c.keys, key)
+		n, there := c.read(key)
+		switch {
+		case there && known:
+			list[at] = n
+		case there:
+			c.keys = slices.Insert(c.keys, at, key)
+			list = slices.Insert(list, at, n)
+		case known:
+			c.keys = slices.Delete(c.keys, at, at+1)
+			list = slices.Delete(list, at, at+1)
+		}
 	}
+	clear(c.changed)
+	c.views = order.NewStatuses(list)
 }
