Test: a report that is passed on as a difference comes between two rounds

Trace: the report came at 500 ms, the moment of the fifth round; the round found it in the core's table and sent it as a difference, then the relay was told that it was a whole one and sent it whole, as it must. Nothing is lost and the table refuses the second.

--- a/internal/place/report/relay/relay_test.go
+++ b/internal/place/report/relay/relay_test.go
@@ -163,7 +163,8 @@
 		if got := p.report(t, counted("e", 1)); got != "" {
 			t.Errorf("%s vouched for before anything was passed on", got)
 		}
-		time.Sleep(500 * time.Millisecond)
+		// Between two rounds: a round at the same moment may find the report in the table before the relay is told of it.
+		time.Sleep(500*time.Millisecond + roundEvery/2)
 		if got := p.report(t, counted("e", 2)); got != "b c" {
 			t.Errorf("vouched for: %q", got)
 		}
