A busy core passes misses on in its rounds, and looks at them in its intervals

Cause: a report that tells of a miss was passed on at once, in a batch of its own to each other core, and each had a look at all that waits, out of turn. While a large fleet misses some 200 times a second, that is a batch and a look for each.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -200,12 +200,13 @@
 	}
 	c.own = owner.New(owner.Deps{Self: c.self, Group: c.group, Clock: env.Clock, Log: c.log, Caller: c.caller, Acceptor: c.acc,
 		Addr: c.addrOf, Rank: c.voters, Behind: func(v state.Core) { c.set.Behind(v) }, Quarantine: s.Bounds.Lease, OwnQuarantine: ownQuarantine, Handback: s.Cadence.Handback, OnTake: c.onTake})
+	c.lag = load.NewLag(c.group, env.Clock)
 	c.planner = plan.New(plan.Deps{Group: c.group, Clock: env.Clock, Log: c.log, Self: s.Name, Cadence: s.Cadence, Store: s.Bounds.Store, Owner: c.own, Gossip: c.gossip,
-		Reports: c.reports, Conf: c.effective, Views: c.views.Views, Ask: c.consider, AskAll: c.considerAll, Tell: c.tellShared})
+		Reports: c.reports, Conf: c.effective, Views: c.views.Views, Ask: c.consider, AskAll: c.considerAll, Tell: c.tellShared, Busy: c.lag.Busy})
 	c.relay = relay.New(relay.Deps{Group: c.group, Clock: env.Clock, Cores: func() []member.Node { return c.members.Live(member.RoleCore) }, Self: s.Name, Newest: c.reports.Of,
 		Send: func(ctx context.Context, addr string, b relay.Batch) (relay.Taken, error) {
 			return wire.CallLarge[relay.Taken](ctx, c.caller, addr, relay.Path, wire.Prepare(b))
-		}})
+		}, Busy: c.lag.Busy})
 	c.set = coremembers.New(coremembers.Deps{Self: c.self, Want: s.Cores, Founders: s.Founders, MayFound: s.MayFound, Target: 2*s.Bounds.Tolerated + 1, Replaces: s.Replaces, Group: c.group, Log: c.log, Caller: c.caller,
 		Acceptor: c.acc, Owner: c.own, Live: c.liveCores, Addr: c.addrOf, Gone: c.goneFor, Heard: c.heardFor}, c.mux)
 	c.watch.Start(c.group, s.Cadence.List, func() bool { return true })
@@ -225,7 +226,6 @@
 		disk := c.acc.Disk()
 		c.members.SetSelf(func(n *member.Node) { n.Phase, n.Disk = phase, disk })
 	})
-	c.lag = load.NewLag(c.group, env.Clock)
 	load.Watch(c.group, c.log, c.mux.Served, c.post.Served)
 	c.base.Go(c.post.Run)
 	for _, srv := range append([]*wire.Server{wire.NewServer(ln, c.mux)}, servers...) {
--- a/internal/place/plan/history.go
+++ b/internal/place/plan/history.go
@@ -135,12 +135,16 @@
 	}
 	p.work.add(r, p.d.Reports.Of(r.Agent).Report, now)
 	p.addDemand(r, now, func(conf.Item) bool { return true })
-	if p.hasNewMiss(r) {
+	if !p.isBusy() && p.hasNewMiss(r) {
 		p.soon.Now()
 	}
 	return report.Kept
 }
 
+// isBusy says that this core has no processor time to spare. It then looks at misses in each interval, and not at
+// each of them.
+func (p *Planner) isBusy() bool { return p.d.Busy != nil && p.d.Busy() }
+
 // hasNewMiss says whether requests wait by a report for an item that this core plans
 // for and that nobody waited for when it last looked. Why: what waits already is looked at in each interval.
 func (p *Planner) hasNewMiss(r report.Report) bool {
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -54,6 +54,8 @@
 	AskAll func(ctx context.Context, controller string, q order.ConsiderAll) []order.Considered
 	// Tell shares predictions with the other cores.
 	Tell func(ctx context.Context, s Shared)
+	// Busy says that this core has no processor time to spare; nil is never.
+	Busy func() bool
 }
 
 // Planner plans for the items whose slots this core holds.
--- a/internal/place/report/relay/relay.go
+++ b/internal/place/report/relay/relay.go
@@ -45,6 +45,8 @@
 	// Newest is the newest report of an agent.
 	Newest func(agent string) report.Dated
 	Send   func(ctx context.Context, addr string, b Batch) (Taken, error)
+	// Busy says that this core has no processor time to spare; nil is never.
+	Busy func() bool
 }
 
 // Relay passes on the reports of the agents that ask this core for it.
@@ -123,11 +125,19 @@
 		vouched = r.vouched(rep.Agent, now)
 	})
 	if err == nil && urgent {
-		r.soon.Now()
+		r.outOfTurn()
 	}
 	return vouched, err
 }
 
+// outOfTurn has a round at once. Why: where most reports tell of a miss, a batch for each is more work than all of them
+// in the next round; a core without time to spare sends no more than its rounds.
+func (r *Relay) outOfTurn() {
+	if r.d.Busy == nil || !r.d.Busy() {
+		r.soon.Now()
+	}
+}
+
 // forget has a whole report of an agent sent next. The cores are vouched for all the same.
 func (r *Relay) forget(agent string) {
 	for _, p := range r.peers {
@@ -254,7 +264,7 @@
 			p.busy = false
 			if p.late {
 				p.late = false
-				r.soon.Now()
+				r.outOfTurn()
 			}
 			// Why: whether it was taken is not known without an answer; the next batch shows it.
 			if err == nil {
--- a/internal/place/report/relay/relay_test.go
+++ b/internal/place/report/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,8 +31,10 @@
 	tables  map[string]*report.Table
 	silent  map[string]bool
 	slow    time.Duration              // a batch takes to be answered
+	busy    atomic.Bool                // the relay's own core has no time to spare
 	got     map[string][]report.Report // as they were sent
 	gotAt   map[string]time.Duration
+	batches map[string]int
 	largest int // bytes of a batch
 	version uint64
 }
@@ -41,11 +44,11 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		p := &peers{group: run.NewGroup(t.Context()), clock: simhost.NewClock(), own: report.NewTable(), tables: map[string]*report.Table{},
-			silent: map[string]bool{}, got: map[string][]report.Report{}, gotAt: map[string]time.Duration{}}
+			silent: map[string]bool{}, got: map[string][]report.Report{}, gotAt: map[string]time.Duration{}, batches: map[string]int{}}
 		for _, name := range []string{"b", "c"} {
 			p.tables[name] = report.NewTable()
 		}
-		p.relay = New(Deps{Group: p.group, Clock: p.clock, Cores: p.cores, Self: "a", Newest: p.own.Of, Send: p.send})
+		p.relay = New(Deps{Group: p.group, Clock: p.clock, Cores: p.cores, Self: "a", Newest: p.own.Of, Send: p.send, Busy: p.busy.Load})
 		do(t, p)
 		p.group.Stop()
 	})
@@ -73,6 +76,13 @@
 	p.silent[addr] = silent
 }
 
+// batchesTo counts the batches that a core has taken.
+func (p *peers) batchesTo(addr string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.batches[addr]
+}
+
 // lose has a core start anew, without any reports.
 func (p *peers) lose(name string) {
 	p.mu.Lock()
@@ -93,6 +103,7 @@
 		size += len(packed)
 	}
 	p.largest = max(p.largest, size)
+	p.batches[addr]++
 	return Take(ctx, b, func(_ context.Context, all []report.Report) (out []report.Outcome, err error) {
 		for _, r := range all {
 			p.got[addr] = append(p.got[addr], r)
@@ -201,6 +212,26 @@
 	})
 }
 
+// Cores that were short of processor time sent a batch for each report that told of a miss, to each other core.
+func TestACoreWithoutTimeToSparePassesMissesOnInItsRounds(t *testing.T) {
+	among(t, func(t *testing.T, p *peers) {
+		p.busy.Store(true)
+		p.slow = 5 * time.Millisecond
+		const misses = 20
+		for i := range misses {
+			r := counted(fmt.Sprint("e", i), 1)
+			r.Waiting = map[string]int{"m": 1}
+			p.report(t, r)
+			time.Sleep(roundEvery / misses)
+		}
+		time.Sleep(2 * roundEvery)
+		if batches := p.batchesTo("b"); batches > 3 {
+			t.Errorf("%d batches for the misses of one round", batches)
+		}
+		p.have(t, fmt.Sprint("e", misses-1), map[string]uint64{"b": 1, "c": 1})
+	})
+}
+
 // What is waited for still is told with the next round. Where requests wait all the time, each report of each edge
 // once had a batch of its own.
 func TestWhatIsWaitedForStillWaitsForTheRound(t *testing.T) {
