A load whose leave from the store comes too late asks for another

Callers saw: models that were decided on and still not loaded.

Cause: leave to load holds for 0.5 s from when it was asked for. Where the store's keeper took longer to answer, the controller took the time that was left, none, for a refusal by the replica and gave the load up: its victims were gone, its place in the store's pace was used, and it had to be decided on anew.

Change: such a load keeps its place at the replica and asks again at its next look. TestALoadWhoseLeaveComesTooLateAsksAgain (no order before).

--- a/internal/place/order/carry.go
+++ b/internal/place/order/carry.go
@@ -19,7 +19,7 @@
 	epoch, left, ok := c.d.Owner.MayOrder(Key(c.listed.ID))
 	// Why: an order must be dead before the lease is, so it gets no more time than that.
 	left = min(left, by)
-	if !ok || epoch != c.epoch || left < 20*time.Millisecond {
+	if !ok || epoch != c.epoch || left < leastOrderTime {
 		return backend.ErrRefused
 	}
 	ctx, cancel := context.WithTimeout(c.d.Group.Context(), left)
@@ -225,7 +225,10 @@
 			return
 		}
 		// Why: a grant dies unused, and it began to live at the earliest when it was asked for.
-		by = pace.GrantLife - (c.d.Clock.Since() - asked) - 20*time.Millisecond
+		by = pace.GrantLife - (c.d.Clock.Since() - asked) - leastOrderTime
+		if by < leastOrderTime {
+			return // it came too late to be used; the load goes on waiting for another
+		}
 	}
 	l.ordered = c.d.Clock.Since()
 	switch err := c.order(verb, what, l.SizeMib, by); {
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -25,15 +25,17 @@
 const (
 	// justNow is how old a report may be when a load is ordered. Why: a replica that has just stopped answering
 	// may read the order when it wakes, much later.
-	justNow       = 400 * time.Millisecond
-	askLimit      = 400 * time.Millisecond
-	orderLimit    = 900 * time.Millisecond
-	ackLimit      = 3 * time.Second  // fence for proxies that do not acknowledge
-	idleLimit     = 10 * time.Second // victims that do not get idle are let be
-	goneLimit     = 20 * time.Second
-	paceLimit     = 60 * time.Second
-	floatInterval = time.Second
-	aboutRight    = 500 * time.Millisecond // by how much an estimate may be off before another is told
+	justNow    = 400 * time.Millisecond
+	askLimit   = 400 * time.Millisecond
+	orderLimit = 900 * time.Millisecond
+	// leastOrderTime is the least time that an order is given to be sent and answered.
+	leastOrderTime = 20 * time.Millisecond
+	ackLimit       = 3 * time.Second  // fence for proxies that do not acknowledge
+	idleLimit      = 10 * time.Second // victims that do not get idle are let be
+	goneLimit      = 20 * time.Second
+	paceLimit      = 60 * time.Second
+	floatInterval  = time.Second
+	aboutRight     = 500 * time.Millisecond // by how much an estimate may be off before another is told
 	// doubt is how long an order with no known outcome counts as carried out, and doubtMargin what is added to a
 	// report's age where reports tell of orders that are being carried out.
 	doubt       = 3 * time.Second
--- a/internal/place/order/looks_test.go
+++ b/internal/place/order/looks_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/pebble/v2/vfs"
+
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/gossip"
@@ -24,6 +26,7 @@
 // countedReplica holds nothing, and counts how often it is asked for its report.
 type countedReplica struct {
 	looks  atomic.Int64
+	orders atomic.Int64
 	loaded atomic.Bool
 }
 
@@ -35,16 +38,22 @@
 	}
 	return backend.Report{ID: target.ID, Incarnation: target.ID, Model: true, Slots: 4, CapacityMib: 100, Items: items}, nil
 }
-func (r *countedReplica) Order(context.Context, backend.Target, backend.Order) error { return nil }
-func (r *countedReplica) Close()                                                     {}
-func (r *countedReplica) Traits() backend.Traits                                     { return backend.Traits{} }
 
-// A controller looks at an idle replica in the long interval, at different moments for different replicas, and in the
-// short one as soon as it carries something out.
-func TestAReplicaIsLookedAtOftenOnlyWhileSomethingIsDoneThere(t *testing.T) {
+func (r *countedReplica) Order(context.Context, backend.Target, backend.Order) error {
+	r.orders.Add(1)
+	return nil
+}
+
+func (r *countedReplica) Close() {}
+
+func (r *countedReplica) Traits() backend.Traits { return backend.Traits{} }
+
+// controlled plays a controller of a replica that waits for the store's leave as it is told.
+func controlled(t *testing.T, replica backend.Client, grant func(context.Context, string, float64) (time.Duration, bool), play func(t *testing.T, ctl *Controller)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		g := run.NewGroup(t.Context())
-		own, acc, err := simstate.Sole(t.Context(), g)
+		own, acc, err := simstate.Sole(t.Context(), g, vfs.NewMem())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -58,12 +67,21 @@
 		cadence.ReplicaIdle, cadence.ReplicaBusy = 700*time.Millisecond, 40*time.Millisecond
 		cfg := conf.Empty()
 		cfg.Models = map[string]conf.Model{"m": {SizeMib: 10, LoadFor: time.Second, ServeFor: time.Second}}
-		replica := &countedReplica{}
-		ctl := NewController(g, Deps{Clock: simhost.NewClock(), Log: ring.New(io.Discard, 10).Logger(), Self: "a", Boot: "b", Cadence: cadence, Replicas: replica, Owner: own,
+		play(t, NewController(g, Deps{Clock: simhost.NewClock(), Log: ring.New(io.Discard, 10).Logger(), Self: "a", Boot: "b", Cadence: cadence, Replicas: replica, Owner: own,
 			Gossip: gossip.NewTable(), Reports: report.NewTable(), Conf: func() conf.Effective { return cfg }, Requests: func(string) float64 { return 0 },
 			Others: func() Statuses { return Statuses{} }, Agents: func() map[string]bool { return nil }, Platform: func() time.Duration { return 0 },
-			Afloat: func(context.Context, string) {}, Grant: func(context.Context, string, float64) (time.Duration, bool) { return 0, true }},
-			inventory.Listed{ID: "r", Addr: "10.0.0.2:9000", Model: true})
+			Afloat: func(context.Context, string) {}, Grant: grant}, inventory.Listed{ID: "r", Addr: "10.0.0.2:9000", Model: true}))
+	})
+}
+
+// atOnce is the store's leave, given at once.
+func atOnce(context.Context, string, float64) (time.Duration, bool) { return 0, true }
+
+// A controller looks at an idle replica in the long interval, at different moments for different replicas, and in the
+// short one as soon as it carries something out.
+func TestAReplicaIsLookedAtOftenOnlyWhileSomethingIsDoneThere(t *testing.T) {
+	replica := &countedReplica{}
+	controlled(t, replica, atOnce, func(t *testing.T, ctl *Controller) {
 		looksIn := func(while time.Duration) int64 {
 			before := replica.looks.Load()
 			time.Sleep(while)
@@ -87,3 +105,26 @@
 		}
 	})
 }
+
+// A load whose leave came too late to be used was given up, with its victims gone, and had to be decided on anew.
+func TestALoadWhoseLeaveComesTooLateAsksAgain(t *testing.T) {
+	replica := &countedReplica{}
+	asked := 0
+	late := func(context.Context, string, float64) (time.Duration, bool) {
+		if asked++; asked == 1 {
+			time.Sleep(490 * time.Millisecond)
+		}
+		return 0, true
+	}
+	controlled(t, replica, late, func(t *testing.T, ctl *Controller) {
+		time.Sleep(time.Second)
+		a, err := ctl.Consider(t.Context(), Consider{Replica: "r", Item: "m", Alone: true})
+		if err != nil || !a.Taken {
+			t.Fatal(fmt.Sprintf("%+v", a), err)
+		}
+		time.Sleep(time.Second)
+		if orders := replica.orders.Load(); orders != 1 {
+			t.Errorf("%d orders a second after the load was decided on, though leave was given twice", orders)
+		}
+	})
+}
--- a/internal/place/plan/nudge_test.go
+++ b/internal/place/plan/nudge_test.go
@@ -5,6 +5,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/pebble/v2/vfs"
+
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/place/report"
@@ -17,7 +19,7 @@
 // soleOwner is the owner of all slots, as the only core of its set.
 func soleOwner(t *testing.T, g *run.Group) (own *owner.Owner, closeDisk func() error) {
 	t.Helper()
-	own, acc, err := simstate.Sole(t.Context(), g)
+	own, acc, err := simstate.Sole(t.Context(), g, vfs.NewMem())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sim/simstate/simstate.go
+++ b/internal/sim/simstate/simstate.go
@@ -25,11 +25,11 @@
 	takenBy   = 10 * time.Second
 )
 
-// Sole is the owner of all slots, as the only core of its set. The acceptor is closed after the group has stopped.
-func Sole(ctx context.Context, g *run.Group) (*owner.Owner, *acceptor.Acceptor, error) {
+// Sole is the owner of all slots, as the only core of its set, with a disk. The acceptor is closed after the group has stopped.
+func Sole(ctx context.Context, g *run.Group, disk vfs.FS) (*owner.Owner, *acceptor.Acceptor, error) {
 	clock, log := simhost.NewClock(), ring.New(io.Discard, logLines).Logger()
 	fabric := simnet.New(1, func(string, string) time.Duration { return time.Millisecond })
-	acc, err := acceptor.Open(g, "d", acceptor.Whose{Node: "a"}, vfs.NewMem(), clock, log)
+	acc, err := acceptor.Open(g, "d", acceptor.Whose{Node: "a"}, disk, clock, log)
 	if err != nil {
 		return nil, nil, err
 	}
