Grants of the store that are given together are written down together

Cause: the keeper of the store's pace wrote each grant down, by a majority of synced disks, before it looked at the next question. So the whole site could begin as many loads a second as one slot takes writes in a row; with cores that answer in 0.1 s and more that is a few, each late by all those before it.

Change: the keeper decides at once and counts the grant; what is given while a write is under way shares the next write, and nobody is told before his grant is kept. TestGrantsThatAreAskedForTogetherAreWrittenDownTogether: 40 loads on a disk that takes 50 ms a sync, 2.05 s before, within 0.25 s now.

--- a/internal/place/plan/pacing.go
+++ b/internal/place/plan/pacing.go
@@ -22,57 +22,111 @@
 type pacer struct {
 	epoch  uint64
 	keeper *pace.Keeper
-	kept   int // grants in what was written down last
+	given  uint64 // grants so far, under this epoch and those before
+	kept   int    // grants in what was written down last
+}
+
+// grantMark tells which grants a write has to cover: all that were given under an epoch up to one.
+type grantMark struct {
+	epoch  uint64
+	number uint64
 }
 
 // Grant allows a load start within the store's pace; only the owner of the
-// pace may.
+// pace may. Why: grants that are given while a write is under way share the next one; with a write for each, one after
+// the other, the pace was that of the control state and not the store's.
 func (p *Planner) Grant(ctx context.Context, q Granting) (Granted, error) {
 	var g Granted
-	err := p.paceActor.Ask(ctx, func() {
-		epoch, _, _ := p.d.Owner.MayOrder(PaceKey)
-		if !p.d.Owner.Holds(PaceKey) {
+	var mark grantMark
+	granted := false
+	err := p.paceActor.Ask(ctx, func() { g, mark, granted = p.consent(ctx, q) })
+	if err != nil || !granted {
+		return g, err
+	}
+	// Why: whoever keeps the pace next must know of this start, or would have to wait out all that could have been.
+	kept := p.keepGrants(ctx, mark)
+	// Why: the lease may have run out meanwhile, and another keeper may be granting.
+	g.OK = kept && p.d.Owner.Holds(PaceKey)
+	return g, nil
+}
+
+// consent has the keeper decide on a load start. One that it grants counts from now on, but must be kept before it is told.
+func (p *Planner) consent(ctx context.Context, q Granting) (g Granted, mark grantMark, granted bool) {
+	epoch, _, _ := p.d.Owner.MayOrder(PaceKey)
+	now := p.d.Clock.Since()
+	if !p.d.Owner.Holds(PaceKey) || !p.keeperFor(ctx, epoch, now) {
+		return g, mark, false
+	}
+	if q.Afloat {
+		p.pacer.keeper.Afloat(now, q.Who)
+		return g, mark, false
+	}
+	wait, granted := p.pacer.keeper.Grant(now, p.starts(), q.Who, q.Worth)
+	g.WaitMs = int(wait.Milliseconds())
+	if granted {
+		p.pacer.given++
+	}
+	return g, grantMark{p.pacer.epoch, p.pacer.given}, granted
+}
+
+// keepGrants sees to it that a majority has the grants up to a mark written down.
+func (p *Planner) keepGrants(ctx context.Context, mark grantMark) bool {
+	kept := false
+	err := p.grantWriter.Ask(ctx, func() {
+		if p.written.epoch == mark.epoch && p.written.number >= mark.number {
+			kept = true // with one that was given later
 			return
 		}
-		now := p.d.Clock.Since()
-		if !p.keeperFor(ctx, epoch, now) {
+		var w Grants
+		var now grantMark
+		if err := p.paceActor.Ask(ctx, func() { w, now = p.grantsNow() }); err != nil || now.epoch != mark.epoch {
 			return
 		}
-		if q.Afloat {
-			p.pacer.keeper.Afloat(now, q.Who)
-			return
+		if kept = p.write(ctx, w); kept {
+			p.written = now
 		}
-		wait, ok := p.pacer.keeper.Grant(now, p.starts(), q.Who, q.Worth)
-		// Why: whoever keeps the pace next must know of this start, or would have to wait out all that could have been.
-		ok = ok && p.writeGrants(ctx, now)
-		// Why: the lease may have run out meanwhile, and another keeper may be granting.
-		g = Granted{OK: ok && p.d.Owner.Holds(PaceKey), WaitMs: int(wait.Milliseconds())}
 	})
-	return g, err
+	return err == nil && kept
 }
 
-func (p *Planner) writeGrants(ctx context.Context, now time.Duration) bool {
-	var w Grants
-	for _, age := range p.pacer.keeper.Ages(now) {
+// grantsNow is what the keeper is to write down, and up to which grant that reaches.
+func (p *Planner) grantsNow() (w Grants, mark grantMark) {
+	if p.pacer.keeper == nil {
+		return w, mark
+	}
+	for _, age := range p.pacer.keeper.Ages(p.d.Clock.Since()) {
 		w.AgesMs = append(w.AgesMs, age.Milliseconds())
 	}
+	p.pacer.kept = len(w.AgesMs)
+	return w, grantMark{p.pacer.epoch, p.pacer.given}
+}
+
+// write writes down the grants that count.
+func (p *Planner) write(ctx context.Context, w Grants) bool {
 	_, err := p.d.Owner.Update(ctx, PaceKey, func(state.Record, bool) ([]byte, error) { return wire.Pack(w), nil })
 	if err != nil {
 		p.d.Log.Info("grants not kept", "error", err)
 		return false
 	}
-	p.pacer.kept = len(w.AgesMs)
 	return true
 }
 
 // refreshGrants writes the ages of the grants down anew, until none counts any more.
 func (p *Planner) refreshGrants(ctx context.Context) {
+	due := false
 	_ = p.paceActor.Ask(ctx, func() {
 		epoch, _, _ := p.d.Owner.MayOrder(PaceKey)
-		if p.pacer.keeper == nil || p.pacer.epoch != epoch || p.pacer.kept == 0 || !p.d.Owner.Holds(PaceKey) {
-			return
+		due = p.pacer.keeper != nil && p.pacer.epoch == epoch && p.pacer.kept > 0 && p.d.Owner.Holds(PaceKey)
+	})
+	if !due {
+		return
+	}
+	_ = p.grantWriter.Ask(ctx, func() {
+		var w Grants
+		var now grantMark
+		if err := p.paceActor.Ask(ctx, func() { w, now = p.grantsNow() }); err == nil && p.write(ctx, w) {
+			p.written = now
 		}
-		p.writeGrants(ctx, p.d.Clock.Since())
 	})
 }
 
@@ -130,7 +184,11 @@
 	}
 	p.pacer.epoch = epoch
 	// Why: from here on there is a word to go by, also if nothing is ever granted.
-	return found || p.writeGrants(ctx, now)
+	if found {
+		return true
+	}
+	w, _ := p.grantsNow()
+	return p.write(ctx, w)
 }
 
 // starts is how many loads may begin in a window of the store.
--- /dev/null
+++ b/internal/place/plan/pacing_test.go
@@ -0,0 +1,91 @@
+package plan
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"drumstall.example/internal/conf"
+	"drumstall.example/internal/gossip"
+	"drumstall.example/internal/kernel/bounds"
+	"drumstall.example/internal/kernel/ring"
+	"drumstall.example/internal/kernel/run"
+	"drumstall.example/internal/kernel/wire"
+	"drumstall.example/internal/place/order"
+	"drumstall.example/internal/place/report"
+	"drumstall.example/internal/sim/simhost"
+	"drumstall.example/internal/sim/simstate"
+)
+
+// slowDisk takes a while for each sync.
+type slowDisk struct {
+	vfs.FS
+	sync time.Duration
+}
+
+func (d slowDisk) Create(name string, category vfs.DiskWriteCategory) (vfs.File, error) {
+	f, err := d.FS.Create(name, category)
+	return slowFile{f, d.sync}, err
+}
+
+type slowFile struct {
+	vfs.File
+	sync time.Duration
+}
+
+func (f slowFile) Sync() error {
+	time.Sleep(f.sync)
+	return f.File.Sync()
+}
+
+func (f slowFile) SyncData() error {
+	time.Sleep(f.sync)
+	return f.File.SyncData()
+}
+
+func TestGrantsThatAreAskedForTogetherAreWrittenDownTogether(t *testing.T) {
+	const loads, diskTakes = 40, 50 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		g := run.NewGroup(t.Context())
+		own, acc, err := simstate.Sole(t.Context(), g, slowDisk{vfs.NewMem(), diskTakes})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() {
+			g.Stop()
+			if err := acc.Close(); err != nil {
+				t.Error(err)
+			}
+		}()
+		cfg := conf.Empty()
+		cfg.Limits.PaceLoads = 2 * loads
+		p := New(Deps{Group: g, Clock: simhost.NewClock(), Log: ring.New(io.Discard, 10).Logger(), Self: "core-1", Cadence: bounds.DefaultCadence(), Owner: own,
+			Gossip: gossip.NewTable(), Reports: report.NewTable(), Conf: func() conf.Effective { return cfg }, Views: func() order.Statuses { return order.Statuses{} },
+			Tell: func(context.Context, Shared) {}})
+		time.Sleep(time.Second)
+		began := time.Now()
+		answers := run.Fan(g, loads, func(ctx context.Context, i int) bool {
+			got, err := p.Grant(ctx, Granting{Who: fmt.Sprint("load ", i), Worth: 1})
+			return err == nil && got.OK
+		})
+		granted := 0
+		for range loads {
+			if <-answers {
+				granted++
+			}
+		}
+		if took := time.Since(began); granted != loads || took > 5*diskTakes {
+			t.Errorf("%d of %d loads may start after %v, with a disk that takes %v", granted, loads, took, diskTakes)
+		}
+		rec, found, err := own.Get(t.Context(), PaceKey)
+		var kept Grants
+		if err != nil || !found || wire.Unpack(rec.Value, &kept) != nil || len(kept.AgesMs) != loads {
+			t.Errorf("%d grants are written down, %d were given: %v", len(kept.AgesMs), loads, err)
+		}
+	})
+}
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -79,8 +79,11 @@
 	claimAt   map[conf.Item]time.Duration
 	pacer     pacer
 	paceActor *run.Actor
-	expSer    uint64
-	progress  progress
+	// grantWriter writes grants down, one write after the other; written is what its last one reached.
+	grantWriter *run.Actor
+	written     grantMark
+	expSer      uint64
+	progress    progress
 }
 
 // New starts to plan.
@@ -89,6 +92,7 @@
 		claimAt: map[conf.Item]time.Duration{}, underWay: map[subject]bool{}}
 	p.next.Store(&map[string]float64{})
 	p.paceActor = run.NewActor(d.Group, 64, 0, nil)
+	p.grantWriter = run.NewActor(d.Group, 64, 0, nil)
 	p.actor = run.NewActor(d.Group, 1024, d.Cadence.Plan, p.onTick)
 	p.soon = run.NewNudge(p.actor, p.onTick)
 	d.Group.Every(d.Cadence.Share, p.share)
