A slot that is handed over goes to the core that it is meant for

Change: who hands a slot over names the next core in its release, and voters promise the slot to no other for a second.

--- a/internal/state/acceptor/grant.go
+++ b/internal/state/acceptor/grant.go
@@ -46,7 +46,7 @@
 		r.FullBy, r.QuietMs = t.pr.FullBy, t.quietMs(now)
 		r.FreeMs = max(0, (now - time.Duration(t.until.Load())).Milliseconds())
 		t.keep(next)
-		t.anew = false
+		t.anew, t.meant = false, meant{}
 		t.grant(a.clock.Since() + state.HoldFor)
 		r.OK, r.Records, r.Full, r.Version = true, recs, next.Full, next.Version
 	})
@@ -99,6 +99,7 @@
 		if q.Epoch == t.pr.Epoch && t.pr.Holder.Is(q.From) && !t.anew {
 			now := a.clock.Since()
 			t.grant(now)
+			t.meant = meant{q.To, now + meantFor}
 			if q.QuietMs > 0 {
 				t.quiet = quiet{q.Epoch, now - time.Duration(q.QuietMs)*time.Millisecond}
 			}
--- a/internal/state/acceptor/quiet_test.go
+++ b/internal/state/acceptor/quiet_test.go
@@ -62,3 +62,30 @@
 		_ = a.Close()
 	})
 }
+
+// A slot that is let go of for one core goes to no other for a moment, and to anybody after that.
+func TestASlotThatIsLetGoOfForACoreIsKeptForIt(t *testing.T) {
+	bubble(t, func(t *testing.T, as []*Acceptor) {
+		ctx, a := t.Context(), as[0]
+		time.Sleep(state.HoldFor)
+		release := func(from string, epoch uint64) {
+			t.Helper()
+			r, err := a.Prepare(ctx, ask(from, epoch, 0, false))
+			yes(t, r, err)
+			q := ask(from, epoch, 0, false)
+			q.To = "b"
+			r, err = a.Release(ctx, q)
+			yes(t, r, err)
+		}
+		release("a", 1)
+		if r, _ := a.Peek(ctx, ask("c", 2, 0, false)); r.OK || r.Why != state.WhyHeld {
+			t.Errorf("free for another at once: %+v", r)
+		}
+		r, err := a.Prepare(ctx, ask("b", 2, 0, false))
+		yes(t, r, err)
+		release("b", 3)
+		time.Sleep(meantFor)
+		r, err = a.Prepare(ctx, ask("c", 4, 0, false))
+		yes(t, r, err)
+	})
+}
--- a/internal/state/acceptor/slot.go
+++ b/internal/state/acceptor/slot.go
@@ -28,6 +28,7 @@
 	anew  bool                       // since start nobody has been granted: wait a whole lease
 	freed bid                        // let go of last
 	quiet quiet                      // by the word of who let go of it
+	meant meant                      // for whom it was let go of
 	last  atomic.Pointer[state.Core] // pr.Holder, for readers outside the actor
 }
 
@@ -43,6 +44,21 @@
 	since time.Duration
 }
 
+// meantFor is how long a slot that was let go of for one core is promised to no other.
+const meantFor = time.Second
+
+// meant is the core that a slot was let go of for, and until when on our clock it is kept for that one.
+type meant struct {
+	core  string
+	until time.Duration
+}
+
+// keepsOut says that the slot is kept for another core. Why: for a moment cores may know of different voters, and each
+// other one would take what is free for itself and hand it on again.
+func (m meant) keepsOut(from state.Core, now time.Duration) bool {
+	return m.core != "" && m.core != from.Name && now < m.until
+}
+
 // quietMs is for how long no order has been sent under the lease that was promised last; 0 is not known.
 func (t *table) quietMs(now time.Duration) int64 {
 	if t.quiet.epoch != t.pr.Epoch {
@@ -69,7 +85,7 @@
 // one may be, no other holder is promised anything. Every grant was to the holder that is on the disk, so
 // after a restart too only that one may have a lease, and may ask for it again.
 func (t *table) heldAgainst(from state.Core, now time.Duration) bool {
-	return now < time.Duration(t.until.Load()) && !t.pr.Holder.Is(from) && t.pr.Epoch > 0
+	return now < time.Duration(t.until.Load()) && !t.pr.Holder.Is(from) && t.pr.Epoch > 0 || t.meant.keepsOut(from, now)
 }
 
 // grant makes the lease end at a time on our clock.
@@ -79,6 +95,7 @@
 func (t *table) forget() {
 	t.keep(promise{})
 	t.anew, t.freed, t.quiet = true, bid{}, quiet{}
+	t.meant = meant{}
 }
 
 // vote checks what every vote needs: to be a voter, under the same core membership.
--- a/internal/state/owner/slot.go
+++ b/internal/state/owner/slot.go
@@ -36,7 +36,10 @@
 }
 
 // giveUp ends the lease on the slot; release tells the grantors.
-func (s *slot) giveUp(why string, release bool) {
+func (s *slot) giveUp(why string, release bool) { s.giveUpFor("", why, release) }
+
+// giveUpFor is giveUp for the core that is to hold the slot next.
+func (s *slot) giveUpFor(next, why string, release bool) {
 	wasHeld := s.until.Swap(0) > 0
 	if !wasHeld {
 		return
@@ -47,7 +50,7 @@
 	s.tryAgainIn(200, 400)
 	if release {
 		set := o.d.Acceptor.Standing().Set
-		q := state.Ask{Set: set.Version, From: o.d.Self(), Slot: s.n, Epoch: s.epoch.Load(), QuietMs: s.orders.quietFor(o.d.Clock.Since()).Milliseconds()}
+		q := state.Ask{Set: set.Version, From: o.d.Self(), Slot: s.n, Epoch: s.epoch.Load(), QuietMs: s.orders.quietFor(o.d.Clock.Since()).Milliseconds(), To: next}
 		o.poll(set, "/state/release", q, o.d.Acceptor.Release, false)
 	}
 }
@@ -97,7 +100,7 @@
 		if s.strayed == 0 {
 			s.strayed = now
 		} else if now-s.strayed > s.handback(now) {
-			s.giveUp("another core is preferred", true)
+			s.giveUpFor(rank[0].Name, "another core is preferred", true)
 		}
 	default:
 		s.strayed = 0
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -115,6 +115,7 @@
 	Full    bool     `cbor:"6,keyasint,omitempty"`
 	Records []Record `cbor:"7,keyasint,omitempty"`
 	QuietMs int64    `cbor:"8,keyasint,omitempty"` // in a release: for how long the holder had sent no order under the lease
+	To      string   `cbor:"9,keyasint,omitempty"` // in a release: the core that is to hold the slot next, by name
 }
 
 // Reply is an acceptor's answer.
