--- a/internal/place/plan/ask_test.go
+++ b/internal/place/plan/ask_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"slices"
@@ -78,3 +79,23 @@
 		}
 	}
 }
+
+func TestABusyCoreAsksFewerCandidates(t *testing.T) {
+	g := run.NewGroup(context.Background())
+	defer g.Stop()
+	for busy, want := range map[bool]int{false: tries, true: busyTries} {
+		p := &Planner{d: Deps{Group: g, Clock: tick.Machine(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Busy: func() bool { return busy },
+			Ask: func(context.Context, string, order.Consider) (order.Considered, error) {
+				return order.Considered{Why: "no room"}, nil
+			}}, items: map[conf.Item]*item{}}
+		p.actor = run.NewActor(g, 8, 0, nil)
+		d := Decision{Item: "m"}
+		for i := range 2 * tries {
+			d.Candidates = append(d.Candidates, judge.Ranked{Name: fmt.Sprint("r", i)})
+		}
+		p.decide(t.Context(), conf.Effective{}, d, order.Statuses{})
+		if got := p.Explain(t.Context(), "m"); len(got) != 1 || len(got[0].Tried) != want {
+			t.Errorf("busy %v: %d candidates were asked, not %d", busy, len(got[0].Tried), want)
+		}
+	}
+}
--- a/internal/place/plan/decide.go
+++ b/internal/place/plan/decide.go
@@ -26,8 +26,8 @@
 	}
 	ready, undecided := 0, false
 	var names []string
-	for n, c := range d.Candidates {
-		if n >= tries || c.Vetoed {
+	for _, c := range d.Candidates[:min(p.mostAsked(), len(d.Candidates))] {
+		if c.Vetoed {
 			break
 		}
 		names = append(names, c.Name)
@@ -101,6 +101,15 @@
 	return d.Taken != ""
 }
 
+// mostAsked is how many candidates are asked for one decision. Why: each answer weighs all that might go at a replica; a
+// few good ones now are worth more than the best of many when a core comes late to its work.
+func (p *Planner) mostAsked() int {
+	if p.isBusy() {
+		return busyTries
+	}
+	return tries
+}
+
 // heardOfAny says whether any replica of models is known that answers its controller.
 func heardOfAny(views order.Statuses) bool {
 	return slices.ContainsFunc(views.All, func(v order.Status) bool { return v.Listed.Model && !v.Dark })
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -27,6 +27,7 @@
 	claimAgain = 5 * time.Second // between two looks at a claim that could not be met
 	useLife    = 6 * time.Second // what the store's keeper told holds so long
 	tries      = 16              // candidates asked for one decision
+	busyTries  = 5               // candidates asked by a core that has no processor time to spare
 	decisions  = 200             // kept for explaining
 	maxItems   = 20_000
 	// pressedFew is how many answers of an item must have been held up lately for another copy to be thought of.
