A voter that has promised a slot to nobody knows of no quiet lease

Among voters that had all forgotten their promises, a new owner could then have ordered at once. TestAVoterThatHasPromisedNothingKnowsOfNoQuietSlot failed before.

--- a/internal/state/acceptor/quiet_test.go
+++ b/internal/state/acceptor/quiet_test.go
@@ -63,6 +63,17 @@
 	})
 }
 
+func TestAVoterThatHasPromisedNothingKnowsOfNoQuietSlot(t *testing.T) {
+	bubble(t, func(t *testing.T, as []*Acceptor) {
+		time.Sleep(state.HoldFor)
+		r, err := as[0].Prepare(t.Context(), ask("a", 1, 0, false))
+		yes(t, r, err)
+		if r.QuietMs != 0 {
+			t.Errorf("quiet for %d ms by the word of nobody", r.QuietMs)
+		}
+	})
+}
+
 // A slot that is let go of for one core goes to no other for a moment, and to anybody after that.
 func TestASlotThatIsLetGoOfForACoreIsKeptForIt(t *testing.T) {
 	bubble(t, func(t *testing.T, as []*Acceptor) {
--- a/internal/state/acceptor/slot.go
+++ b/internal/state/acceptor/slot.go
@@ -61,7 +61,7 @@
 
 // quietMs is for how long no order has been sent under the lease that was promised last; 0 is not known.
 func (t *table) quietMs(now time.Duration) int64 {
-	if t.quiet.epoch != t.pr.Epoch {
+	if t.quiet.epoch == 0 || t.quiet.epoch != t.pr.Epoch {
 		return 0
 	}
 	return (now - t.quiet.since).Milliseconds()
