How long a slot was free and how long it was quiet are found by one function

Both are the shortest of what all voters say; the one was written beside the other with another loop.

--- a/internal/state/owner/take.go
+++ b/internal/state/owner/take.go
@@ -1,9 +1,7 @@
 package owner
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"drumstall.example/internal/state"
@@ -114,24 +112,26 @@
 // needed grants from a majority, one of which is among those that answered; its lease ended before
 // the last of theirs, and with the lease its orders.
 func freeFor(yes []state.Reply) time.Duration {
-	free := time.Duration(-1)
-	for _, r := range yes {
-		if d := time.Duration(r.FreeMs) * time.Millisecond; free < 0 || d < free {
-			free = d
-		}
-	}
-	return max(0, free)
+	return least(yes, func(r state.Reply) int64 { return r.FreeMs })
 }
 
 // quietFor is for how long no order has been sent under the slot's latest lease; 0 is not known. Why: a lease that
 // allowed orders was promised by a majority, one of which has answered. Each that has answered must therefore know
 // of no later lease than the one whose holder has said so.
 func quietFor(yes []state.Reply) time.Duration {
+	return least(yes, func(r state.Reply) int64 { return r.QuietMs })
+}
+
+// least is the shortest of the times that all answers give; 0 without any.
+func least(yes []state.Reply, ms func(state.Reply) int64) time.Duration {
 	if len(yes) == 0 {
 		return 0
 	}
-	least := slices.MinFunc(yes, func(a, b state.Reply) int { return cmp.Compare(a.QuietMs, b.QuietMs) })
-	return time.Duration(least.QuietMs) * time.Millisecond
+	shortest := ms(yes[0])
+	for _, r := range yes[1:] {
+		shortest = min(shortest, ms(r))
+	}
+	return time.Duration(shortest) * time.Millisecond
 }
 
 // ownBefore says that this core was the last to hold the slot. Why: whoever holds
