Who holds an item is asked in one place; the views take changes in by one pass

Read again: the question which replicas hold an item, answer and stay stood three times in victims.go, now Statuses.holders; ViewCache went through its changes in two ways, decoding some entries twice where a replica came or went, and an entry that could not be read made the index anew. One pass now, which tells the index at which places the list differs. Decides the same; the tests keep their assertions.

--- a/internal/place/order/statuses.go
+++ b/internal/place/order/statuses.go
@@ -1,9 +1,12 @@
 package order
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"sync"
+
+	"drumstall.example/internal/backend"
 )
 
 // Statuses is all replicas' newest status, by name. Nobody changes it.
@@ -43,31 +46,46 @@
 	return x.having
 }
 
-// Replaced is the same with the status of some replicas replaced, by their places. The index is taken over but for what
-// these have or had.
-func (s Statuses) Replaced(changes map[int]Status) Statuses {
-	all, having := slices.Clone(s.All), maps.Clone(s.index.of(s.All))
-	for at, now := range changes {
-		for item := range all[at].Items {
-			if _, still := now.Items[item]; !still {
-				having[item] = without(having[item], at)
-				if len(having[item]) == 0 {
-					delete(having, item)
-				}
+// Replaced is the statuses of a list of the same replicas, which differs at some places. The index is taken over but for
+// what the replicas at these places have or had.
+func (s Statuses) Replaced(all []Status, differ []int) Statuses {
+	having := maps.Clone(s.index.of(s.All))
+	for _, at := range differ {
+		was, now := s.All[at].Items, all[at].Items
+		for item := range was {
+			if _, still := now[item]; still {
+				continue
+			}
+			if having[item] = without(having[item], at); len(having[item]) == 0 {
+				delete(having, item)
 			}
 		}
-		for item := range now.Items {
-			if _, had := all[at].Items[item]; !had {
+		for item := range now {
+			if _, had := was[item]; !had {
 				having[item] = with(having[item], at)
 			}
 		}
-		all[at] = now
 	}
 	x := &itemIndex{having: having}
 	x.once.Do(func() {})
 	return Statuses{All: all, index: x}
 }
 
+// holders are the replicas but one that hold an item, answer, and stay.
+func (s Statuses) holders(item, not string) iter.Seq[*Status] {
+	return func(yield func(*Status) bool) {
+		for _, at := range s.Having(item) {
+			one := &s.All[at]
+			if one.Listed.ID == not || one.Dark || one.Listed.Leaving || one.Items[item] != backend.Loaded {
+				continue
+			}
+			if !yield(one) {
+				return
+			}
+		}
+	}
+}
+
 // without is a list of places without one of them; the list itself is not changed.
 func without(places []int, at int) []int {
 	out := make([]int, 0, len(places))
--- a/internal/place/order/statuses_test.go
+++ b/internal/place/order/statuses_test.go
@@ -37,8 +37,11 @@
 	s := NewStatuses([]Status{status(), status(), status(), status(), status()})
 	for round := range 200 {
 		before := NewStatuses(slices.Clone(s.All))
-		changes := map[int]Status{rnd.IntN(5): status(), rnd.IntN(5): status()}
-		next := s.Replaced(changes)
+		list, differ := slices.Clone(s.All), []int{rnd.IntN(3), 3 + rnd.IntN(2)}
+		for _, at := range differ {
+			list[at] = status()
+		}
+		next := s.Replaced(list, differ)
 		anew := NewStatuses(next.All)
 		for item := 'a'; item < 'g'; item++ {
 			if got, want := next.Having(string(item)), anew.Having(string(item)); !slices.Equal(got, want) {
--- a/internal/place/order/victims.go
+++ b/internal/place/order/victims.go
@@ -80,12 +80,9 @@
 }
 
 func copies(others Statuses, not string, item conf.Item) int {
-	n, name := 0, item.String()
-	for _, i := range others.Having(name) {
-		o := &others.All[i]
-		if o.Listed.ID != not && !o.Dark && !o.Listed.Leaving && o.Items[name] == backend.Loaded {
-			n++
-		}
+	n := 0
+	for range others.holders(item.String(), not) {
+		n++
 	}
 	return n
 }
@@ -106,12 +103,7 @@
 // not, or 0 when there is none.
 func Cheapest(others Statuses, not string, item conf.Item, reports *report.Table, now time.Duration, cfg conf.Effective) time.Duration {
 	var best time.Duration
-	name := item.String()
-	for _, i := range others.Having(name) {
-		o := &others.All[i]
-		if o.Listed.ID == not || o.Dark || o.Listed.Leaving || o.Items[name] != backend.Loaded {
-			continue
-		}
+	for o := range others.holders(item.String(), not) {
 		serve := time.Duration(o.ServeMs) * time.Millisecond
 		if serve == 0 {
 			serve = cfg.Models[item.Model].ServeFor
@@ -131,10 +123,8 @@
 			continue
 		}
 		n := 0
-		name := want.Item.String()
-		for _, i := range others.Having(name) {
-			o := &others.All[i]
-			if o.Listed.ID != c.listed.ID && !o.Dark && !o.Listed.Leaving && want.Group.Matches(labels.Set(o.Listed.Labels)) && o.Items[name] == backend.Loaded {
+		for o := range others.holders(want.Item.String(), c.listed.ID) {
+			if want.Group.Matches(labels.Set(o.Listed.Labels)) {
 				n++
 			}
 		}
--- a/internal/place/plan/views.go
+++ b/internal/place/plan/views.go
@@ -65,18 +65,31 @@
 	if len(c.changed) == 0 {
 		return c.views
 	}
-	replaced := map[int]order.Status{}
+	list, same := slices.Clone(c.views.All), true
+	var differ []int
 	for key := range c.changed {
 		at, known := slices.BinarySearch(c.keys, key)
 		n, there := c.read(key)
-		if !there || !known {
-			c.makeAnew()
-			return c.views
+		switch {
+		case there && known:
+			list[at] = n
+			differ = append(differ, at)
+		case there:
+			c.keys = slices.Insert(c.keys, at, key)
+			list = slices.Insert(list, at, n)
+			same = false
+		case known:
+			c.keys = slices.Delete(c.keys, at, at+1)
+			list = slices.Delete(list, at, at+1)
+			same = false
 		}
-		replaced[at] = n
 	}
 	clear(c.changed)
-	c.views = c.views.Replaced(replaced)
+	if same {
+		c.views = c.views.Replaced(list, differ)
+	} else {
+		c.views = order.NewStatuses(list)
+	}
 	return c.views
 }
 
@@ -89,24 +102,3 @@
 	}
 	return decodeView(e)
 }
-
-// makeAnew takes in all changes where replicas have come or gone.
-func (c *ViewCache) makeAnew() {
-	list := slices.Clone(c.views.All)
-	for key := range c.changed {
-		at, known := slices.BinarySearch(c.keys, key)
-		n, there := c.read(key)
-		switch {
-		case there && known:
-			list[at] = n
-		case there:
-			c.keys = slices.Insert(c.keys, at, key)
-			list = slices.Insert(list, at, n)
-		case known:
-			c.keys = slices.Delete(c.keys, at, at+1)
-			list = slices.Delete(list, at, at+1)
-		}
-	}
-	clear(c.changed)
-	c.views = order.NewStatuses(list)
-}
