--- a/internal/place/plan/pacing.go
+++ b/internal/place/plan/pacing.go
@@ -73,22 +73,24 @@
 func (p *Planner) keepGrants(ctx context.Context, mark grantMark) bool {
 	kept := false
 	err := p.grantWriter.Ask(ctx, func() {
-		if p.written.epoch == mark.epoch && p.written.number >= mark.number {
-			kept = true // with one that was given later
-			return
-		}
-		var w Grants
-		var now grantMark
-		if err := p.paceActor.Ask(ctx, func() { w, now = p.grantsNow() }); err != nil || now.epoch != mark.epoch {
-			return
-		}
-		if kept = p.write(ctx, w); kept {
-			p.written = now
-		}
+		withOther := p.written.epoch == mark.epoch && p.written.number >= mark.number
+		kept = withOther || p.writeGrants(ctx, mark.epoch)
 	})
 	return err == nil && kept
 }
 
+// writeGrants writes down all grants that count, if the keeper still is the one of an epoch; only the writer calls it.
+func (p *Planner) writeGrants(ctx context.Context, epoch uint64) bool {
+	var w Grants
+	var now grantMark
+	err := p.paceActor.Ask(ctx, func() { w, now = p.grantsNow() })
+	if err != nil || now.epoch != epoch || !p.write(ctx, w) {
+		return false
+	}
+	p.written = now
+	return true
+}
+
 // grantsNow is what the keeper is to write down, and up to which grant that reaches.
 func (p *Planner) grantsNow() (w Grants, mark grantMark) {
 	if p.pacer.keeper == nil {
@@ -114,20 +116,13 @@
 // refreshGrants writes the ages of the grants down anew, until none counts any more.
 func (p *Planner) refreshGrants(ctx context.Context) {
 	due := false
+	epoch, _, _ := p.d.Owner.MayOrder(PaceKey)
 	_ = p.paceActor.Ask(ctx, func() {
-		epoch, _, _ := p.d.Owner.MayOrder(PaceKey)
 		due = p.pacer.keeper != nil && p.pacer.epoch == epoch && p.pacer.kept > 0 && p.d.Owner.Holds(PaceKey)
 	})
-	if !due {
-		return
-	}
-	_ = p.grantWriter.Ask(ctx, func() {
-		var w Grants
-		var now grantMark
-		if err := p.paceActor.Ask(ctx, func() { w, now = p.grantsNow() }); err == nil && p.write(ctx, w) {
-			p.written = now
-		}
-	})
+	if due {
+		_ = p.grantWriter.Ask(ctx, func() { p.writeGrants(ctx, epoch) })
+	}
 }
 
 // Afloat tells which loads were ordered and may still start, and for how many
