One timer of actors: an alarm may be moved

run.Wake, added for the controllers' looks, was run.Alarm again but for one thing: it may be set anew before it has come.

--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -125,7 +125,7 @@
 	wrong       int
 	lookedAt    time.Duration
 	soon        *run.Nudge
-	wake        *run.Wake // for the next look
+	nextLook    *run.Alarm
 	traits      backend.Traits
 	delay       reportDelay
 }
@@ -136,8 +136,8 @@
 	c := &Controller{d: d, listed: l, book: map[conf.Item]*line{}, reportAt: -1 << 62, lookedAt: -1 << 62, staying: -1, held: map[string]bool{}, traits: d.Replicas.Traits()}
 	c.actor = run.NewActor(g, 64, 0, nil)
 	c.soon = run.NewNudge(c.actor, c.work)
-	c.wake = run.NewWake(c.actor, c.work)
-	c.wake.In(d.Cadence.ReplicaBusy)
+	c.nextLook = run.NewAlarm(c.actor, c.work)
+	c.nextLook.Move(d.Cadence.ReplicaBusy)
 	return c
 }
 
@@ -154,7 +154,7 @@
 	if c.closed {
 		return
 	}
-	defer func() { c.wake.In(c.untilNextLook()) }()
+	defer func() { c.nextLook.Move(c.untilNextLook()) }()
 	if !c.d.Owner.Holds(key) {
 		return
 	}
