--- a/internal/place/order/looks_test.go
+++ b/internal/place/order/looks_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/pebble/v2/vfs"
@@ -21,6 +20,7 @@
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/sim/simhost"
 	"drumstall.example/internal/sim/simstate"
+	"drumstall.example/internal/state/owner"
 )
 
 // countedReplica holds nothing, and counts how often it is asked for its report.
@@ -51,18 +51,7 @@
 // controlled plays a controller of a replica that waits for the store's leave as it is told.
 func controlled(t *testing.T, replica backend.Client, grant func(context.Context, string, float64) (time.Duration, bool), play func(t *testing.T, ctl *Controller)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		g := run.NewGroup(t.Context())
-		own, acc, err := simstate.Sole(t.Context(), g, vfs.NewMem())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() {
-			g.Stop()
-			if err := acc.Close(); err != nil {
-				t.Error(err)
-			}
-		}()
+	simstate.Play(t, vfs.NewMem(), func(t *testing.T, g *run.Group, own *owner.Owner) {
 		cadence := bounds.DefaultCadence()
 		cadence.ReplicaIdle, cadence.ReplicaBusy = 700*time.Millisecond, 40*time.Millisecond
 		cfg := conf.Empty()
--- a/internal/place/plan/nudge_test.go
+++ b/internal/place/plan/nudge_test.go
@@ -16,28 +16,10 @@
 	"drumstall.example/internal/state/owner"
 )
 
-// soleOwner is the owner of all slots, as the only core of its set.
-func soleOwner(t *testing.T, g *run.Group) (own *owner.Owner, closeDisk func() error) {
-	t.Helper()
-	own, acc, err := simstate.Sole(t.Context(), g, vfs.NewMem())
-	if err != nil {
-		t.Fatal(err)
-	}
-	return own, acc.Close
-}
-
 // A report calls for a look out of turn where an item begins to be waited for that
 // this core plans for; what waited before, and what others plan for, does not.
 func TestOnlyANewMissCallsForALook(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := run.NewGroup(t.Context())
-		own, closeDisk := soleOwner(t, g)
-		defer func() {
-			g.Stop()
-			if err := closeDisk(); err != nil {
-				t.Error(err)
-			}
-		}()
+	simstate.Play(t, vfs.NewMem(), func(t *testing.T, _ *run.Group, own *owner.Owner) {
 		p := &Planner{d: Deps{Owner: own}, items: map[conf.Item]*item{}, loaded: own.Held()}
 		others := conf.Item{Model: "others"}
 		delete(p.loaded, state.SlotOf(DemandKey(others, 0)))
--- a/internal/place/plan/pacing_test.go
+++ b/internal/place/plan/pacing_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/pebble/v2/vfs"
@@ -20,6 +19,7 @@
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/sim/simhost"
 	"drumstall.example/internal/sim/simstate"
+	"drumstall.example/internal/state/owner"
 )
 
 // slowDisk takes a while for each sync.
@@ -50,18 +50,7 @@
 
 func TestGrantsThatAreAskedForTogetherAreWrittenDownTogether(t *testing.T) {
 	const loads, diskTakes = 40, 50 * time.Millisecond
-	synctest.Test(t, func(t *testing.T) {
-		g := run.NewGroup(t.Context())
-		own, acc, err := simstate.Sole(t.Context(), g, slowDisk{vfs.NewMem(), diskTakes})
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() {
-			g.Stop()
-			if err := acc.Close(); err != nil {
-				t.Error(err)
-			}
-		}()
+	simstate.Play(t, slowDisk{vfs.NewMem(), diskTakes}, func(t *testing.T, g *run.Group, own *owner.Owner) {
 		cfg := conf.Empty()
 		cfg.Limits.PaceLoads = 2 * loads
 		p := New(Deps{Group: g, Clock: simhost.NewClock(), Log: ring.New(io.Discard, 10).Logger(), Self: "core-1", Cadence: bounds.DefaultCadence(), Owner: own,
--- a/internal/place/plan/schedule_test.go
+++ b/internal/place/plan/schedule_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/pebble/v2/vfs"
+
 	"drumstall.example/internal/conf"
 	"drumstall.example/internal/gossip"
 	"drumstall.example/internal/inventory"
@@ -17,6 +19,8 @@
 	"drumstall.example/internal/place/order"
 	"drumstall.example/internal/place/report"
 	"drumstall.example/internal/sim/simhost"
+	"drumstall.example/internal/sim/simstate"
+	"drumstall.example/internal/state/owner"
 )
 
 // manyModels is a configuration of so many models, and replicas that hold none of them.
@@ -65,21 +69,13 @@
 // planning plays a planner whose controllers take so long to answer.
 func planning(t *testing.T, models int, slow func(item string) time.Duration, play func(reports *report.Table, loads *takenLoads)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		g := run.NewGroup(t.Context())
-		own, closeDisk := soleOwner(t, g)
-		defer func() {
-			g.Stop()
-			if err := closeDisk(); err != nil {
-				t.Error(err)
-			}
-		}()
+	simstate.Play(t, vfs.NewMem(), func(t *testing.T, g *run.Group, own *owner.Owner) {
 		cfg, views := manyModels(models, 32)
 		reports := report.NewTable()
 		loads := &takenLoads{items: map[string]bool{}, replicas: map[string]int{}}
 		cadence := bounds.DefaultCadence()
 		cadence.Plan, cadence.Again = 50*time.Millisecond, 10*time.Second
-		p := New(Deps{Group: g, Clock: simhost.NewClock(), Log: ring.New(testWriter{}, 10).Logger(), Self: "core-1", Cadence: cadence, Owner: own,
+		p := New(Deps{Group: g, Clock: simhost.NewClock(), Log: ring.New(io.Discard, 10).Logger(), Self: "core-1", Cadence: cadence, Owner: own,
 			Gossip: gossip.NewTable(), Reports: reports, Conf: func() conf.Effective { return cfg }, Views: func() order.Statuses { return views },
 			Tell: func(context.Context, Shared) {},
 			Ask: func(ctx context.Context, _ string, q order.Consider) (order.Considered, error) {
@@ -97,11 +93,6 @@
 	})
 }
 
-// testWriter throws log lines away.
-type testWriter struct{}
-
-func (testWriter) Write(b []byte) (int, error) { return len(b), nil }
-
 // misses is a report by which a request waits for each of some items.
 func misses(version uint64, items ...string) report.Report {
 	r := report.Report{Agent: "e", Boot: "b", Version: version, Waiting: map[string]int{}, Demand: map[string]uint64{}}
--- a/internal/sim/simstate/simstate.go
+++ b/internal/sim/simstate/simstate.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"io"
+	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/pebble/v2/vfs"
@@ -25,8 +27,28 @@
 	takenBy   = 10 * time.Second
 )
 
-// Sole is the owner of all slots, as the only core of its set, with a disk. The acceptor is closed after the group has stopped.
-func Sole(ctx context.Context, g *run.Group, disk vfs.FS) (*owner.Owner, *acceptor.Acceptor, error) {
+// Play plays, in simulated time, with the owner of all slots, as the only core of its set, with a disk. What the play
+// starts in the group ends with it.
+func Play(t *testing.T, disk vfs.FS, play func(t *testing.T, g *run.Group, own *owner.Owner)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		g := run.NewGroup(t.Context())
+		own, acc, err := sole(t.Context(), g, disk)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() {
+			g.Stop()
+			if err := acc.Close(); err != nil {
+				t.Error(err)
+			}
+		}()
+		play(t, g, own)
+	})
+}
+
+// sole starts the owner, and waits until it has all slots.
+func sole(ctx context.Context, g *run.Group, disk vfs.FS) (*owner.Owner, *acceptor.Acceptor, error) {
 	clock, log := simhost.NewClock(), ring.New(io.Discard, logLines).Logger()
 	fabric := simnet.New(1, func(string, string) time.Duration { return time.Millisecond })
 	acc, err := acceptor.Open(g, "d", acceptor.Whose{Node: "a"}, disk, clock, log)
