Names are ranked by their draws in one place

The voters of a slot are found without a guard against a name that comes twice, which the table of members cannot hold.

--- a/internal/core/preference.go
+++ b/internal/core/preference.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -13,16 +14,15 @@
 // preference is which voter is preferred for each slot, kept as long as the voters are the same.
 type preference struct {
 	mu     sync.Mutex
-	voters string // names, sorted and joined
+	voters string // names, joined
 	ranked [state.Slots][]string
 }
 
 // of is the voters by how much each is preferred for a slot. First comes the one that is to hold it, so that no voter
-// is to hold more than an equal part; the others follow by their draws. Nobody may change it.
+// is to hold more than an equal part; the others follow by their draws. The names are sorted; nobody may change the answer.
 func (p *preference) of(slot int, names []string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	slices.Sort(names)
 	if joined := strings.Join(names, "\n"); joined != p.voters {
 		p.voters = joined
 		p.rank(names)
@@ -51,18 +51,13 @@
 func (c *Core) voters(slot int) []state.Core {
 	set := c.acc.Standing().Set
 	byName := map[string]state.Core{}
-	var names []string
 	for v, phase := range c.liveCores() {
-		if phase != acceptor.Voter || !set.Has(v) || c.unheard(v) {
-			continue
+		if phase == acceptor.Voter && set.Has(v) && !c.unheard(v) {
+			byName[v.Name] = v
 		}
-		if _, twice := byName[v.Name]; !twice {
-			names = append(names, v.Name)
-		}
-		byName[v.Name] = v
 	}
 	var out []state.Core
-	for _, name := range c.preferred.of(slot, names) {
+	for _, name := range c.preferred.of(slot, slices.Sorted(maps.Keys(byName))) {
 		out = append(out, byName[name])
 	}
 	return out
--- a/internal/kernel/share/spread.go
+++ b/internal/kernel/share/spread.go
@@ -1,6 +1,9 @@
 package share
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Spread gives each key one of some names, so that no name has more than one key more than another. A key goes to the
 // name with the highest draw that has room left. Why: with few keys, draws alone leave one name with several times as
@@ -35,14 +38,6 @@
 		draws[name] = Draw(key, name)
 	}
 	out := slices.Clone(names)
-	slices.SortFunc(out, func(a, b string) int {
-		switch {
-		case draws[a] > draws[b] || draws[a] == draws[b] && a < b:
-			return -1
-		case a == b:
-			return 0
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(draws[b], draws[a]), cmp.Compare(a, b)) })
 	return out
 }
--- a/internal/route/steer.go
+++ b/internal/route/steer.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -191,14 +190,7 @@
 
 // inOrderOf are replicas in the order in which a tenant's bulk takes them, alike at every proxy.
 func inOrderOf(tenant string, ids []string) []string {
-	key := []byte(tenant)
-	draws := make(map[string]uint64, len(ids))
-	for _, id := range ids {
-		draws[id] = share.Draw(key, id)
-	}
-	out := slices.Clone(ids)
-	slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(draws[b], draws[a]), cmp.Compare(a, b)) })
-	return out
+	return share.Ranked([]byte(tenant), ids)
 }
 
 // part1 is a part of n things that leaves at least one on either side.
