--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -11,13 +11,21 @@
 	"fmt"
 	"sort"
 	"strings"
+	"time"
 )
 
 // Bounds are the numbers that the rules are held to.
 type Bounds struct {
-	PaceLoads      int      // loads the weight store bears in any 5 s
-	RetryAllowance int      // retries to a service on top of a fifth of its traffic in any 10 s
-	Edges          []string // that must have a configuration in force
+	PaceLoads      int                      // loads the weight store bears in any 5 s
+	RetryAllowance int                      // retries to a service on top of a fifth of its traffic in any 10 s
+	Edges          []string                 // that must have a configuration in force
+	Deadlines      map[string]time.Duration // class: its route's time, by which an answer has its final end
+}
+
+// timeIsUp is whether an answer that was cut had reached its route's time, where it ends whole or not.
+func (b Bounds) timeIsUp(e Event) bool {
+	limit, known := b.Deadlines[e.Class]
+	return known && e.Outcome == Broken && e.TookMs >= limit.Milliseconds()
 }
 
 // Verdict on one rule.
--- a/internal/sim/fleet/callers_test.go
+++ b/internal/sim/fleet/callers_test.go
@@ -57,10 +57,7 @@
 // told it was there.
 func (f *Fleet) tooLate(eff conf.Effective) string {
 	sent, done := map[string]check.Event{}, map[string][]time.Duration{}
-	limits := map[string]time.Duration{}
-	for _, r := range eff.Routes {
-		limits[r.Class] = r.Deadline
-	}
+	limits := deadlines(eff)
 	for _, e := range f.Rec.Events() {
 		switch e.Kind {
 		case check.Sent:
