A load start that asks for the store's leave again takes one place of the pace

Cause: leave that comes too late is asked for again, and the one before went on counting for 5.5 s, though its load never began. When the keeper is slow for a moment, the store's pace is spent on loads that do not start. Ruled out: a longer life of grants (a start must come soon after its place is counted). Change: each load start has a name; the keeper's place for a start that is asked for again is the new one. A start that was ordered is never asked for again under its name, so no start is left uncounted; a keeper that takes over knows no names and counts all. Tests: the keeper's test of many seeds has callers that do not use their leave; leave that was not used takes one place (before: the other load was kept out); a late load asks again under its name.

--- a/internal/core/controllers.go
+++ b/internal/core/controllers.go
@@ -21,8 +21,8 @@
 	_, _ = atOwner(ctx, c, plan.PaceKey, "/place/grant", plan.Granting{Who: who, Afloat: true}, c.planner.Grant)
 }
 
-func (c *Core) grant(ctx context.Context, who string, worth float64) (time.Duration, bool) {
-	g, err := atOwner(ctx, c, plan.PaceKey, "/place/grant", plan.Granting{Who: who, Worth: worth}, c.planner.Grant)
+func (c *Core) grant(ctx context.Context, l order.Leave) (time.Duration, bool) {
+	g, err := atOwner(ctx, c, plan.PaceKey, "/place/grant", plan.Granting{Who: l.Who, Worth: l.Worth, Start: l.Start}, c.planner.Grant)
 	return time.Duration(g.WaitMs) * time.Millisecond, err == nil && g.OK
 }
 
--- a/internal/place/order/carry.go
+++ b/internal/place/order/carry.go
@@ -219,7 +219,7 @@
 		asked := c.d.Clock.Since()
 		ctx, cancel := context.WithTimeout(c.d.Group.Context(), orderLimit)
 		defer cancel()
-		wait, ok := c.d.Grant(ctx, c.who(what), t.worth)
+		wait, ok := c.d.Grant(ctx, Leave{Who: c.who(what), Start: c.startOf(t), Worth: t.worth})
 		t.wait = wait
 		if !ok {
 			return
@@ -233,7 +233,7 @@
 	l.ordered = c.d.Clock.Since()
 	switch err := c.order(verb, what, l.SizeMib, by); {
 	case err == nil, backend.IsUnsure(err):
-		l.State, l.unsure = backend.Loading, err != nil
+		l.State, l.unsure, t.start = backend.Loading, err != nil, ""
 		t.next(loaded, now)
 	case backend.IsBusy(err):
 	default:
@@ -241,6 +241,15 @@
 	}
 }
 
+// startOf names the load start that a task is to order next.
+func (c *Controller) startOf(t *task) string {
+	if t.start == "" {
+		c.starts++
+		t.start = fmt.Sprintf("%s %s/%s.%d.%d", c.listed.ID, c.d.Self, c.d.Boot, c.epoch, c.starts)
+	}
+	return t.start
+}
+
 // who names a load to the store's keeper.
 func (c *Controller) who(item conf.Item) string { return c.listed.ID + " " + item.String() }
 
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -82,7 +82,7 @@
 	Others   func() Statuses
 	Agents   func() map[string]bool // agents thought alive
 	Platform func() time.Duration   // how long ago the platform was heard
-	Grant    func(ctx context.Context, who string, worth float64) (wait time.Duration, ok bool)
+	Grant    func(ctx context.Context, l Leave) (wait time.Duration, ok bool)
 	Afloat   func(ctx context.Context, who string) // tells the store's keeper of a load that may still start
 }
 
@@ -115,6 +115,7 @@
 	etas       map[string]time.Duration // what is on its way: when it will probably be there, as published
 	version    uint64
 	orders     uint64
+	starts     int // load starts that the store's leave was asked for
 	staying    time.Duration
 	closed     bool
 	perMib     float64       // observed ms per MiB loaded; 0 unknown
--- a/internal/place/order/lease_test.go
+++ b/internal/place/order/lease_test.go
@@ -97,7 +97,7 @@
 				ctl := NewController(g, Deps{Clock: clk, Log: log, Self: "a", Boot: "b", Cadence: bounds.DefaultCadence(), Replicas: conn, Owner: own, Gossip: gossip.NewTable(), Reports: report.NewTable(),
 					Conf: func() conf.Effective { return cfg }, Requests: func(string) float64 { return 0 }, Others: func() Statuses { return Statuses{} },
 					Agents: func() map[string]bool { return nil }, Platform: func() time.Duration { return 0 }, Afloat: func(context.Context, string) {},
-					Grant: func(context.Context, string, float64) (time.Duration, bool) {
+					Grant: func(context.Context, Leave) (time.Duration, bool) {
 						time.Sleep(200 * time.Millisecond) // the keeper is far off
 						return 0, true
 					}}, inventory.Listed{ID: "r", Addr: "10.0.0.2:9000", Model: true})
--- a/internal/place/order/looks_test.go
+++ b/internal/place/order/looks_test.go
@@ -49,7 +49,7 @@
 func (r *countedReplica) Traits() backend.Traits { return backend.Traits{} }
 
 // controlled plays a controller of a replica that waits for the store's leave as it is told.
-func controlled(t *testing.T, replica backend.Client, grant func(context.Context, string, float64) (time.Duration, bool), play func(t *testing.T, ctl *Controller)) {
+func controlled(t *testing.T, replica backend.Client, grant func(context.Context, Leave) (time.Duration, bool), play func(t *testing.T, ctl *Controller)) {
 	t.Helper()
 	simstate.Play(t, vfs.NewMem(), func(t *testing.T, g *run.Group, own *owner.Owner) {
 		cadence := bounds.DefaultCadence()
@@ -64,7 +64,7 @@
 }
 
 // atOnce is the store's leave, given at once.
-func atOnce(context.Context, string, float64) (time.Duration, bool) { return 0, true }
+func atOnce(context.Context, Leave) (time.Duration, bool) { return 0, true }
 
 // A controller looks at an idle replica in the long interval, at different moments for different replicas, and in the
 // short one as soon as it carries something out.
@@ -99,7 +99,9 @@
 func TestALoadWhoseLeaveComesTooLateAsksAgain(t *testing.T) {
 	replica := &countedReplica{}
 	asked := 0
-	late := func(context.Context, string, float64) (time.Duration, bool) {
+	starts := map[string]bool{}
+	late := func(_ context.Context, l Leave) (time.Duration, bool) {
+		starts[l.Start] = true
 		if asked++; asked == 1 {
 			time.Sleep(490 * time.Millisecond)
 		}
@@ -115,5 +117,8 @@
 		if orders := replica.orders.Load(); orders != 1 {
 			t.Errorf("%d orders a second after the load was decided on, though leave was given twice", orders)
 		}
+		if len(starts) != 1 {
+			t.Errorf("leave for one start was asked for under %d names", len(starts))
+		}
 	})
 }
--- a/internal/place/order/messages.go
+++ b/internal/place/order/messages.go
@@ -61,3 +61,10 @@
 	IdleModels   []judge.Idle `cbor:"11,keyasint,omitempty" json:"-"`
 	IdleAdapters []judge.Idle `cbor:"12,keyasint,omitempty" json:"-"`
 }
+
+// Leave is what a controller asks the store's keeper for: that a load may start.
+type Leave struct {
+	Who   string  // the replica and item it is for
+	Start string  // names this start of it, and no other
+	Worth float64 // penalty of the miss
+}
--- a/internal/place/order/task.go
+++ b/internal/place/order/task.go
@@ -32,6 +32,7 @@
 	worth   float64
 	cost    time.Duration // of one request without it
 	wait    time.Duration // until the store has room, as last told
+	start   string        // names the load start that the store's leave is asked for; empty once it was ordered
 	asked   int           // victims whose unload has been ordered
 	looks   int           // reports that have come since the last order
 	blocked bool          // when it was in front last, there was no room for it
--- a/internal/place/pace/pace.go
+++ b/internal/place/pace/pace.go
@@ -32,12 +32,18 @@
 // float is since when a start may still come, and when that was last told.
 type float struct{ since, told time.Duration }
 
+// grant is leave for one load start.
+type grant struct {
+	at    time.Duration
+	start string // the load start that it is for; empty for one that a keeper before gave
+}
+
 // Keeper grants load starts; one actor owns it.
 type Keeper struct {
 	from    time.Duration    // no grants before
 	afloat  map[string]float // starts that may still come, whenever
-	grants  deque.Deque[time.Duration]
-	recent  deque.Deque[time.Duration] // grants of a use span
+	grants  deque.Deque[grant]
+	recent  deque.Deque[grant] // of a use span
 	waiters map[string]waiter
 	window  time.Duration // the span over which the store counts
 }
@@ -64,8 +70,8 @@
 	k.from = now + settle
 	for _, age := range before {
 		if age <= window+GrantLife {
-			k.grants.PushBack(now - age)
-			k.recent.PushBack(now - age)
+			k.grants.PushBack(grant{at: now - age})
+			k.recent.PushBack(grant{at: now - age})
 		}
 	}
 	return k
@@ -76,7 +82,7 @@
 	k.forget(now)
 	var out []time.Duration
 	for i := range k.grants.Len() {
-		out = append(out, now-k.grants.At(i))
+		out = append(out, now-k.grants.At(i).at)
 	}
 	return out
 }
@@ -112,33 +118,50 @@
 // forget drops the grants that count no more. Why: a start comes up to a life
 // after its grant, so grants are counted over the window and a life.
 func (k *Keeper) forget(now time.Duration) {
-	for k.grants.Len() > 0 && now-k.grants.Front() > k.window+GrantLife {
+	for k.grants.Len() > 0 && now-k.grants.Front().at > k.window+GrantLife {
 		k.grants.PopFront()
 	}
 }
 
+// Request asks for leave to start a load.
+type Request struct {
+	Who   string  // the replica and item it is for
+	Start string  // names the start: who asks again under a name has not begun it; empty if it has none
+	Worth float64 // the dearest goes first
+}
+
+// takeBack removes the grant for a load start that has not begun. Why: its answer came too late; counted on, it
+// would keep another load out for a whole window.
+func takeBack(grants *deque.Deque[grant], start string) {
+	if at := grants.RIndex(func(g grant) bool { return g.start == start }); start != "" && at >= 0 {
+		grants.Remove(at)
+	}
+}
+
 // Grant allows a load start now, or says how long it will probably take.
-func (k *Keeper) Grant(now time.Duration, loads int, who string, worth float64) (wait time.Duration, ok bool) {
+func (k *Keeper) Grant(now time.Duration, loads int, r Request) (wait time.Duration, ok bool) {
 	k.forget(now)
+	takeBack(&k.grants, r.Start)
+	takeBack(&k.recent, r.Start)
 	for name, f := range k.afloat {
 		if now-f.told > k.floatLife() {
 			delete(k.afloat, name)
 		}
 	}
 	taken := k.grants.Len() + len(k.afloat)
-	w := waiter{worth: worth, first: now, last: now}
-	if old, found := k.waiters[who]; found {
+	w := waiter{worth: r.Worth, first: now, last: now}
+	if old, found := k.waiters[r.Who]; found {
 		w.first = old.first
 	} else if len(k.waiters) >= maxWaiters {
 		return k.window, false
 	}
-	k.waiters[who] = w
+	k.waiters[r.Who] = w
 	ahead := 0
 	for name, o := range k.waiters {
 		switch {
 		case now-o.last > patience:
 			delete(k.waiters, name)
-		case name != who && (o.worth > worth || o.worth == worth && (o.first < w.first || o.first == w.first && name < who)):
+		case name != r.Who && (o.worth > r.Worth || o.worth == r.Worth && (o.first < w.first || o.first == w.first && name < r.Who)):
 			ahead++
 		}
 	}
@@ -146,9 +169,9 @@
 		return k.from - now + time.Duration(ahead/max(loads, 1))*(k.window+GrantLife), false
 	}
 	if taken+ahead < loads {
-		k.grants.PushBack(now)
-		k.recent.PushBack(now)
-		delete(k.waiters, who)
+		k.grants.PushBack(grant{now, r.Start})
+		k.recent.PushBack(grant{now, r.Start})
+		delete(k.waiters, r.Who)
 		return 0, true
 	}
 	// Why: the place that gets free for it is the one of the grant that many places back.
@@ -156,7 +179,7 @@
 	rounds := n / max(loads, 1)
 	at := now
 	if k.grants.Len() > 0 {
-		at = k.grants.At(min(n%max(loads, 1), k.grants.Len()-1))
+		at = k.grants.At(min(n%max(loads, 1), k.grants.Len()-1)).at
 	}
 	return time.Duration(rounds)*(k.window+GrantLife) + max(0, at+k.window+GrantLife-now) + time.Millisecond, false
 }
@@ -165,7 +188,7 @@
 // granted in the last one or still wait. One that waits for its predecessor's
 // grants to pass counts as full.
 func (k *Keeper) Use(now time.Duration, loads int) float64 {
-	for k.recent.Len() > 0 && now-k.recent.Front() > UseSpan {
+	for k.recent.Len() > 0 && now-k.recent.Front().at > UseSpan {
 		k.recent.PopFront()
 	}
 	if now < k.from {
--- a/internal/place/pace/pace_test.go
+++ b/internal/place/pace/pace_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Whoever asks, however often, and through a change of keepers: no more starts
+// Whoever asks, however often, again for what came too late, and through a change of keepers: no more starts
 // than the pace in any window, even if each start comes as late as it may.
 func TestNeverAboveThePace(t *testing.T) {
 	for seed := range uint64(50) {
@@ -15,6 +15,7 @@
 		loads := 1 + rnd.IntN(5)
 		k := NewKeeper(0, Window, true)
 		var starts, written []time.Duration
+		begun := map[string]int{}
 		for now := time.Duration(0); now < 2*time.Minute; now += time.Duration(rnd.IntN(300)) * time.Millisecond {
 			switch rnd.IntN(400) {
 			case 0:
@@ -23,8 +24,13 @@
 				// What the keeper before wrote down may be as old as its last grant.
 				k = Resume(now, Window, written)
 			}
-			if _, ok := k.Grant(now, loads, fmt.Sprint(rnd.IntN(20)), rnd.Float64()); ok {
+			who := fmt.Sprint(rnd.IntN(20))
+			_, ok := k.Grant(now, loads, Request{Who: who, Start: fmt.Sprint(who, " ", begun[who]), Worth: rnd.Float64()})
+			if ok {
 				written = k.Ages(now)
+			}
+			if ok && rnd.IntN(3) > 0 {
+				begun[who]++
 				starts = append(starts, now+time.Duration(rnd.Int64N(int64(GrantLife))))
 			}
 		}
@@ -47,20 +53,20 @@
 
 func TestTheDearestGoesFirst(t *testing.T) {
 	k := NewKeeper(0, Window, true)
-	if _, ok := k.Grant(0, 1, "a", 1); !ok {
+	if _, ok := k.Grant(0, 1, Request{Who: "a", Worth: 1}); !ok {
 		t.Fatal("an idle store refuses")
 	}
 	for now := time.Second; now <= Window; now += time.Second {
-		k.Grant(now, 1, "cheap", 1)
-		if wait, ok := k.Grant(now, 1, "dear", 9); ok || now+wait < Window || now+wait > Window+GrantLife+2*time.Millisecond {
+		k.Grant(now, 1, Request{Who: "cheap", Worth: 1})
+		if wait, ok := k.Grant(now, 1, Request{Who: "dear", Worth: 9}); ok || now+wait < Window || now+wait > Window+GrantLife+2*time.Millisecond {
 			t.Fatalf("at %v: ok=%v wait=%v", now, ok, wait)
 		}
 	}
 	free := Window + GrantLife + time.Millisecond
-	if wait, ok := k.Grant(free, 1, "cheap", 1); ok || wait < Window {
+	if wait, ok := k.Grant(free, 1, Request{Who: "cheap", Worth: 1}); ok || wait < Window {
 		t.Fatalf("the cheap one overtook: ok=%v wait=%v", ok, wait)
 	}
-	if _, ok := k.Grant(free, 1, "dear", 9); !ok {
+	if _, ok := k.Grant(free, 1, Request{Who: "dear", Worth: 9}); !ok {
 		t.Fatal("the dear one is not granted")
 	}
 }
@@ -78,7 +84,7 @@
 	}
 	before := 0.0
 	for now := time.Duration(0); now < UseSpan; now += 100 * time.Millisecond {
-		k.Grant(now, 4, fmt.Sprint(now), 1)
+		k.Grant(now, 4, Request{Who: fmt.Sprint(now), Worth: 1})
 		// Why: one that waits counts too, and drops out when it does not ask again.
 		if got := k.Use(now, 4); got < before-0.1 {
 			t.Fatalf("at %v the use fell from %v to %v while all asked", now, before, got)
@@ -108,7 +114,7 @@
 	}
 	granted := 0
 	for range 4 {
-		if _, ok := k.Grant(now, 3, fmt.Sprint(granted), 1); ok {
+		if _, ok := k.Grant(now, 3, Request{Who: fmt.Sprint(granted), Worth: 1}); ok {
 			granted++
 		}
 	}
@@ -118,10 +124,27 @@
 	if granted != 1 {
 		t.Errorf("%d granted of 3 places with two afloat", granted)
 	}
-	if _, ok := k.Grant(now+Window, 3, "a", 1); ok {
+	if _, ok := k.Grant(now+Window, 3, Request{Who: "a", Worth: 1}); ok {
 		t.Error("granted while one that came just after it was last told of may count")
 	}
-	if _, ok := k.Grant(now+k.floatLife(), 3, "a", 1); !ok {
+	if _, ok := k.Grant(now+k.floatLife(), 3, Request{Who: "a", Worth: 1}); !ok {
 		t.Error("not granted when nothing is afloat any more")
 	}
 }
+
+// Leave that came too late to be used kept other loads out for a whole window.
+func TestLeaveThatWasNotUsedTakesOnePlace(t *testing.T) {
+	k := NewKeeper(0, Window, true)
+	for try := range 5 {
+		now := time.Duration(try) * 100 * time.Millisecond
+		if _, ok := k.Grant(now, 2, Request{Who: "late", Start: "late 1", Worth: 1}); !ok {
+			t.Fatalf("try %d is refused", try)
+		}
+	}
+	if _, ok := k.Grant(time.Second, 2, Request{Who: "other", Start: "other 1", Worth: 1}); !ok {
+		t.Error("the other load is kept out")
+	}
+	if _, ok := k.Grant(time.Second, 2, Request{Who: "late", Start: "late 2", Worth: 1}); ok {
+		t.Error("three loads may start in one window, two at most")
+	}
+}
--- a/internal/place/pace/resume_test.go
+++ b/internal/place/pace/resume_test.go
@@ -10,7 +10,7 @@
 func granted(k *Keeper, now time.Duration, loads, asked int) int {
 	n := 0
 	for i := range asked {
-		if _, ok := k.Grant(now, loads, fmt.Sprint("r", i), 1); ok {
+		if _, ok := k.Grant(now, loads, Request{Who: fmt.Sprint("r", i), Worth: 1}); ok {
 			n++
 		}
 	}
@@ -20,7 +20,7 @@
 func TestOneThatResumesWaitsToBeTold(t *testing.T) {
 	const now = time.Hour
 	k := Resume(now, Window, nil)
-	if wait, ok := k.Grant(now, 2, "r0", 1); ok || wait != settle {
+	if wait, ok := k.Grant(now, 2, Request{Who: "r0", Worth: 1}); ok || wait != settle {
 		t.Errorf("at once: wait %v, ok %v", wait, ok)
 	}
 	if got := k.Use(now, 2); got != 1 {
--- a/internal/place/plan/messages.go
+++ b/internal/place/plan/messages.go
@@ -77,6 +77,8 @@
 type Granting struct {
 	Who   string  `cbor:"1,keyasint"` // the replica and item it is for
 	Worth float64 `cbor:"2,keyasint"` // penalty of the miss
+	// Start names the load start: who asks again under a name has not begun it.
+	Start string `cbor:"4,keyasint,omitempty"`
 	// Afloat asks for nothing: the load was ordered, and may start at any time or never.
 	Afloat bool `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/place/plan/pacing.go
+++ b/internal/place/plan/pacing.go
@@ -61,7 +61,7 @@
 		p.pacer.keeper.Afloat(now, q.Who)
 		return g, mark, false
 	}
-	wait, granted := p.pacer.keeper.Grant(now, p.starts(), q.Who, q.Worth)
+	wait, granted := p.pacer.keeper.Grant(now, p.starts(), pace.Request{Who: q.Who, Start: q.Start, Worth: q.Worth})
 	g.WaitMs = int(wait.Milliseconds())
 	if granted {
 		p.pacer.given++
