Fewer candidates are asked about a load while controllers answer late

Cause: each decision asked about 16 candidates, each question at a core weighs all that might go at a replica. Class: work that grows when there is least time for it. Change: an answer that does not come in time halves the number of candidates, down to the five of a busy core; each decision whose answers all came adds one. Test before: 16 are asked however late answers come.

--- a/internal/place/plan/ask_test.go
+++ b/internal/place/plan/ask_test.go
@@ -99,3 +99,38 @@
 		}
 	}
 }
+
+// Cores that did not answer in time were asked about as many candidates as before, and were later still.
+func TestFewerCandidatesAreAskedWhileAnswersComeLate(t *testing.T) {
+	g := run.NewGroup(context.Background())
+	defer g.Stop()
+	silent := false
+	p := &Planner{d: Deps{Group: g, Clock: tick.Machine(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Ask: func(context.Context, string, order.Consider) (order.Considered, error) {
+			if silent {
+				return order.Considered{}, context.DeadlineExceeded
+			}
+			return order.Considered{Why: "no room"}, nil
+		}}, items: map[conf.Item]*item{}}
+	p.actor = run.NewActor(g, 8, 0, nil)
+	d := Decision{Item: "m"}
+	for i := range 2 * tries {
+		d.Candidates = append(d.Candidates, judge.Ranked{Name: fmt.Sprint("r", i)})
+	}
+	asked := func() int {
+		p.decide(t.Context(), conf.Effective{}, d, order.Statuses{})
+		return len(p.Explain(t.Context(), "m")[0].Tried)
+	}
+	for _, want := range []int{tries, tries, tries / 2, busyTries, busyTries} {
+		if got := asked(); got != want {
+			t.Errorf("%d candidates were asked, want %d", got, want)
+		}
+		silent = true
+	}
+	silent = false
+	for want := busyTries; want <= tries; want++ {
+		if got := asked(); got != want {
+			t.Errorf("answers come in time again: %d candidates were asked, want %d", got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/place/plan/breadth.go
@@ -0,0 +1,31 @@
+package plan
+
+import (
+	"slices"
+	"sync/atomic"
+
+	"drumstall.example/internal/place/order"
+)
+
+// breadth is how many candidates are asked for one decision, between the fewest and the most: fewer after controllers have
+// not answered in time, and more again, one by one, while they do. Why: each question weighs all that might go at a
+// replica, so cores that come late to their work are later still if they are asked about as many as before.
+// Decisions that are made side by side share it.
+type breadth struct{ fewer atomic.Int32 }
+
+// now is how many candidates are asked.
+func (b *breadth) now() int { return max(tries-int(b.fewer.Load()), busyTries) }
+
+// heard notes the answers of one decision.
+func (b *breadth) heard(answers []order.Considered) {
+	if len(answers) == 0 {
+		return
+	}
+	now := b.now()
+	if slices.ContainsFunc(answers, func(a order.Considered) bool { return a.Silent }) {
+		now = max(now/2, busyTries)
+	} else {
+		now = min(now+1, tries)
+	}
+	b.fewer.Store(int32(tries - now))
+}
--- a/internal/place/plan/decide.go
+++ b/internal/place/plan/decide.go
@@ -48,6 +48,7 @@
 			d.Taken, ready = names[best], a.ReadyMs
 		}
 	}
+	p.breadth.heard(answers)
 	soon := false
 	for i, a := range answers {
 		soon = soon || a.Soon
@@ -107,7 +108,7 @@
 	if p.isBusy() {
 		return busyTries
 	}
-	return tries
+	return p.breadth.now()
 }
 
 // heardOfAny says whether any replica of models is known that answers its controller.
--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -26,7 +26,7 @@
 	patience   = 5 * time.Second // for what stands in the way of a load and will pass
 	claimAgain = 5 * time.Second // between two looks at a claim that could not be met
 	useLife    = 6 * time.Second // what the store's keeper told holds so long
-	tries      = 16              // candidates asked for one decision
+	tries      = 16              // candidates asked for one decision at most
 	busyTries  = 5               // candidates asked by a core that has no processor time to spare
 	decisions  = 200             // kept for explaining
 	maxItems   = 20_000
@@ -77,6 +77,7 @@
 	unmet     map[string]string
 	underWay  map[subject]bool // what decisions are being made about
 	asked     askedReplicas
+	breadth   breadth
 	claimAt   map[conf.Item]time.Duration
 	pacer     pacer
 	paceActor *run.Actor
