--- a/internal/place/plan/plan.go
+++ b/internal/place/plan/plan.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync/atomic"
 	"time"
 
 	"github.com/gammazero/deque"
@@ -69,8 +68,7 @@
 	soon      *run.Nudge
 	work      workRates
 	loaded    map[int]uint64 // slot: epoch whose history has been read
-	next      atomic.Pointer[map[string]float64]
-	shared    map[string]float64
+	shared    predictions
 	use       float64       // of the store's pace, as its keeper last told
 	usedAt    time.Duration // when it did
 	log       deque.Deque[Decision]
@@ -90,9 +88,8 @@
 
 // New starts to plan.
 func New(d Deps) *Planner {
-	p := &Planner{d: d, items: map[conf.Item]*item{}, loaded: map[int]uint64{}, shared: map[string]float64{}, usedAt: -1 << 62, unmet: map[string]string{},
+	p := &Planner{d: d, items: map[conf.Item]*item{}, loaded: map[int]uint64{}, usedAt: -1 << 62, unmet: map[string]string{},
 		claimAt: map[conf.Item]time.Duration{}, underWay: map[subject]bool{}}
-	p.next.Store(&map[string]float64{})
 	p.paceActor = run.NewActor(d.Group, 64, 0, nil)
 	p.grantWriter = run.NewActor(d.Group, 64, 0, nil)
 	p.actor = run.NewActor(d.Group, 1024, d.Cadence.Plan, p.onTick)
--- a/internal/place/plan/share.go
+++ b/internal/place/plan/share.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"maps"
+	"sync"
 
 	"drumstall.example/internal/kernel/run"
 )
 
 // Requests is the predicted requests of an item over the horizon, by whichever
 // core predicts it.
-func (p *Planner) Requests(it string) float64 { return (*p.next.Load())[it] }
+func (p *Planner) Requests(it string) float64 { return p.shared.get(it) }
 
 // share predicts for our items and tells the other cores.
 func (p *Planner) share(ctx context.Context) {
@@ -43,11 +43,32 @@
 	if s.Keeps {
 		p.use, p.usedAt = s.Use, p.d.Clock.Since()
 	}
-	for it, n := range s.Next {
-		if _, known := p.shared[it]; known || len(p.shared) < maxItems {
-			p.shared[it] = n
+	p.shared.lay(s.Next)
+}
+
+// predictions are the requests of each item that cores have predicted last. Its methods may be called from anywhere.
+type predictions struct {
+	mu sync.RWMutex
+	of map[string]float64
+}
+
+// get is the prediction for an item.
+func (p *predictions) get(it string) float64 {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.of[it]
+}
+
+// lay takes newer predictions over those before.
+func (p *predictions) lay(next map[string]float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.of == nil {
+		p.of = map[string]float64{}
+	}
+	for it, n := range next {
+		if _, known := p.of[it]; known || len(p.of) < maxItems {
+			p.of[it] = n
 		}
 	}
-	next := maps.Clone(p.shared)
-	p.next.Store(&next)
 }
