--- a/internal/place/plan/ask_test.go
+++ b/internal/place/plan/ask_test.go
@@ -81,46 +81,23 @@
 }
 
 func TestABusyCoreAsksFewerCandidates(t *testing.T) {
-	g := run.NewGroup(context.Background())
-	defer g.Stop()
 	for busy, want := range map[bool]int{false: tries, true: busyTries} {
-		p := &Planner{d: Deps{Group: g, Clock: tick.Machine(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Busy: func() bool { return busy },
-			Ask: func(context.Context, string, order.Consider) (order.Considered, error) {
-				return order.Considered{Why: "no room"}, nil
-			}}, items: map[conf.Item]*item{}}
-		p.actor = run.NewActor(g, 8, 0, nil)
-		d := Decision{Item: "m"}
-		for i := range 2 * tries {
-			d.Candidates = append(d.Candidates, judge.Ranked{Name: fmt.Sprint("r", i)})
-		}
-		p.decide(t.Context(), conf.Effective{}, d, order.Statuses{})
-		if got := p.Explain(t.Context(), "m"); len(got) != 1 || len(got[0].Tried) != want {
-			t.Errorf("busy %v: %d candidates were asked, not %d", busy, len(got[0].Tried), want)
+		asked := asking(t, func() bool { return busy }, func() (order.Considered, error) { return order.Considered{Why: "no room"}, nil })
+		if got := asked(); got != want {
+			t.Errorf("busy %v: %d candidates were asked, not %d", busy, got, want)
 		}
 	}
 }
 
 // Cores that did not answer in time were asked about as many candidates as before, and were later still.
 func TestFewerCandidatesAreAskedWhileAnswersComeLate(t *testing.T) {
-	g := run.NewGroup(context.Background())
-	defer g.Stop()
 	silent := false
-	p := &Planner{d: Deps{Group: g, Clock: tick.Machine(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Ask: func(context.Context, string, order.Consider) (order.Considered, error) {
-			if silent {
-				return order.Considered{}, context.DeadlineExceeded
-			}
-			return order.Considered{Why: "no room"}, nil
-		}}, items: map[conf.Item]*item{}}
-	p.actor = run.NewActor(g, 8, 0, nil)
-	d := Decision{Item: "m"}
-	for i := range 2 * tries {
-		d.Candidates = append(d.Candidates, judge.Ranked{Name: fmt.Sprint("r", i)})
-	}
-	asked := func() int {
-		p.decide(t.Context(), conf.Effective{}, d, order.Statuses{})
-		return len(p.Explain(t.Context(), "m")[0].Tried)
-	}
+	asked := asking(t, nil, func() (order.Considered, error) {
+		if silent {
+			return order.Considered{}, context.DeadlineExceeded
+		}
+		return order.Considered{Why: "no room"}, nil
+	})
 	for _, want := range []int{tries, tries, tries / 2, busyTries, busyTries} {
 		if got := asked(); got != want {
 			t.Errorf("%d candidates were asked, want %d", got, want)
@@ -134,3 +111,21 @@
 		}
 	}
 }
+
+// asking has a planner make one decision at each call, and gives how many candidates it asked.
+func asking(t *testing.T, busy func() bool, answer func() (order.Considered, error)) func() int {
+	t.Helper()
+	g := run.NewGroup(context.Background())
+	t.Cleanup(g.Stop)
+	p := &Planner{d: Deps{Group: g, Clock: tick.Machine(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Busy: busy,
+		Ask: func(context.Context, string, order.Consider) (order.Considered, error) { return answer() }}, items: map[conf.Item]*item{}}
+	p.actor = run.NewActor(g, 8, 0, nil)
+	d := Decision{Item: "m"}
+	for i := range 2 * tries {
+		d.Candidates = append(d.Candidates, judge.Ranked{Name: fmt.Sprint("r", i)})
+	}
+	return func() int {
+		p.decide(t.Context(), conf.Effective{}, d, order.Statuses{})
+		return len(p.Explain(t.Context(), "m")[0].Tried)
+	}
+}
