Simulated fleet: the seeds that a process was given do not change under it

Running processes now keep the seeds they were started with, as real ones do until their settings are read again, which asks more of them than before.

--- a/internal/sim/fleet/faults_test.go
+++ b/internal/sim/fleet/faults_test.go
@@ -188,7 +188,7 @@
 					x.f.KillEdge(n)
 				}
 				x.f.MoveCore(n, ip)
-				x.f.seeds[i] = ip + ":7000"
+				x.f.seeds.set(i, ip+":7000")
 				if n.FS != nil {
 					x.f.StartCore(n)
 				} else {
--- a/internal/sim/fleet/fleet.go
+++ b/internal/sim/fleet/fleet.go
@@ -60,7 +60,7 @@
 	zero     time.Time // of the record
 	stopped  bool
 	formed   bool
-	seeds    []string
+	seeds    seeds
 	settings map[string]stand.ReplicaSettings
 	hosts    map[string]*simnet.Host
 	zones    sync.Map // of zone by address; the fabric reads it from any thread
@@ -112,7 +112,7 @@
 		n.clock = &clock{zero: time.Now().Add(-time.Hour)}
 		n.Logs = ring.New(io.Discard, 500)
 	}
-	f.seeds = []string{f.Cores[0].IP + ":7000", f.Cores[1].IP + ":7000", f.Edges[0].IP + ":7000"}
+	f.seeds.addrs = []string{f.Cores[0].IP + ":7000", f.Cores[1].IP + ":7000", f.Edges[0].IP + ":7000"}
 	var err error
 	if f.Platform, err = stand.StartPlatform(platformAddr, f.Net.Host("10.9.0.1"), f.Rec); err != nil {
 		t.Fatal(err)
--- a/internal/sim/fleet/process.go
+++ b/internal/sim/fleet/process.go
@@ -13,7 +13,7 @@
 
 // StartCore starts a core on its machine, with whatever its disk holds.
 func (f *Fleet) StartCore(n *Node) {
-	settings := core.Settings{Name: n.Name, Zone: n.Zone, Addr: n.IP + ":7000", Operator: n.IP + ":7001", Seeds: f.seeds,
+	settings := core.Settings{Name: n.Name, Zone: n.Zone, Addr: n.IP + ":7000", Operator: n.IP + ":7001", Seeds: f.seeds.now(),
 		Folder: "data", Cores: f.D.Cores, Platform: platformAddr, Cadence: f.D.Cadence}
 	if f.D.Unattended {
 		settings.Cores, settings.Founders, settings.MayFound = 0, f.founders(), !f.formed
@@ -39,7 +39,7 @@
 
 // StartAgent starts the agent of an edge.
 func (f *Fleet) StartAgent(n *Node) {
-	a, err := agent.Start(agent.Settings{Name: n.Name, Zone: n.Zone, Addr: n.IP + ":7000", Feed: n.IP + ":7002", Seeds: f.seeds, Platform: platformAddr, Cadence: f.D.Cadence}, f.env(n, 1))
+	a, err := agent.Start(agent.Settings{Name: n.Name, Zone: n.Zone, Addr: n.IP + ":7000", Feed: n.IP + ":7002", Seeds: f.seeds.now(), Platform: platformAddr, Cadence: f.D.Cadence}, f.env(n, 1))
 	if err != nil {
 		f.T.Fatalf("%s: %v", n.Name, err)
 	}
--- a/internal/sim/fleet/seeds_test.go
+++ b/internal/sim/fleet/seeds_test.go
@@ -15,12 +15,12 @@
 			if n.Core != nil {
 				f.KillCore(n, true)
 				f.MoveCore(n, ip)
-				f.seeds[i] = ip + ":7000"
+				f.seeds.set(i, ip+":7000")
 				f.StartCore(n)
 			} else {
 				f.KillEdge(n)
 				f.MoveCore(n, ip)
-				f.seeds[i] = ip + ":7000"
+				f.seeds.set(i, ip+":7000")
 				f.StartEdge(n)
 			}
 			time.Sleep(12 * time.Second)
