One check of an answer that was cut before its route's time

TestQuietDay had its own beside rule 11, and let through every cut of a class whose time is not known; it calls the checker's now, for which such a cut is early. Tests and the simulation alone; no bound changes. Run: internal/check, TestQuietDay.

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -22,10 +22,11 @@
 	Deadlines      map[string]time.Duration // class: its route's time, by which an answer has its final end
 }
 
-// timeIsUp is whether an answer that was cut had reached its route's time, where it ends whole or not.
-func (b Bounds) timeIsUp(e Event) bool {
+// CutEarly is whether an answer was cut before its route's time, at which it ends whole or not; of a class whose time is not
+// known every cut is early.
+func (b Bounds) CutEarly(e Event) bool {
 	limit, known := b.Deadlines[e.Class]
-	return known && e.Outcome == Broken && e.TookMs >= limit.Milliseconds()
+	return e.Outcome == Broken && !(known && e.TookMs >= limit.Milliseconds())
 }
 
 // Verdict on one rule.
--- a/internal/check/planned.go
+++ b/internal/check/planned.go
@@ -136,7 +136,7 @@
 	delete(w.sent, e.Ticket)
 	if w.during[e.Ticket] {
 		w.looked++
-		if e.Outcome == LeftOut || e.Outcome == Broken && !w.bounds.timeIsUp(e) {
+		if e.Outcome == LeftOut || w.bounds.CutEarly(e) {
 			w.breach("ticket %s was dropped after %d ms while %s was worked on: %s %s", e.Ticket, e.TookMs, q.Node, e.Outcome, e.Why)
 		}
 	}
--- a/internal/sim/fleet/fleet.go
+++ b/internal/sim/fleet/fleet.go
@@ -225,15 +225,20 @@
 	return limits
 }
 
-// End stops everything and holds the record against the rules.
-func (f *Fleet) End() []check.Verdict {
-	f.T.Helper()
-	f.Stop()
+// bounds is what the rules are held to.
+func (f *Fleet) bounds() check.Bounds {
 	var edges []string
 	for _, n := range f.Edges {
 		edges = append(edges, n.Name)
 	}
-	vs := check.All(f.Rec.Events(), check.Bounds{PaceLoads: f.D.PaceLoads, RetryAllowance: f.D.Allowance, Edges: edges, Deadlines: f.Deadlines()})
+	return check.Bounds{PaceLoads: f.D.PaceLoads, RetryAllowance: f.D.Allowance, Edges: edges, Deadlines: f.Deadlines()}
+}
+
+// End stops everything and holds the record against the rules.
+func (f *Fleet) End() []check.Verdict {
+	f.T.Helper()
+	f.Stop()
+	vs := check.All(f.Rec.Events(), f.bounds())
 	if bad := check.Breached(vs); bad != "" {
 		f.T.Errorf("rules breached:\n%s", bad)
 	}
--- a/internal/sim/fleet/fleet_test.go
+++ b/internal/sim/fleet/fleet_test.go
@@ -55,14 +55,14 @@
 				t.Errorf("class %s on a day without faults: %v", class, n)
 			}
 		}
-		limits := f.Deadlines()
+		bounds := f.bounds()
 		for _, e := range f.Rec.Events() {
-			if e.Kind == check.Answer && e.Outcome == check.Broken && e.TookMs < limits[e.Class].Milliseconds() {
+			if e.Kind == check.Answer && bounds.CutEarly(e) {
 				t.Errorf("%v %s: the stream of ticket %s broke after %d ms: %s", e.At, e.Class, e.Ticket, e.TookMs, e.Why)
 			}
 			// Why: a replica that becomes free just before the deadline is worth an attempt; whose first piece then comes too late
 			// learns so at the deadline. Nothing else may end as unknown without a fault.
-			if e.Kind == check.Answer && e.Outcome == check.Unknown && (e.TookMs < limits[e.Class].Milliseconds() || !strings.Contains(e.Why, "too_late")) {
+			if e.Kind == check.Answer && e.Outcome == check.Unknown && (e.TookMs < bounds.Deadlines[e.Class].Milliseconds() || !strings.Contains(e.Why, "too_late")) {
 				t.Errorf("%v %s %s after %d ms: %s", e.At, e.Class, e.Outcome, e.TookMs, e.Why)
 			}
 		}
