attempt: no two attempts of a request share a connection

A replica that is full refuses, and sends the refusal again where the next answer on the connection is due; the next attempt went over just that connection, and an answer names its request but not its attempt, so the copy was proof of "not run".

Change: the gate before the first byte turns a connection away that carried an earlier attempt of the request; net/http closes it and the attempt goes over another. A copy of an earlier attempt's answer cannot come there.

TestAnAttemptIsNotSentOnTheConnectionOfAnEarlierOne fails with the check taken out.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -143,6 +143,9 @@
 	OnData   func()      // called whenever data arrives
 	CanRetry bool        // another attempt may be made after a failure
 	Sendable func() bool // called right before the first byte is sent
+	// Connections are those that earlier attempts of the same request were sent on; this attempt is sent on another
+	// one. Nil if there is only one attempt.
+	Connections *Connections
 }
 
 // Reply is a response that has started.
@@ -242,26 +245,12 @@
 // Send sends the request once and waits for the first byte of the response, or for all of a buffered one.
 func (s *Sender) Send(ctx context.Context, q Request) (*Reply, *Failure) {
 	ctx, cancel := context.WithCancel(ctx)
-	gate := &sendGate{sendable: q.Sendable}
-	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		if c, ok := i.Conn.(*gatedConn); ok {
-			c.gate.Store(gate)
-		}
-	}}
-	req, err := s.protocol.Encode(httptrace.WithClientTrace(ctx, trace), q)
-	if err != nil {
-		cancel()
-		return nil, &Failure{Outcome: NotRun, Reason: err.Error()}
-	}
 	timer := newFirstByteTimer(q, cancel)
-	res, err := s.http.Do(req)
-	if err != nil {
+	res, failure := s.exchange(ctx, q)
+	if failure != nil {
 		timer.stop()
 		cancel()
-		if gate.withdraw() {
-			return nil, &Failure{Outcome: NotRun, NotConnected: !errors.Is(err, errWithdrawn) && !errors.Is(err, context.Canceled), Reason: err.Error()}
-		}
-		return nil, &Failure{Outcome: Unknown, Reason: err.Error()}
+		return nil, failure
 	}
 	d := s.protocol.Decode(q, res)
 	fail := func(f Failure) (*Reply, *Failure) {
@@ -299,6 +288,29 @@
 	return r, nil
 }
 
+// exchange sends the request on a connection that suits it and waits for the head of the response.
+func (s *Sender) exchange(ctx context.Context, q Request) (*http.Response, *Failure) {
+	for {
+		gate := &sendGate{sendable: q.Sendable, connections: q.Connections}
+		req, err := s.protocol.Encode(httptrace.WithClientTrace(ctx, gate.trace()), q)
+		if err != nil {
+			return nil, &Failure{Outcome: NotRun, Reason: err.Error()}
+		}
+		res, err := s.http.Do(req)
+		if err == nil {
+			return res, nil
+		}
+		switch notSent := gate.withdraw(); {
+		case !notSent:
+			return nil, &Failure{Outcome: Unknown, Reason: err.Error()}
+		// net/http has closed the connection that did not suit, so the loop ends with a new connection at the latest.
+		case gate.refusedConnection.Load() && ctx.Err() == nil:
+		default:
+			return nil, &Failure{Outcome: NotRun, NotConnected: !errors.Is(err, errWithdrawn) && !errors.Is(err, context.Canceled), Reason: err.Error()}
+		}
+	}
+}
+
 // awaitFirstByte waits for the first byte, or for the complete response if it is buffered.
 func (r *Reply) awaitFirstByte(body io.Reader, buffered bool) error {
 	if buffered {
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -59,14 +61,21 @@
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok"
 
 func runWithSender(t *testing.T, respond func(c net.Conn, n int64), f func(b *testReplica, send func(sendable bool, within time.Duration) (*Reply, *Failure))) {
+	withSender(t, respond, func(t *testing.T, b *testReplica, s *Sender) {
+		f(b, func(sendable bool, within time.Duration) (*Reply, *Failure) {
+			return s.Send(t.Context(), Request{Addr: "10.0.0.1:90", Body: []byte("{}"), Number: 1, FirstByteDeadline: time.Now().Add(within), Sendable: func() bool { return sendable }})
+		})
+	})
+}
+
+// withSender runs f with a sender and a replica that responds as given.
+func withSender(t *testing.T, respond func(c net.Conn, n int64), f func(t *testing.T, b *testReplica, s *Sender)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := run.NewGroup(t.Context())
 		fab := simnet.New(1, func(string, string) time.Duration { return time.Millisecond })
 		b := newTestReplica(t, g, fab, respond)
 		s := NewSender(fab.Host("10.0.0.2"), Native{}, time.Second)
-		f(b, func(sendable bool, within time.Duration) (*Reply, *Failure) {
-			return s.Send(t.Context(), Request{Addr: "10.0.0.1:90", Body: []byte("{}"), Number: 1, FirstByteDeadline: time.Now().Add(within), Sendable: func() bool { return sendable }})
-		})
+		f(t, b, s)
 		s.Close()
 		_ = b.ln.Close()
 		g.Stop()
@@ -103,6 +112,59 @@
 	})
 }
 
+// A late copy of the response to one attempt must not be taken for the response to the next one, so an attempt is never
+// sent on the connection of an earlier attempt of the same request; other requests still use that connection.
+func TestAnAttemptIsNotSentOnTheConnectionOfAnEarlierOne(t *testing.T) {
+	for name, body := range map[string][]byte{"with a body": []byte("{}"), "without a body": nil} {
+		t.Run(name, func(t *testing.T) {
+			seen := &connectionLog{}
+			withSender(t, seen.respond, func(t *testing.T, _ *testReplica, s *Sender) {
+				first, second := &Connections{}, &Connections{}
+				for _, c := range []*Connections{first, first, second, first, second} {
+					q := Request{Addr: "10.0.0.1:90", Body: body, FirstByteDeadline: time.Now().Add(time.Second), Sendable: func() bool { return true }, Connections: c}
+					r, failure := s.Send(t.Context(), q)
+					if failure != nil {
+						t.Fatal(failure)
+					}
+					_, _ = io.ReadAll(r)
+					_ = r.Close()
+				}
+			})
+			if got := seen.numbers(); !slices.Equal(got, []int{1, 2, 2, 3, 3}) {
+				t.Errorf("the requests came on connections %v", got)
+			}
+		})
+	}
+}
+
+// connectionLog records which connection each request arrived on.
+type connectionLog struct {
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *connectionLog) respond(c net.Conn, _ int64) {
+	l.mu.Lock()
+	l.conns = append(l.conns, c)
+	l.mu.Unlock()
+	_, _ = io.WriteString(c, okResponse)
+}
+
+// numbers gives the connections of the requests, numbered in the order of their first request.
+func (l *connectionLog) numbers() []int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var distinct []net.Conn
+	var out []int
+	for _, c := range l.conns {
+		if !slices.Contains(distinct, c) {
+			distinct = append(distinct, c)
+		}
+		out = append(out, slices.Index(distinct, c)+1)
+	}
+	return out
+}
+
 func TestNothingIsSentToADrainingReplica(t *testing.T) {
 	runWithSender(t, func(c net.Conn, n int64) { _, _ = io.WriteString(c, okResponse) }, func(b *testReplica, send func(bool, time.Duration) (*Reply, *Failure)) {
 		_, failure := send(false, time.Second)
--- a/internal/attempt/sendgate.go
+++ b/internal/attempt/sendgate.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http/httptrace"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -18,9 +19,20 @@
 
 // sendGate decides once whether the first byte of a request may be sent.
 type sendGate struct {
-	state    atomic.Int32
-	conn     atomic.Pointer[gatedConn] // connection that the first byte was sent on
-	sendable func() bool
+	state             atomic.Int32
+	conn              atomic.Pointer[gatedConn] // connection that the first byte was sent on
+	refusedConnection atomic.Bool               // net/http offered a connection that does not suit the request
+	connections       *Connections              // connections of earlier attempts of the request
+	sendable          func() bool
+}
+
+// trace returns the hooks that put the gate on the connection that net/http picks for the request.
+func (g *sendGate) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if c, ok := i.Conn.(*gatedConn); ok {
+			c.gate.Store(g)
+		}
+	}}
 }
 
 // allowWrite reports whether a write on c may proceed; the first call decides.
@@ -29,6 +41,10 @@
 		// net/http may replay some requests on another connection by itself; that would be a second attempt.
 		return g.conn.Load() == c
 	}
+	if g.connections.contains(c) {
+		g.refusedConnection.Store(true)
+		return false
+	}
 	// The last check for a draining replica is right before the first byte.
 	if !g.sendable() {
 		g.state.CompareAndSwap(undecided, withdrawn)
@@ -37,6 +53,7 @@
 		return false
 	}
 	g.conn.Store(c)
+	g.connections.add(c)
 	return true
 }
 
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -18,6 +18,7 @@
 	attempts      int // attempts made so far
 	delivered     int // attempts that may have reached a replica
 	outcome       attempt.Outcome
+	connections   attempt.Connections         // those that the attempts were sent on
 	retryReserved atomic.Bool                 // a retry of the budget is reserved for this request
 	stream        atomic.Pointer[eventStream] // set for a stream that another replica may resume
 }
@@ -183,6 +184,7 @@
 	q.Buffered = c.Target.Route.Service != "" && c.Target.Route.Repeatable && !c.Target.Route.Streaming
 	q.CanRetry = c.Target.Route.Repeatable && d.attempts < c.Target.Route.Attempts
 	q.OnData = func() { d.proxy.routes.RecordChunk(r) }
+	q.Connections = &d.connections
 	if firstByteDeadline.Before(c.FirstByteDeadline) {
 		// Giving up when no other replica can respond would only lose the request's place in the replica's queue.
 		q.OnlyReplica = func() bool { return d.proxy.routes.Serves(c.Target, id) && !d.canFailOver(r) }
