backend: every request to a replica of the native API has an ID of its own

A refusal that came a second time, late, was the "not run" of whichever request was read next; a late 202 answered an order that was refused or lost, and a late report passed for a new one.

Change: Drumstall-Exchange, new for each attempt, report and order, which the replica returns unchanged. An answer with another one belongs to an earlier request: the attempt's outcome is unknown, the report is none, the order's outcome is unknown. Answers without it, of replicas of earlier versions, are taken as before.

TestTransportNeverReplays now also holds its second request to the kept connection.

--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"drumstall.example/internal/backend"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
 	"drumstall.example/internal/sim/simnet"
@@ -47,7 +48,7 @@
 					}
 					_, _ = io.Copy(io.Discard, req.Body)
 					count := b.requests.Add(1)
-					respond(c, count)
+					respond(&exchangeConn{Conn: c, exchange: req.Header.Get(backend.HeaderExchange)}, count)
 					if count < 0 {
 						return
 					}
@@ -58,6 +59,20 @@
 	return b
 }
 
+// exchangeConn is a connection with the ID of the request that has arrived on it.
+type exchangeConn struct {
+	net.Conn
+	exchange string
+}
+
+// okWith is okResponse as the response to the request with the given ID.
+func okWith(exchange string) string {
+	return strings.Replace(okResponse, "\r\n", "\r\n"+backend.HeaderExchange+": "+exchange+"\r\n", 1)
+}
+
+// respondOK responds to the request that has arrived on c.
+func respondOK(c net.Conn) { _, _ = io.WriteString(c, okWith(c.(*exchangeConn).exchange)) }
+
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok"
 
 func runWithSender(t *testing.T, respond func(c net.Conn, n int64), f func(b *testReplica, send func(sendable bool, within time.Duration) (*Reply, *Failure))) {
@@ -91,11 +106,16 @@
 
 // net/http replays some requests by itself when a kept-alive connection breaks under them.
 func TestTransportNeverReplays(t *testing.T) {
+	var first net.Conn
 	runWithSender(t, func(c net.Conn, n int64) {
 		if n == 1 {
-			_, _ = io.WriteString(c, okResponse)
+			first = c.(*exchangeConn).Conn
+			respondOK(c)
 			return
 		}
+		if c.(*exchangeConn).Conn != first {
+			t.Error("the second request did not come on the connection that was kept")
+		}
 		_ = c.Close() // read, and perhaps run, but without a response
 	}, func(b *testReplica, send func(bool, time.Duration) (*Reply, *Failure)) {
 		r, failure := send(true, time.Second)
@@ -137,6 +157,30 @@
 	}
 }
 
+// A response that comes a second time, late, is not the response to the request that it is read for.
+func TestALateResponseIsNotThatOfAnotherRequest(t *testing.T) {
+	late := ""
+	runWithSender(t, func(c net.Conn, n int64) {
+		switch n {
+		case 1:
+			refusal := "HTTP/1.1 503 Service Unavailable\r\n" + backend.HeaderExchange + ": " + c.(*exchangeConn).exchange + "\r\n" + backend.HeaderOutcome + ": " + backend.NotRun + "\r\nContent-Length: 0\r\n\r\n"
+			_, _ = io.WriteString(c, refusal)
+			late = refusal
+		case 2:
+			_, _ = io.WriteString(c, late)
+			time.Sleep(10 * time.Millisecond)
+			respondOK(c)
+		default:
+			respondOK(c)
+		}
+	}, func(_ *testReplica, send func(bool, time.Duration) (*Reply, *Failure)) {
+		_, failure := send(true, time.Second)
+		expectOutcome(t, failure, NotRun)
+		_, failure = send(true, time.Second)
+		expectOutcome(t, failure, Unknown)
+	})
+}
+
 // connectionLog records which connection each request arrived on.
 type connectionLog struct {
 	mu    sync.Mutex
@@ -145,9 +189,9 @@
 
 func (l *connectionLog) respond(c net.Conn, _ int64) {
 	l.mu.Lock()
-	l.conns = append(l.conns, c)
+	l.conns = append(l.conns, c.(*exchangeConn).Conn)
 	l.mu.Unlock()
-	_, _ = io.WriteString(c, okResponse)
+	respondOK(c)
 }
 
 // numbers gives the connections of the requests, numbered in the order of their first request.
--- a/internal/attempt/native.go
+++ b/internal/attempt/native.go
@@ -32,6 +32,7 @@
 	req.ContentLength = int64(len(q.Body))
 	req.Header.Set("Content-Type", q.ContentType)
 	req.Header.Set(backend.HeaderAttempt, strconv.Itoa(q.Number))
+	req.Header.Set(backend.HeaderExchange, backend.NewExchangeID())
 	if q.RequestID != "" {
 		req.Header.Set(backend.HeaderRequestID, q.RequestID)
 	}
@@ -50,6 +51,8 @@
 func (Native) Decode(_ Request, res *http.Response) Decision {
 	why := "replica answered status " + strconv.Itoa(res.StatusCode)
 	switch {
+	case backend.OfOtherExchange(res):
+		return Decision{Outcome: Unknown, Reason: backend.ErrOtherExchange.Error()}
 	case res.Header.Get(backend.HeaderOutcome) == backend.NotRun && res.StatusCode >= http.StatusBadRequest:
 		return Decision{Outcome: NotRun, Rejected: true, Reason: why + ", not run"}
 	case res.StatusCode != http.StatusOK:
--- a/internal/attempt/native_test.go
+++ b/internal/attempt/native_test.go
@@ -26,7 +26,10 @@
 		if h.Get(backend.HeaderTenant) != c.tenant || h.Get(backend.HeaderTenantShare) != c.share || h.Get(backend.HeaderUrgency) != c.urgency {
 			t.Errorf("%+v: %v", c.q, h)
 		}
-		if c.tenant == "" && len(h) != 2 {
+		if h.Get(backend.HeaderExchange) == "" {
+			t.Error("the request has no ID of its own")
+		}
+		if c.tenant == "" && len(h) != 3 {
 			t.Errorf("unexpected headers without tenants: %v", h)
 		}
 	}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -141,8 +141,8 @@
 // NewNative returns a client that dials through n and follows no redirects.
 func NewNative(n wire.Network) *Native {
 	return &Native{http: &http.Client{
-		Transport: &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
-			DisableCompression: true, MaxResponseHeaderBytes: 64 << 10},
+		Transport: exchangeTransport{&http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
+			DisableCompression: true, MaxResponseHeaderBytes: 64 << 10}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -92,7 +92,7 @@
 	mux := httpapi.NewMuxer()
 	server.New(gen.NewEndpoints(r), mux, httpapi.Decoder, httpapi.Encoder, httpapi.IgnoreEncodeError, httpapi.Formatter).Mount(mux)
 	mux.Handle(http.MethodPost, backend.RunPath, r.run)
-	r.server = wire.NewServer(ln, mux)
+	r.server = wire.NewServer(ln, backend.EchoExchange(mux))
 	r.group.Go(r.server.Run)
 	return r, nil
 }
