attempt: a connection is used again only after a response that tells its request

Callers got 502 for requests whose own answers were sound: a response without a body that belongs to an earlier request (a refusal that comes a second time, late) left its connection in the pool before its head was read, and the next request over it read the answer that was still due to the one before. With several in a row each one's answer went to the next.

Change: the gate before the first byte waits until the connection's last response has been decoded and turns the connection away unless that response named its request (Decision.Matched).

Failed before: TestALateResponseIsNotThatOfAnotherRequest (the request after the late response was "unknown: the response belongs to another request") and TestAConnectionIsKeptOnlyAfterAResponseThatTellsItsRequest.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -64,6 +64,7 @@
 // Decision is the interpretation of the head of a response.
 type Decision struct {
 	Outcome       Outcome
+	Matched       bool // the response is known to belong to the request; only then is its connection used again
 	Relay         bool // the response is to be relayed
 	Rejected      bool // the replica itself rejected the request without running it
 	ItemMissing   bool // it was rejected because the replica does not hold the requested item
@@ -246,13 +247,12 @@
 func (s *Sender) Send(ctx context.Context, q Request) (*Reply, *Failure) {
 	ctx, cancel := context.WithCancel(ctx)
 	timer := newFirstByteTimer(q, cancel)
-	res, failure := s.exchange(ctx, q)
+	res, d, failure := s.exchange(ctx, q)
 	if failure != nil {
 		timer.stop()
 		cancel()
 		return nil, failure
 	}
-	d := s.protocol.Decode(q, res)
 	fail := func(f Failure) (*Reply, *Failure) {
 		timer.stop()
 		cancel()
@@ -288,25 +288,29 @@
 	return r, nil
 }
 
-// exchange sends the request on a connection that suits it and waits for the head of the response.
-func (s *Sender) exchange(ctx context.Context, q Request) (*http.Response, *Failure) {
+// exchange sends the request on a connection that suits it, waits for the head of the response and decodes it.
+func (s *Sender) exchange(ctx context.Context, q Request) (*http.Response, Decision, *Failure) {
 	for {
-		gate := &sendGate{sendable: q.Sendable, connections: q.Connections}
+		gate := newSendGate(q)
 		req, err := s.protocol.Encode(httptrace.WithClientTrace(ctx, gate.trace()), q)
 		if err != nil {
-			return nil, &Failure{Outcome: NotRun, Reason: err.Error()}
+			return nil, Decision{}, &Failure{Outcome: NotRun, Reason: err.Error()}
 		}
 		res, err := s.http.Do(req)
 		if err == nil {
-			return res, nil
+			d := s.protocol.Decode(q, res)
+			gate.settle(d.Matched)
+			return res, d, nil
 		}
-		switch notSent := gate.withdraw(); {
+		notSent := gate.withdraw()
+		gate.settle(false)
+		switch {
 		case !notSent:
-			return nil, &Failure{Outcome: Unknown, Reason: err.Error()}
+			return nil, Decision{}, &Failure{Outcome: Unknown, Reason: err.Error()}
 		// net/http has closed the connection that did not suit, so the loop ends with a new connection at the latest.
 		case gate.refusedConnection.Load() && ctx.Err() == nil:
 		default:
-			return nil, &Failure{Outcome: NotRun, NotConnected: !errors.Is(err, errWithdrawn) && !errors.Is(err, context.Canceled), Reason: err.Error()}
+			return nil, Decision{}, &Failure{Outcome: NotRun, NotConnected: !errors.Is(err, errWithdrawn) && !errors.Is(err, context.Canceled), Reason: err.Error()}
 		}
 	}
 }
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -157,7 +157,8 @@
 	}
 }
 
-// A response that comes a second time, late, is not the response to the request that it is read for.
+// A response that comes a second time, late, is not the response to the request that it is read for, and the connection it
+// came on is out of step: what is due on it belongs to that request.
 func TestALateResponseIsNotThatOfAnotherRequest(t *testing.T) {
 	late := ""
 	runWithSender(t, func(c net.Conn, n int64) {
@@ -178,6 +179,33 @@
 		expectOutcome(t, failure, NotRun)
 		_, failure = send(true, time.Second)
 		expectOutcome(t, failure, Unknown)
+		r, failure := send(true, time.Second)
+		if failure != nil {
+			t.Errorf("the request after that: %v", failure)
+			return
+		}
+		_ = r.Close()
+	})
+}
+
+// A response that does not tell which request it belongs to is taken, but its connection is not used again.
+func TestAConnectionIsKeptOnlyAfterAResponseThatTellsItsRequest(t *testing.T) {
+	var conns []net.Conn
+	runWithSender(t, func(c net.Conn, n int64) {
+		conns = append(conns, c.(*exchangeConn).Conn)
+		_, _ = io.WriteString(c, okResponse)
+	}, func(_ *testReplica, send func(bool, time.Duration) (*Reply, *Failure)) {
+		for range 2 {
+			r, failure := send(true, time.Second)
+			if failure != nil {
+				t.Fatal(failure)
+			}
+			_, _ = io.ReadAll(r)
+			_ = r.Close()
+		}
+		if len(conns) != 2 || conns[0] == conns[1] {
+			t.Error("both requests came on one connection")
+		}
 	})
 }
 
--- a/internal/attempt/native.go
+++ b/internal/attempt/native.go
@@ -50,15 +50,17 @@
 // Decode interprets the head of a response of the native API.
 func (Native) Decode(_ Request, res *http.Response) Decision {
 	why := "replica answered status " + strconv.Itoa(res.StatusCode)
+	exchange := backend.ExchangeOf(res)
+	d := Decision{Outcome: Ran, Matched: exchange == backend.OwnExchange, Reason: why}
 	switch {
-	case backend.OfOtherExchange(res):
-		return Decision{Outcome: Unknown, Reason: backend.ErrOtherExchange.Error()}
+	case exchange == backend.OtherExchange:
+		d.Outcome, d.Reason = Unknown, backend.ErrOtherExchange.Error()
 	case res.Header.Get(backend.HeaderOutcome) == backend.NotRun && res.StatusCode >= http.StatusBadRequest:
-		return Decision{Outcome: NotRun, Rejected: true, Reason: why + ", not run"}
-	case res.StatusCode != http.StatusOK:
-		return Decision{Outcome: Ran, Reason: why}
+		d.Outcome, d.Rejected, d.Reason = NotRun, true, why+", not run"
+	case res.StatusCode == http.StatusOK:
+		d.Relay = true
 	}
-	return Decision{Outcome: Ran, Relay: true}
+	return d
 }
 
 // OneShotBody returns a request body that net/http cannot rewind: a body without
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -18,11 +18,25 @@
 // NewExchangeID returns an ID for one request to a replica.
 func NewExchangeID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-// OfOtherExchange reports whether a response to a request of the native API belongs to another request. One that does not
-// tell, which replicas of earlier versions send, counts as that of its own.
-func OfOtherExchange(res *http.Response) bool {
-	got := res.Header.Get(HeaderExchange)
-	return got != "" && got != res.Request.Header.Get(HeaderExchange)
+// Exchange is which request a response names.
+type Exchange int
+
+// Exchanges of a response. Replicas of earlier versions name none.
+const (
+	UnnamedExchange Exchange = iota
+	OwnExchange
+	OtherExchange
+)
+
+// ExchangeOf returns which request a response of the native API names.
+func ExchangeOf(res *http.Response) Exchange {
+	switch res.Header.Get(HeaderExchange) {
+	case "":
+		return UnnamedExchange
+	case res.Request.Header.Get(HeaderExchange):
+		return OwnExchange
+	}
+	return OtherExchange
 }
 
 // EchoExchange makes a replica return the ID of each request.
@@ -46,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if OfOtherExchange(res) {
+	if ExchangeOf(res) == OtherExchange {
 		_ = res.Body.Close()
 		return nil, ErrOtherExchange
 	}
