--- a/internal/kernel/sharedcache/cache.go
+++ b/internal/kernel/sharedcache/cache.go
@@ -274,7 +274,6 @@
 	return most
 }
 
-// rankWeight returns the weight of a rank; more urgent ranks weigh more.
 // rankWeight returns the weight of a rank; more urgent ranks weigh more.
 func rankWeight(rank int) int64 { return int64(Ranks - rank) }
 
@@ -298,7 +297,6 @@
 	c.removeIfEmpty(t)
 }
 
-// removeIfEmpty deletes a tenant that has no entries and no configured share.
 // removeIfEmpty deletes a tenant that has no entries and no configured share.
 func (c *Cache[K, V]) removeIfEmpty(t *tenant) {
 	if t.entries > 0 || c.shares[t.name] > 0 {
--- a/internal/kernel/wire/datagram.go
+++ b/internal/kernel/wire/datagram.go
@@ -10,7 +10,6 @@
 // MaxDatagram is the maximum size of a datagram in bytes, chosen to avoid IP fragmentation.
 const MaxDatagram = 1400
 
-// datagram is the encoded form of a message: protocol version, kind and body.
 // datagram is the encoded form of a message: protocol version, kind and body.
 type datagram struct {
 	Version string `cbor:"1,keyasint"`
--- a/internal/kernel/wire/server.go
+++ b/internal/kernel/wire/server.go
@@ -20,7 +20,6 @@
 	conns    map[net.Conn]connState
 }
 
-// connState is the state of a connection and the time at which it was entered.
 // connState is the state of a connection and the time at which it was entered.
 type connState struct {
 	state http.ConnState
@@ -37,7 +36,6 @@
 	return s
 }
 
-// trackConn records the state of a connection; it is the http.Server's ConnState hook.
 // trackConn records the state of a connection; it is the http.Server's ConnState hook.
 func (s *Server) trackConn(c net.Conn, st http.ConnState) {
 	s.mu.Lock()
