route: a replica without requests in flight is never too slow for one

Cause: the time to the first byte of requests that were under way holds the standstill and moves the estimate to 3 s; the estimate refuses every request that has 2.5 s, and only an answer renews it. The idle replica ranks first, so one is enough to have the requests refused that others could serve.

Change: the estimate counts only beside a request in flight, and a replica that is too slow for a request ranks behind those that are not.

TestAnEstimateThatRefusesRequestsIsRenewed and TestARequestGoesToAReplicaThatAnswersInTime failed before ("its answer would begin after the deadline").

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -161,7 +161,7 @@
 			}
 			c.EachLane(func(l *queue.Lane) (bool, bool) {
 				head := l.Waiters.Front()
-				r, held, _ := ac.routes.Choose(head.Target)
+				r, held, _ := ac.routes.ChooseWithin(head.Target, head.Deadline.Sub(ac.now()))
 				if held > 0 {
 					l.NoHolderSince = time.Time{}
 				} else if l.NoHolderSince.IsZero() {
@@ -174,7 +174,7 @@
 				progress = true
 				// An attempt whose first chunk arrives after the deadline does the work, but its caller gets an unknown
 				// outcome.
-				if w.Deadline.Sub(ac.now()) < r.Live.ExpectedFirstChunk() {
+				if r.Live.TooSlowFor(w.Deadline.Sub(ac.now())) {
 					refuse(w, queue.Answer{Explanation: "its answer would begin after the deadline", Late: true, RetryS: 1})
 				} else if w.Claim() {
 					ac.assign(w, r, c)
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -120,3 +120,79 @@
 		}
 	})
 }
+
+// holderOf is the gossip entry of a replica with some slots that holds the item.
+func holderOf(id string, slots int) gossip.Entry {
+	return gossip.Entry{Key: order.Key(id), Stamp: state.Stamp{Epoch: 1, Version: 1},
+		Value: wire.Marshal(order.Status{Listed: inventory.Listed{ID: id, Model: true}, Slots: slots, Items: map[string]string{"m": backend.Loaded}})}
+}
+
+// observe records first chunks after the given times.
+func observe(r *route.Replica, took ...time.Duration) {
+	for _, d := range took {
+		r.Live.ObserveFirstChunk(d)
+	}
+}
+
+// Answers that came late once, for instance since this process stood still, must not have all later requests refused: only
+// an answer to a request renews the estimate by which they are.
+func TestAnEstimateThatRefusesRequestsIsRenewed(t *testing.T) {
+	withController(t, func(ac *Controller, table *gossip.Table) {
+		table.Put(holderOf("r", 4))
+		synctest.Wait()
+		acquire := func() queue.Answer {
+			return ac.Acquire(context.Background(), target(), "c", time.Now().Add(2500*time.Millisecond))
+		}
+		a := acquire()
+		observe(a.Replica, 30*time.Millisecond, 30*time.Millisecond, 5*time.Second)
+		if b := acquire(); b.Replica != nil || !b.Late {
+			t.Errorf("beside a request in flight: %+v", b)
+		}
+		a.Done()
+		for n := range 10 {
+			b := acquire()
+			if b.Replica == nil {
+				t.Errorf("request %d: %+v", n, b)
+				return
+			}
+			observe(b.Replica, 30*time.Millisecond)
+			b.Done()
+		}
+		first, second := acquire(), acquire()
+		if first.Replica == nil || second.Replica == nil {
+			t.Errorf("after ten quick answers: %+v, %+v", first, second)
+		}
+	})
+}
+
+// A replica that is expected to answer too late is not chosen while another can answer in time.
+func TestARequestGoesToAReplicaThatAnswersInTime(t *testing.T) {
+	withController(t, func(ac *Controller, table *gossip.Table) {
+		table.Put(holderOf("r1", 16))
+		table.Put(holderOf("r2", 16))
+		synctest.Wait()
+		acquire := func() queue.Answer {
+			return ac.Acquire(context.Background(), target(), "c", time.Now().Add(2500*time.Millisecond))
+		}
+		// The replica that is chosen first is preferred while both have one request in flight.
+		preferred := acquire()
+		var other queue.Answer
+		for other.Replica == nil {
+			if a := acquire(); a.Replica != preferred.Replica {
+				other = a
+			} else {
+				defer a.Done()
+			}
+		}
+		observe(preferred.Replica, 30*time.Millisecond, 5*time.Second)
+		observe(other.Replica, 30*time.Millisecond)
+		for range 3 {
+			a := acquire()
+			if a.Replica != other.Replica {
+				t.Errorf("got %+v", a)
+				continue
+			}
+			a.Done()
+		}
+	})
+}
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"k8s.io/apimachinery/pkg/labels"
@@ -49,7 +50,7 @@
 // candidates holds the replicas that can serve a request.
 type candidates struct {
 	responsive  []judge.Candidate // those with a free slot that are responsive
-	silent      []judge.Candidate // those with a free slot that were silent last, and the replica to avoid
+	silent      []judge.Candidate // those with a free slot that were silent last or too slow, and the replica to avoid
 	held        int               // number of those that hold the item, with a free slot or not
 	slots       int               // total of the slots on those that steering allows
 	serviceTime time.Duration     // sum of the service times of those
@@ -59,12 +60,18 @@
 // replicas that hold the item, with a free slot or not; serve is the mean time between two
 // slots becoming free on them.
 func (rt *Router) Choose(t Target) (best *Replica, held int, serve time.Duration) {
+	return rt.ChooseWithin(t, math.MaxInt64)
+}
+
+// ChooseWithin is Choose for a request whose answer must begin within a given time. A replica that is too slow for that is
+// chosen only if no other can be.
+func (rt *Router) ChooseWithin(t Target, left time.Duration) (best *Replica, held int, serve time.Duration) {
 	if rt.Isolated() {
 		return nil, 0, 0
 	}
 	s, now := rt.Current(), rt.clock.Since()
 	steer := rt.steer(t, s, s.index.replicasFor(t, t.Item.String()), now)
-	c := rt.candidates(t, s, now, steer)
+	c := rt.candidates(t, s, now, steer, left)
 	if c.held == 0 {
 		return nil, 0, 0
 	}
@@ -85,8 +92,8 @@
 	return s.Replicas[ranked[i].Name], c.held, serve
 }
 
-// candidates returns the replicas that can serve a request now.
-func (rt *Router) candidates(t Target, s *Snapshot, now time.Duration, steer steering) candidates {
+// candidates returns the replicas that can serve a request now, whose answer must begin within a given time.
+func (rt *Router) candidates(t Target, s *Snapshot, now time.Duration, steer steering, left time.Duration) candidates {
 	var c candidates
 	item, zone := t.Item.String(), rt.deps.Zone()
 	for _, id := range s.index.replicasFor(t, item) {
@@ -112,7 +119,7 @@
 		f := judge.Candidate{Name: id, Inflight: r.othersInflight() + mine, Slots: r.Slots, ServeTime: r.ServiceTime, SameZone: r.Listed.Zone == zone, TenantShare: steer.shareScore(id)}
 		// Silence does not prove a failure. It only ranks a replica behind all responsive ones, until a report that
 		// was requested later arrives.
-		if !r.isResponsive(now) || id == t.Avoid {
+		if !r.isResponsive(now) || id == t.Avoid || r.Live.TooSlowFor(left) {
 			c.silent = append(c.silent, f)
 			continue
 		}
--- a/internal/route/live.go
+++ b/internal/route/live.go
@@ -71,6 +71,13 @@
 	return time.Duration(l.firstChunkMean.Load() + 2*l.firstChunkDeviation.Load())
 }
 
+// TooSlowFor reports whether the first chunk of another request is expected only after a given time. Nothing but an answer
+// renews the estimate, so a replica without requests in flight is never too slow: one late answer would keep all requests
+// away from it for good.
+func (l *Live) TooSlowFor(left time.Duration) bool {
+	return l.Inflight.Load() > 0 && l.ExpectedFirstChunk() > left
+}
+
 // FirstChunkTimeout is how long to wait for a first chunk before the silence is taken as a
 // symptom of a stalled replica; 0 means unknown.
 func (l *Live) FirstChunkTimeout() time.Duration {
