--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -165,6 +165,23 @@
 	})
 }
 
+// A long stream that has begun does not keep other requests away from its replica, whatever its own beginning took.
+func TestAStreamThatHasBegunDoesNotRefuseOtherRequests(t *testing.T) {
+	withController(t, func(ac *Controller, table *gossip.Table) {
+		table.Put(holderOf("r", 4))
+		synctest.Wait()
+		acquire := func() queue.Answer {
+			return ac.Acquire(context.Background(), target(), "c", time.Now().Add(2500*time.Millisecond))
+		}
+		stream := acquire()
+		observe(stream.Replica, 5*time.Second)
+		stream.OnFirstChunk()
+		if a := acquire(); a.Replica == nil {
+			t.Errorf("beside the stream: %+v", a)
+		}
+	})
+}
+
 // A replica that is expected to answer too late is not chosen while another can answer in time.
 func TestARequestGoesToAReplicaThatAnswersInTime(t *testing.T) {
 	withController(t, func(ac *Controller, table *gossip.Table) {
