attempt: a closed connection lets go of its requests

Under refusals that last, ended requests with their bodies and closed connections could stay in memory as a chain behind one live connection.

Change: Close drops the connection's references.

--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -14,6 +14,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"drumstall.example/internal/backend"
 	"drumstall.example/internal/kernel/run"
 	"drumstall.example/internal/kernel/wire"
@@ -209,6 +211,24 @@
 	})
 }
 
+// A closed connection keeps no request in memory, and sends nothing.
+func TestAClosedConnectionLetsGoOfItsRequests(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	c, g := &gatedConn{Conn: ours}, newSendGate(Request{})
+	c.gate.Store(g)
+	c.previous.Store(g)
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if c.gate.Load() != nil || c.previous.Load() != nil {
+		t.Error("it still refers to a request")
+	}
+	if _, err := c.Write([]byte("x")); !errors.Is(err, errWithdrawn) {
+		t.Errorf("a write: %v", err)
+	}
+}
+
 // connectionLog records which connection each request arrived on.
 type connectionLog struct {
 	mu    sync.Mutex
--- a/internal/attempt/sendgate.go
+++ b/internal/attempt/sendgate.go
@@ -105,3 +105,11 @@
 	}
 	return c.Conn.Write(b)
 }
+
+// Close closes the connection and lets go of its requests: a request refers to the connections of its attempts, and without
+// this a chain of ended requests and closed connections would stay in memory.
+func (c *gatedConn) Close() error {
+	c.gate.Store(nil)
+	c.previous.Store(nil)
+	return c.Conn.Close()
+}
