route: requests in flight count against the estimate again, streams too

So it is: to let a request through beside streams that have begun sends a crowd to replicas that cannot end its answers in time.

--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -35,7 +35,6 @@
 		}
 	}
 	r.Live.Inflight.Add(1)
-	r.Live.awaitingFirstChunk.Add(1)
 	r.Live.mu.Lock()
 	r.Live.itemInflight[item]++
 	if owner.Tenant != "" {
@@ -49,7 +48,6 @@
 	var first, once sync.Once
 	firstChunk := func(answered bool) {
 		first.Do(func() {
-			r.Live.awaitingFirstChunk.Add(-1)
 			r.Live.pendingPrefill.tokens.Add(int64(-tokens))
 			if answered && tokens > 0 {
 				rt.predictor.Learn(tokens, load, rt.clock.Since()-sentAt)
--- a/internal/route/live.go
+++ b/internal/route/live.go
@@ -13,8 +13,6 @@
 type Live struct {
 	Inflight    atomic.Int64
 	wantsReport atomic.Bool // a report is wanted before the next regular poll
-	// awaitingFirstChunk is the number of in-flight requests whose answers have not begun.
-	awaitingFirstChunk atomic.Int64
 	// othersInflight is the number of requests of other edges, by the load hints, as of the last renewal of the table.
 	othersInflight      atomic.Int64
 	lastHint            atomic.Pointer[loadHint]
@@ -74,10 +72,10 @@
 }
 
 // TooSlowFor reports whether the first chunk of another request is expected only after a given time. Nothing but an answer
-// renews the estimate, so a replica of which no answer is awaited is never too slow: one late answer would keep all requests
+// renews the estimate, so a replica without requests in flight is never too slow: one late answer would keep all requests
 // away from it for good.
 func (l *Live) TooSlowFor(left time.Duration) bool {
-	return l.awaitingFirstChunk.Load() > 0 && l.ExpectedFirstChunk() > left
+	return l.Inflight.Load() > 0 && l.ExpectedFirstChunk() > left
 }
 
 // FirstChunkTimeout is how long to wait for a first chunk before the silence is taken as a
